Add the event library: loop, HTTP client and server over evhttp

Cause of two findings while testing it: evhttp does not call back after a cancelled request, and it restarts its write state on 100 Continue and takes 103 for the final answer. Ruled out: HTTP/1.0 to targets (no kept-alive connections). Now the client reports time-outs itself and a filter on the input removes interim answers, also when they arrive byte by byte.

--- a/libs/config/include/config/entities.h
+++ b/libs/config/include/config/entities.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "base/endpoint.h"
 #include "base/ids.h"
 
 /// \file
@@ -15,13 +16,6 @@
 
 namespace knapweedknot {
 
-/// IPv4 address and port of a listener.
-struct endpoint {
-    std::string ip;
-    std::uint16_t port{0};
-    friend auto operator<=>(const endpoint&, const endpoint&) = default;
-};
-
 /// A salted hash of an API key's secret. The secret itself is never stored.
 struct stored_key {
     /// Hexadecimal salt, hashed before the secret.
--- a/libs/config/include/config/entity_parser.h
+++ b/libs/config/include/config/entity_parser.h
@@ -6,7 +6,6 @@
 
 #include <nlohmann/json.hpp>
 
-#include "base/error.h"
 #include "config/entities.h"
 
 /// \file
@@ -16,12 +15,6 @@
 
 namespace knapweedknot {
 
-/// Parses "IPV4:PORT". The port must not be zero. Thread safe.
-[[nodiscard]] result<endpoint> parse_endpoint(std::string_view text);
-
-/// Text form "IPV4:PORT".
-[[nodiscard]] std::string to_string(const endpoint& address);
-
 [[nodiscard]] client_account parse_account(const std::string& name, const nlohmann::json& source,
                                            std::vector<std::string>& problems);
 [[nodiscard]] service parse_service(const std::string& name, const nlohmann::json& source,
--- /dev/null
+++ b/libs/event/tests/event_test.cpp
@@ -0,0 +1,228 @@
+#define BOOST_TEST_MODULE event
+#include <boost/test/unit_test.hpp>
+
+#include <array>
+#include <deque>
+#include <optional>
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "event/http_client.h"
+#include "event/http_server.h"
+
+using namespace knapweedknot;
+
+namespace {
+
+const endpoint server_address{"127.0.0.1", 18970};
+constexpr duration patience = seconds(5);
+
+/// A blocking TCP connection that sends and receives raw bytes.
+struct raw_socket {
+    int fd{socket(AF_INET, SOCK_STREAM, 0)};
+
+    ~raw_socket() { this->close(); }
+    void close() {
+        if (this->fd >= 0) {
+            ::close(this->fd);
+        }
+        this->fd = -1;
+    }
+    void connect(const endpoint& address) {
+        sockaddr_in name{};
+        name.sin_family = AF_INET;
+        name.sin_port = htons(address.port);
+        inet_pton(AF_INET, address.ip.c_str(), &name.sin_addr);
+        BOOST_REQUIRE(::connect(this->fd, reinterpret_cast<sockaddr*>(&name), sizeof name) == 0);
+    }
+    void send(std::string_view text) {
+        BOOST_REQUIRE(::send(this->fd, text.data(), text.size(), 0) ==
+                      static_cast<ssize_t>(text.size()));
+    }
+    std::string read_available() {
+        std::string text(65536, '\0');
+        const ssize_t size = recv(this->fd, text.data(), text.size(), MSG_DONTWAIT);
+        text.resize(size > 0 ? static_cast<std::size_t>(size) : 0);
+        return text;
+    }
+};
+
+/// A server whose requests wait in a queue until the test answers them.
+struct queue_server {
+    loop events;
+    std::deque<std::shared_ptr<incoming_request>> requests;
+    http_server server{events, http_server_limits{},
+                       [this](auto request) { this->requests.push_back(std::move(request)); }};
+
+    queue_server() { BOOST_REQUIRE(this->server.listen(server_address).has_value()); }
+    template <typename Condition>
+    void run_until(Condition condition) {
+        const time_point limit = boot_clock::now() + patience;
+        const timer poll = this->events.every(milliseconds(1), [&] {
+            if (condition() || boot_clock::now() > limit) {
+                this->events.stop();
+            }
+        });
+        this->events.run();
+        BOOST_REQUIRE(condition());
+    }
+    void answer_first(std::string_view text) {
+        http_answer answer;
+        answer.status = 200;
+        answer.body = make_body(text);
+        this->requests.front()->answer(std::move(answer));
+        this->requests.pop_front();
+    }
+};
+
+/// Sends a request to a raw server that replies with \p reply and closes; returns the outcome.
+http_outcome exchange_with(const std::string& reply, const std::string& method = "GET",
+                           std::size_t piece_bytes = 1000) {
+    loop events;
+    const int listener = socket(AF_INET, SOCK_STREAM, 0);
+    const int on = 1;
+    setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    sockaddr_in name{};
+    name.sin_family = AF_INET;
+    name.sin_port = htons(server_address.port + 1);
+    inet_pton(AF_INET, server_address.ip.c_str(), &name.sin_addr);
+    BOOST_REQUIRE(bind(listener, reinterpret_cast<sockaddr*>(&name), sizeof name) == 0);
+    listen(listener, 1);
+    std::optional<http_outcome> outcome;
+    http_request request;
+    request.method = method;
+    send_once(events, {server_address.ip, static_cast<std::uint16_t>(server_address.port + 1)},
+              request, seconds(2), {}, [&](http_outcome result) {
+                  outcome = std::move(result);
+                  events.stop();
+              });
+    int accepted = -1;
+    std::size_t sent = 0;
+    timer step;
+    const timer accept_timer = events.after(milliseconds(20), [&] {
+        accepted = accept(listener, nullptr, nullptr);
+        std::array<char, 4096> buffer{};
+        BOOST_REQUIRE(recv(accepted, buffer.data(), buffer.size(), 0) > 0);
+        step = events.every(milliseconds(1), [&] {
+            const std::size_t size = std::min(piece_bytes, reply.size() - sent);
+            send(accepted, reply.data() + sent, size, MSG_NOSIGNAL);
+            sent += size;
+            if (sent == reply.size()) {
+                shutdown(accepted, SHUT_WR);
+                step = timer();
+            }
+        });
+    });
+    events.run();
+    close(accepted);
+    close(listener);
+    return std::move(*outcome);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(a_caller_that_goes_away_is_noticed_while_its_request_runs) {
+    queue_server fixture;
+    raw_socket caller;
+    caller.connect(server_address);
+    caller.send("GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
+    fixture.run_until([&] { return !fixture.requests.empty(); });
+    bool gone = false;
+    fixture.requests.front()->on_caller_gone([&] { gone = true; });
+    caller.close();
+    fixture.run_until([&] { return gone; });
+    BOOST_TEST(fixture.requests.front()->is_caller_gone());
+    BOOST_TEST(fixture.server.running_requests() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(pipelined_requests_are_answered_in_order) {
+    queue_server fixture;
+    raw_socket caller;
+    caller.connect(server_address);
+    caller.send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+    fixture.run_until([&] { return !fixture.requests.empty(); });
+    BOOST_TEST(fixture.requests.front()->uri() == "/1");
+    fixture.answer_first("one");
+    fixture.run_until([&] { return !fixture.requests.empty(); });
+    BOOST_TEST(fixture.requests.front()->uri() == "/2");
+    fixture.answer_first("two");
+    std::string received;
+    fixture.run_until([&] {
+        received += caller.read_available();
+        return received.find("two") != std::string::npos;
+    });
+    BOOST_TEST(received.find("one") < received.find("two"));
+}
+
+BOOST_AUTO_TEST_CASE(a_whole_answer_is_passed_on) {
+    const auto outcome = exchange_with("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello");
+    BOOST_REQUIRE(outcome.has_value());
+    BOOST_TEST(body_text(outcome->body.get()) == "hello");
+}
+
+BOOST_AUTO_TEST_CASE(a_chunked_answer_is_joined) {
+    const auto outcome = exchange_with("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                       "2\r\nhe\r\n3\r\nllo\r\n0\r\n\r\n");
+    BOOST_REQUIRE(outcome.has_value());
+    BOOST_TEST(body_text(outcome->body.get()) == "hello");
+}
+
+BOOST_AUTO_TEST_CASE(a_truncated_answer_is_a_failure) {
+    for (const char* reply :
+         {"HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nhello",
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhe",
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n",
+          "HTTP/1.1 200 OK\r\n\r\nhello", "HTTP/1.1 200 OK\r\nContent-Le", ""}) {
+        const auto outcome = exchange_with(reply);
+        BOOST_REQUIRE(!outcome.has_value());
+        BOOST_TEST((outcome.error().progress == send_progress::may_be_sent));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(interim_answers_before_the_final_one_are_skipped) {
+    const auto outcome = exchange_with(
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    BOOST_REQUIRE(outcome.has_value());
+    BOOST_TEST(outcome->status == 200);
+    const auto hints = exchange_with("HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
+                                     "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    BOOST_REQUIRE(hints.has_value());
+    BOOST_TEST(hints->status == 200);
+    BOOST_TEST((find_header(hints->headers, "Link") == nullptr));
+    constexpr std::size_t one_byte = 1;
+    const auto split = exchange_with("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n"
+                                     "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+                                     "GET", one_byte);
+    BOOST_REQUIRE(split.has_value());
+    BOOST_TEST(body_text(split->body.get()) == "ok");
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_to_head_has_a_length_and_no_body) {
+    const auto outcome = exchange_with("HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\n", "HEAD");
+    BOOST_REQUIRE(outcome.has_value());
+    BOOST_TEST(*find_header(outcome->headers, "content-length") == "50");
+}
+
+BOOST_AUTO_TEST_CASE(a_refused_connection_is_known_not_to_have_sent) {
+    loop events;
+    std::optional<http_outcome> outcome;
+    send_once(events, {"127.0.0.1", 18969}, http_request{}, seconds(2), {}, [&](auto result) {
+        outcome = std::move(result);
+        events.stop();
+    });
+    events.run();
+    BOOST_REQUIRE(!outcome->has_value());
+    BOOST_TEST((outcome->error().progress == send_progress::not_connected));
+}
+
+BOOST_AUTO_TEST_CASE(an_unanswered_request_ends_at_its_timeout) {
+    queue_server fixture;
+    std::optional<http_outcome> outcome;
+    send_once(fixture.events, server_address, http_request{}, milliseconds(50), {},
+              [&](auto result) { outcome = std::move(result); });
+    fixture.run_until([&] { return outcome.has_value(); });
+    BOOST_REQUIRE(!outcome->has_value());
+    BOOST_TEST((outcome->error().problem.kind == error_kind::deadline_exceeded));
+}
