--- /dev/null
+++ b/libs/decide/tests/decide_test.cpp
@@ -0,0 +1,28 @@
+#define BOOST_TEST_MODULE decide
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+
+#include "decide/placement.h"
+
+using namespace knapweedknot;
+
+BOOST_AUTO_TEST_CASE(slots_spread_over_instances_and_move_only_when_theirs_leaves) {
+    std::vector<instance_id> instances;
+    for (int i = 0; i < 44; ++i) {
+        instances.push_back(instance_id{"instance-" + std::to_string(i)});
+    }
+    std::vector<instance_id> fewer(instances.begin(), instances.end() - 1);
+    std::map<instance_id, int> load;
+    for (std::uint32_t slot = 0; slot < 4400; ++slot) {
+        const instance_id first = rank_instances(slot_id{slot}, instances).front();
+        ++load[first];
+        if (first != instances.back()) {
+            BOOST_TEST((rank_instances(slot_id{slot}, fewer).front() == first));
+        }
+    }
+    for (const auto& [instance, slots] : load) {
+        BOOST_TEST(slots > 50);
+        BOOST_TEST(slots < 150);
+    }
+}
--- /dev/null
+++ b/libs/decide/tests/seat_plan_test.cpp
@@ -0,0 +1,85 @@
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <random>
+
+#include "decide/seat_plan.h"
+
+using namespace knapweedknot;
+
+namespace {
+
+seat_view view_of(int number, int releasable = 0) {
+    return {instance_id{"i" + std::to_string(number)},
+            incarnation_id{static_cast<std::uint64_t>(number)},
+            releasable,
+            false,
+            {}};
+}
+
+/// Lets every instance plan in random order until nobody has a change. A holder may release what
+/// is surplus, as it could after its loans have ended.
+void settle(seat_record& record, std::vector<seat_view> views, std::mt19937& random) {
+    for (int round = 0; round < 200; ++round) {
+        std::shuffle(views.begin(), views.end(), random);
+        bool changed = false;
+        for (seat_view& view : views) {
+            view.releasable = surplus_seats(record, view.incarnation);
+            if (const auto planned = plan_seats(record, view)) {
+                record = *planned;
+                changed = true;
+                BOOST_REQUIRE(free_seats(record) >= 0);
+            }
+        }
+        if (!changed) {
+            return;
+        }
+    }
+    BOOST_FAIL("the plan does not settle");
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(seats_end_up_evenly_with_their_holders) {
+    std::mt19937 random(7);
+    for (const int count : {1, 2, 3, 32, 44}) {
+        seat_record record{128, {}};
+        std::vector<seat_view> views;
+        for (int i = 1; i <= count; ++i) {
+            views.push_back(view_of(i));
+            settle(record, views, random);
+        }
+        BOOST_TEST(free_seats(record) == 0);
+        for (const seat_holder& holder : record.holders) {
+            BOOST_TEST(holder.seats >= 128 / count);
+            BOOST_TEST(holder.seats <= 128 / count + 1);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_new_incarnation_inherits_the_seats_of_the_one_before) {
+    const seat_record record{
+        10, {{instance_id{"i1"}, incarnation_id{1}, 5}, {instance_id{"i2"}, incarnation_id{2}, 5}}};
+    seat_view view = view_of(1);
+    view.incarnation = incarnation_id{11};
+    const auto planned = plan_seats(record, view);
+    BOOST_REQUIRE(planned.has_value());
+    BOOST_TEST((find_holder(*planned, incarnation_id{1}) == nullptr));
+    BOOST_TEST(find_holder(*planned, incarnation_id{11})->seats == 5);
+}
+
+BOOST_AUTO_TEST_CASE(seats_still_on_loan_are_not_given_back) {
+    const seat_record record{
+        10,
+        {{instance_id{"i1"}, incarnation_id{1}, 10}, {instance_id{"i2"}, incarnation_id{2}, 0}}};
+    BOOST_TEST(surplus_seats(record, incarnation_id{1}) == 5);
+    BOOST_TEST(!plan_seats(record, view_of(1, 0)).has_value());
+    BOOST_TEST(find_holder(*plan_seats(record, view_of(1, 5)), incarnation_id{1})->seats == 5);
+}
+
+BOOST_AUTO_TEST_CASE(an_overcommitted_or_malformed_record_is_refused) {
+    const seat_record record{10, {{instance_id{"i1"}, incarnation_id{1}, 10}}};
+    BOOST_TEST((decode_seats(encode_seats(record)) == record));
+    BOOST_TEST(!decode_seats(encode_seats({9, record.holders})).has_value());
+    BOOST_TEST(!decode_seats("{").has_value());
+}
--- /dev/null
+++ b/libs/event/src/http_pool.cpp
@@ -0,0 +1,40 @@
+#include "event/http_pool.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace knapweedknot {
+
+http_pool::http_pool(loop& event_loop, const endpoint& target_address,
+                     const http_client_limits& size_limits)
+    : owner(event_loop), address(target_address), limits(size_limits) {}
+
+void http_pool::send(const http_request& request, duration timeout, http_connection::handler done) {
+    http_connection& connection = this->take_connection();
+    connection.send(request, timeout,
+                    [this, &connection, reply = std::move(done)](http_outcome outcome) {
+                        this->put_back(connection);
+                        reply(std::move(outcome));
+                    });
+}
+
+http_connection& http_pool::take_connection() {
+    for (const auto& connection : this->connections) {
+        if (!connection->is_busy()) {
+            return *connection;
+        }
+    }
+    this->connections.push_back(
+        std::make_unique<http_connection>(this->owner, this->address, this->limits));
+    return *this->connections.back();
+}
+
+void http_pool::put_back(http_connection& used) {
+    if (used.is_reusable()) {
+        return;
+    }
+    std::erase_if(this->connections,
+                  [&used](const auto& connection) { return connection.get() == &used; });
+}
+
+} // namespace knapweedknot
--- a/tools/platform_standin/main.cpp
+++ b/tools/platform_standin/main.cpp
@@ -16,9 +16,8 @@
     options::options_description known("Usage: platform_standin [options]");
     known.add_options()("help", "show this text")(
         "listen", options::value<std::string>()->default_value("127.0.0.1:7000"),
-        "address to serve on, IPV4:PORT")(
-        "list-lag-ms", options::value<int>()->default_value(1000),
-        "time until a change of the instance list is seen, ms")(
+        "address to serve on, IPV4:PORT")("list-lag-ms", options::value<int>()->default_value(1000),
+                                          "time until a change of the instance list is seen, ms")(
         "seed", options::value<std::uint64_t>()->default_value(1), "seed of the lost answers");
     options::variables_map given;
     try {
--- a/tools/platform_standin/platform_service.cpp
+++ b/tools/platform_standin/platform_service.cpp
@@ -75,12 +75,11 @@
         this->handle_platform_call(request);
         return;
     }
-    this->delayed.push_back(
-        this->owner.after(this->current_faults.delay, [this, request] {
-            if (!request->is_caller_gone()) {
-                this->handle_platform_call(request);
-            }
-        }));
+    this->delayed.push_back(this->owner.after(this->current_faults.delay, [this, request] {
+        if (!request->is_caller_gone()) {
+            this->handle_platform_call(request);
+        }
+    }));
 }
 
 void platform_service::handle_platform_call(const request_ptr& request) {
@@ -119,9 +118,9 @@
 
 void platform_service::handle_put(const request_ptr& request, const std::string& key) {
     ++this->counts["write"];
-    const auto written = this->state.put(key, body_text(request->body()),
-                                         number_of(request->query_value("expect")),
-                                         number_of(request->query_value("lease")));
+    const auto written =
+        this->state.put(key, body_text(request->body()), number_of(request->query_value("expect")),
+                        number_of(request->query_value("lease")));
     if (written) {
         this->notify_watches();
     }
@@ -215,8 +214,8 @@
         }
         reply(*request, 200, "");
     } else if (request->path() == "/v1/admin/instances" && body.is_array()) {
-        this->delayed.push_back(this->owner.after(
-            this->list_lag, [this, body] { this->visible_instances = body; }));
+        this->delayed.push_back(
+            this->owner.after(this->list_lag, [this, body] { this->visible_instances = body; }));
         reply(*request, 200, "");
     } else {
         reply(*request, 400, "no such call, or the body is not JSON of the right kind");
--- a/tools/platform_standin/platform_service.h
+++ b/tools/platform_standin/platform_service.h
@@ -19,10 +19,10 @@
 ///     PUT    /v1/kv/KEY?expect=REVISION[&lease=ID]   compare-and-swap; 409 on another revision
 ///     DELETE /v1/kv/KEY?expect=REVISION
 ///     POST   /v1/leases?ttl_ms=N[&renew=ID]          {"lease": ID}; 404 when it has ended
-///     GET    /v1/instances                           the lagging list of live and leaving instances
-///     PUT    /v1/admin/instances                     sets that list
-///     PUT    /v1/admin/faults                        {"outage", "slow_ms", "lose_answers"}
-///     GET    /v1/admin/counts                        calls since the start, by kind
+///     GET    /v1/instances                           the lagging list of live and leaving
+///     instances PUT    /v1/admin/instances                     sets that list PUT /v1/admin/faults
+///     {"outage", "slow_ms", "lose_answers"} GET    /v1/admin/counts                        calls
+///     since the start, by kind
 
 namespace knapweedknot::standin {
 
--- a/tools/target_standin/main.cpp
+++ b/tools/target_standin/main.cpp
@@ -81,8 +81,8 @@
     const auto checked =
         source.and_then([&](const auto& json) { return update_behaviour(behaviour, json); });
     if (!checked || !admin) {
-        std::cerr << "target_standin: "
-                  << (checked ? admin.error().detail : checked.error().detail) << '\n';
+        std::cerr << "target_standin: " << (checked ? admin.error().detail : checked.error().detail)
+                  << '\n';
         return 2;
     }
     std::ofstream log_file;
--- a/tools/target_standin/standin_target.cpp
+++ b/tools/target_standin/standin_target.cpp
@@ -11,8 +11,7 @@
 
 constexpr std::string_view outcome_header = "Knapweedknot-Outcome";
 
-void reply(incoming_request& request, int status, const std::string& text,
-           bool not_run = false) {
+void reply(incoming_request& request, int status, const std::string& text, bool not_run = false) {
     http_answer answer;
     answer.status = status;
     answer.headers.push_back({"Content-Type", "application/json"});
@@ -86,8 +85,8 @@
     http_server_limits limits;
     limits.max_body_bytes = std::size_t{64} * 1024 * 1024;
     limits.idle_timeout = seconds(600);
-    this->server = std::make_unique<http_server>(
-        this->owner, limits, [this](auto request) { this->handle(request); });
+    this->server = std::make_unique<http_server>(this->owner, limits,
+                                                 [this](auto request) { this->handle(request); });
     this->started_at = boot_clock::now();
     return this->server->listen(this->address);
 }
@@ -167,9 +166,8 @@
     if (this->current.mode == "hang") {
         return;
     }
-    running->end = this->owner.after(this->next_latency(), [this, running] {
-        this->finish(running);
-    });
+    running->end =
+        this->owner.after(this->next_latency(), [this, running] { this->finish(running); });
 }
 
 void standin_target::finish(const std::shared_ptr<execution>& running) {
@@ -207,7 +205,8 @@
     if (this->current.exponential && latency > 0) {
         latency = std::exponential_distribution<double>(1 / latency)(this->random);
     }
-    const bool cold = boot_clock::now() - this->started_at < milliseconds(this->current.cold_start_ms);
+    const bool cold =
+        boot_clock::now() - this->started_at < milliseconds(this->current.cold_start_ms);
     const bool slow =
         std::uniform_real_distribution<double>(0, 1)(this->random) < this->current.slow_share;
     if (cold || slow) {
