--- a/libs/decide/include/decide/seat_plan.h
+++ b/libs/decide/include/decide/seat_plan.h
@@ -18,6 +18,8 @@
     instance_id instance;
     incarnation_id incarnation;
     int seats{0};
+    /// Where other instances connect to it, "IPV4:PORT".
+    std::string peers_address;
     friend bool operator==(const seat_holder&, const seat_holder&) = default;
 };
 
@@ -37,6 +39,7 @@
     bool leaving{false};
     /// Holders whose process has ended for certain.
     std::vector<incarnation_id> gone;
+    std::string peers_address;
 };
 
 /// Seats that belong to nobody.
--- a/libs/decide/src/seat_plan.cpp
+++ b/libs/decide/src/seat_plan.cpp
@@ -35,7 +35,7 @@
     }
     std::erase_if(record.holders,
                   [&view](const seat_holder& holder) { return holder.instance == view.self; });
-    record.holders.push_back({view.self, view.incarnation, inherited});
+    record.holders.push_back({view.self, view.incarnation, inherited, view.peers_address});
 }
 
 void give_back_surplus(seat_record& record, const seat_view& view) {
@@ -117,7 +117,8 @@
     for (const seat_holder& holder : record.holders) {
         holders.push_back({{"instance", holder.instance.value},
                            {"incarnation", holder.incarnation.value},
-                           {"seats", holder.seats}});
+                           {"seats", holder.seats},
+                           {"peers_address", holder.peers_address}});
     }
     return nlohmann::json{{"total_seats", record.total_seats}, {"holders", holders}}.dump();
 }
@@ -130,7 +131,8 @@
         for (const nlohmann::json& item : source.at("holders")) {
             record.holders.push_back({instance_id{item.at("instance").get<std::string>()},
                                       incarnation_id{item.at("incarnation").get<std::uint64_t>()},
-                                      item.at("seats").get<int>()});
+                                      item.at("seats").get<int>(),
+                                      item.at("peers_address").get<std::string>()});
         }
         const bool negative =
             std::any_of(record.holders.begin(), record.holders.end(),
--- a/libs/decide/tests/seat_plan_test.cpp
+++ b/libs/decide/tests/seat_plan_test.cpp
@@ -58,8 +58,9 @@
 }
 
 BOOST_AUTO_TEST_CASE(a_new_incarnation_inherits_the_seats_of_the_one_before) {
-    const seat_record record{
-        10, {{instance_id{"i1"}, incarnation_id{1}, 5}, {instance_id{"i2"}, incarnation_id{2}, 5}}};
+    const seat_record record{10,
+                             {{instance_id{"i1"}, incarnation_id{1}, 5, ""},
+                              {instance_id{"i2"}, incarnation_id{2}, 5, ""}}};
     seat_view view = view_of(1);
     view.incarnation = incarnation_id{11};
     const auto planned = plan_seats(record, view);
@@ -69,16 +70,16 @@
 }
 
 BOOST_AUTO_TEST_CASE(seats_still_on_loan_are_not_given_back) {
-    const seat_record record{
-        10,
-        {{instance_id{"i1"}, incarnation_id{1}, 10}, {instance_id{"i2"}, incarnation_id{2}, 0}}};
+    const seat_record record{10,
+                             {{instance_id{"i1"}, incarnation_id{1}, 10, ""},
+                              {instance_id{"i2"}, incarnation_id{2}, 0, ""}}};
     BOOST_TEST(surplus_seats(record, incarnation_id{1}) == 5);
     BOOST_TEST(!plan_seats(record, view_of(1, 0)).has_value());
     BOOST_TEST(find_holder(*plan_seats(record, view_of(1, 5)), incarnation_id{1})->seats == 5);
 }
 
 BOOST_AUTO_TEST_CASE(an_overcommitted_or_malformed_record_is_refused) {
-    const seat_record record{10, {{instance_id{"i1"}, incarnation_id{1}, 10}}};
+    const seat_record record{10, {{instance_id{"i1"}, incarnation_id{1}, 10, ""}}};
     BOOST_TEST((decode_seats(encode_seats(record)) == record));
     BOOST_TEST(!decode_seats(encode_seats({9, record.holders})).has_value());
     BOOST_TEST(!decode_seats("{").has_value());
--- /dev/null
+++ b/libs/peers/src/mesh.cpp
@@ -0,0 +1,235 @@
+#include "peers/mesh.h"
+
+#include <algorithm>
+
+#include <arpa/inet.h>
+
+#include <event2/listener.h>
+
+#include "base/log.h"
+
+namespace knapweedknot {
+
+namespace {
+
+constexpr duration maintenance_interval = milliseconds(250);
+constexpr duration redial_interval = milliseconds(500);
+constexpr duration silence_limit = milliseconds(5000);
+constexpr duration hello_limit = milliseconds(1500);
+// An address that nobody answered at for this long is forgotten unless it is a seed.
+constexpr duration address_lifetime = seconds(60);
+constexpr int listen_backlog = 128;
+
+endpoint parse_or_empty(const std::string& text) {
+    return parse_endpoint(text).value_or(endpoint{});
+}
+
+} // namespace
+
+mesh::mesh(loop& event_loop, peer_info self, mesh_handlers handlers)
+    : owner(event_loop), own(std::move(self)), calls(std::move(handlers)),
+      listener(nullptr, &evconnlistener_free),
+      maintenance(event_loop.every(maintenance_interval, [this] { this->maintain(); })) {}
+
+mesh::~mesh() = default;
+
+result<void> mesh::listen() {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(this->own.peers_address.port);
+    inet_pton(AF_INET, this->own.peers_address.ip.c_str(), &address.sin_addr);
+    this->listener.reset(evconnlistener_new_bind(
+        this->owner.handle(), &mesh::accepted, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
+        listen_backlog, reinterpret_cast<const sockaddr*>(&address), sizeof address));
+    if (this->listener == nullptr) {
+        return fail(error_kind::internal, "cannot listen on " + to_string(this->own.peers_address));
+    }
+    return {};
+}
+
+void mesh::learn(const endpoint& address, bool is_seed) {
+    if (address == this->own.peers_address || address.port == 0) {
+        return;
+    }
+    const auto [place, is_new] = this->addresses.try_emplace(address);
+    place->second.is_seed = place->second.is_seed || is_seed;
+    if (is_new) {
+        place->second.last_useful = boot_clock::now();
+    }
+}
+
+std::map<incarnation_id, peer_info> mesh::peers() const {
+    std::map<incarnation_id, peer_info> connected;
+    for (const auto& [incarnation, link] : this->links_by_peer) {
+        connected.emplace(incarnation, *link->peer);
+    }
+    return connected;
+}
+
+std::uint64_t mesh::bytes_sent() const noexcept {
+    std::uint64_t total = this->bytes_of_closed_links;
+    for (const auto& link : this->links) {
+        total += link->bytes_sent();
+    }
+    return total;
+}
+
+bool mesh::send_frame(incarnation_id to, const std::string& frame) {
+    const auto found = this->links_by_peer.find(to);
+    if (found == this->links_by_peer.end()) {
+        return false;
+    }
+    found->second->send(frame);
+    return true;
+}
+
+void mesh::maintain() {
+    const time_point now = boot_clock::now();
+    std::vector<peer_link*> dead;
+    for (const auto& link : this->links) {
+        const duration limit = link->peer ? silence_limit : hello_limit;
+        if (link->silence(now) > limit) {
+            dead.push_back(link.get());
+        }
+    }
+    for (peer_link* link : dead) {
+        this->close(*link);
+    }
+    std::erase_if(this->addresses, [&](const auto& item) {
+        return !item.second.is_seed && !this->has_link_to(item.first) &&
+               now - item.second.last_useful > address_lifetime;
+    });
+    for (auto& [address, known] : this->addresses) {
+        if (this->has_link_to(address)) {
+            known.last_useful = now;
+        } else if (known.next_dial <= now) {
+            known.next_dial = now + redial_interval;
+            this->dial(address);
+        }
+    }
+}
+
+bool mesh::has_link_to(const endpoint& address) const {
+    return std::any_of(this->links.begin(), this->links.end(), [&](const auto& link) {
+        return (link->peer && link->peer->peers_address == address) || (link->dialled() == address);
+    });
+}
+
+peer_link::handlers mesh::link_handlers() {
+    return {[this](peer_link& link, const wire::messageT& message) { this->handle(link, message); },
+            [this](peer_link& link) { this->close(link); }};
+}
+
+void mesh::dial(const endpoint& address) {
+    this->links.push_back(std::make_unique<peer_link>(
+        this->owner, address, this->own.peers_address.ip, this->link_handlers()));
+    this->send_hello(*this->links.back());
+}
+
+void mesh::accepted(evconnlistener* /*unused*/, int socket, sockaddr* /*unused*/, int /*unused*/,
+                    void* argument) {
+    auto* self = static_cast<mesh*>(argument);
+    self->links.push_back(std::make_unique<peer_link>(self->owner, socket, self->link_handlers()));
+    self->send_hello(*self->links.back());
+}
+
+void mesh::send_hello(peer_link& link) {
+    wire::helloT hello;
+    hello.instance = this->own.instance.value;
+    hello.incarnation = this->own.incarnation.value;
+    hello.failure_domain = this->own.failure_domain.value;
+    hello.peers_address = to_string(this->own.peers_address);
+    hello.callers_address = to_string(this->own.callers_address);
+    link.send(encode_frame(std::move(hello)));
+}
+
+void mesh::handle(peer_link& link, const wire::messageT& message) {
+    if (const auto* hello = message.body.Ashello(); hello != nullptr) {
+        this->handle_hello(link, *hello);
+    } else if (!link.peer) {
+        this->close(link);
+    } else if (const auto* members = message.body.Asmembers(); members != nullptr) {
+        this->handle_members(*members);
+    } else {
+        // The receiver may close the link, so the peer's identity is copied.
+        const peer_info from = *link.peer;
+        this->calls.on_message(from, message);
+    }
+}
+
+void mesh::handle_hello(peer_link& link, const wire::helloT& hello) {
+    peer_info peer{instance_id{hello.instance}, incarnation_id{hello.incarnation},
+                   failure_domain_id{hello.failure_domain}, parse_or_empty(hello.peers_address),
+                   parse_or_empty(hello.callers_address)};
+    if (peer.incarnation == this->own.incarnation || link.peer) {
+        this->close(link);
+        return;
+    }
+    if (const auto present = this->links_by_peer.find(peer.incarnation);
+        present != this->links_by_peer.end()) {
+        link.peer = peer;
+        if (!this->prefers_new(*present->second, link)) {
+            this->close(link);
+            return;
+        }
+        peer_link& replaced = *present->second;
+        present->second = &link;
+        this->close(replaced);
+        return;
+    }
+    link.peer = peer;
+    this->links_by_peer[peer.incarnation] = &link;
+    this->learn(peer.peers_address, false);
+    this->announce_member(peer);
+    this->calls.on_connected(peer);
+}
+
+/// Both ends choose the same of two links: the one that the lesser incarnation dialled.
+bool mesh::prefers_new(const peer_link& present, const peer_link& added) const {
+    if (present.silence(boot_clock::now()) > hello_limit) {
+        return true;
+    }
+    const bool own_is_less = this->own.incarnation < present.peer->incarnation;
+    return added.dialled().has_value() == own_is_less &&
+           present.dialled().has_value() != own_is_less;
+}
+
+void mesh::announce_member(const peer_info& joined) {
+    wire::membersT all;
+    for (const auto& [incarnation, peer] : this->peers()) {
+        if (incarnation != joined.incarnation) {
+            all.peers_addresses.push_back(to_string(peer.peers_address));
+        }
+    }
+    this->send(joined.incarnation, std::move(all));
+}
+
+void mesh::handle_members(const wire::membersT& members) {
+    for (const std::string& text : members.peers_addresses) {
+        this->learn(parse_or_empty(text), false);
+    }
+}
+
+void mesh::close(peer_link& link) {
+    const auto place = std::find_if(this->links.begin(), this->links.end(),
+                                    [&link](const auto& item) { return item.get() == &link; });
+    if (place == this->links.end()) {
+        return;
+    }
+    this->bytes_of_closed_links += link.bytes_sent();
+    // The link may be in one of its own callbacks, so it is destroyed in the next round.
+    std::shared_ptr<peer_link> closed = std::move(*place);
+    this->links.erase(place);
+    this->owner.post([closed] {});
+    if (!closed->peer) {
+        return;
+    }
+    const peer_info peer = *closed->peer;
+    const auto active = this->links_by_peer.find(peer.incarnation);
+    if (active != this->links_by_peer.end() && active->second == closed.get()) {
+        this->links_by_peer.erase(active);
+        this->calls.on_disconnected(peer);
+    }
+}
+
+} // namespace knapweedknot
--- /dev/null
+++ b/libs/peers/src/peer_link.cpp
@@ -0,0 +1,116 @@
+#include "peers/peer_link.h"
+
+#include <utility>
+
+#include <arpa/inet.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+
+namespace knapweedknot {
+
+namespace {
+
+constexpr std::size_t max_queued_bytes = 2 * max_message_bytes;
+
+sockaddr_in socket_address(const std::string& ip, std::uint16_t port) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    inet_pton(AF_INET, ip.c_str(), &address.sin_addr);
+    return address;
+}
+
+/// A socket that connects from \p source_ip, so that peers and cuts can tell instances apart.
+int bound_socket(const std::string& source_ip) {
+    const int made = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    const int on = 1;
+    setsockopt(made, IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, &on, sizeof on);
+    const sockaddr_in source = socket_address(source_ip, 0);
+    static_cast<void>(bind(made, reinterpret_cast<const sockaddr*>(&source), sizeof source));
+    return made;
+}
+
+} // namespace
+
+void peer_link::stream_deleter::operator()(bufferevent* owned) const noexcept {
+    bufferevent_free(owned);
+}
+
+peer_link::peer_link(loop& owner, int socket, handlers receivers)
+    : stream(bufferevent_socket_new(owner.handle(), socket, BEV_OPT_CLOSE_ON_FREE)),
+      calls(std::move(receivers)), last_received(boot_clock::now()) {
+    this->set_up();
+}
+
+peer_link::peer_link(loop& owner, const endpoint& address, const std::string& source_ip,
+                     handlers receivers)
+    : stream(
+          bufferevent_socket_new(owner.handle(), bound_socket(source_ip), BEV_OPT_CLOSE_ON_FREE)),
+      target(address), calls(std::move(receivers)), last_received(boot_clock::now()) {
+    this->set_up();
+    const sockaddr_in name = socket_address(address.ip, address.port);
+    bufferevent_socket_connect(this->stream.get(), reinterpret_cast<const sockaddr*>(&name),
+                               sizeof name);
+}
+
+void peer_link::set_up() {
+    const int on = 1;
+    setsockopt(bufferevent_getfd(this->stream.get()), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    bufferevent_setcb(this->stream.get(), &peer_link::read_ready, nullptr,
+                      &peer_link::event_happened, this);
+    bufferevent_enable(this->stream.get(), EV_READ | EV_WRITE);
+}
+
+void peer_link::send(const std::string& frame) {
+    evbuffer* output = bufferevent_get_output(this->stream.get());
+    if (evbuffer_get_length(output) + frame.size() > max_queued_bytes) {
+        this->calls.on_closed(*this);
+        return;
+    }
+    this->sent += frame.size();
+    evbuffer_add(output, frame.data(), frame.size());
+}
+
+void peer_link::read_ready(bufferevent* /*unused*/, void* argument) {
+    static_cast<peer_link*>(argument)->read_frames();
+}
+
+void peer_link::event_happened(bufferevent* /*unused*/, short what, void* argument) {
+    if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT)) != 0) {
+        auto* self = static_cast<peer_link*>(argument);
+        self->calls.on_closed(*self);
+    }
+}
+
+void peer_link::read_frames() {
+    this->last_received = boot_clock::now();
+    evbuffer* input = bufferevent_get_input(this->stream.get());
+    while (evbuffer_get_length(input) >= frame_header_bytes) {
+        std::string header(frame_header_bytes, '\0');
+        evbuffer_copyout(input, header.data(), header.size());
+        const auto length = message_length(header);
+        if (!length) {
+            this->calls.on_closed(*this);
+            return;
+        }
+        if (evbuffer_get_length(input) < frame_header_bytes + *length) {
+            return;
+        }
+        evbuffer_drain(input, frame_header_bytes);
+        std::string bytes(*length, '\0');
+        evbuffer_remove(input, bytes.data(), bytes.size());
+        this->received += frame_header_bytes + bytes.size();
+        const auto message = decode_message(bytes);
+        if (!message) {
+            this->calls.on_closed(*this);
+            return;
+        }
+        this->calls.on_message(*this, **message);
+    }
+}
+
+} // namespace knapweedknot
--- /dev/null
+++ b/libs/peers/tests/mesh_test.cpp
@@ -0,0 +1,67 @@
+#define BOOST_TEST_MODULE peers
+#include <boost/test/unit_test.hpp>
+
+#include "peers/mesh.h"
+
+using namespace knapweedknot;
+
+namespace {
+
+constexpr std::uint16_t first_port = 18900;
+
+struct node {
+    std::unique_ptr<mesh> network;
+    int messages{0};
+    int disconnects{0};
+};
+
+endpoint address_of(int number) {
+    return {"127.0.0.1", static_cast<std::uint16_t>(first_port + number)};
+}
+
+void start(loop& events, node& one, int number) {
+    const peer_info self{instance_id{"n" + std::to_string(number)},
+                         incarnation_id{static_cast<std::uint64_t>(100 + number)},
+                         failure_domain_id{"a"}, address_of(number), address_of(number)};
+    one.network = std::make_unique<mesh>(
+        events, self,
+        mesh_handlers{[&one](const auto&, const auto&) { ++one.messages; }, [](const auto&) {},
+                      [&one](const auto&) { ++one.disconnects; }});
+    BOOST_REQUIRE(one.network->listen().has_value());
+}
+
+template <typename Condition>
+void run_until(loop& events, Condition condition) {
+    const time_point limit = boot_clock::now() + seconds(8);
+    const timer poll = events.every(milliseconds(5), [&] {
+        if (condition() || boot_clock::now() > limit) {
+            events.stop();
+        }
+    });
+    events.run();
+    BOOST_REQUIRE(condition());
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(instances_find_each_other_through_one_seed_and_see_a_member_leave) {
+    constexpr int count = 5;
+    loop events;
+    std::vector<node> nodes(count);
+    for (int i = 0; i < count; ++i) {
+        start(events, nodes[static_cast<std::size_t>(i)], i);
+        nodes[static_cast<std::size_t>(i)].network->learn(address_of(0), true);
+    }
+    const auto all_have = [&](std::size_t peers) {
+        return std::all_of(nodes.begin(), nodes.end(), [peers](const node& one) {
+            return one.network == nullptr || one.network->peers().size() == peers;
+        });
+    };
+    run_until(events, [&] { return all_have(count - 1); });
+    nodes[1].network->broadcast(wire::entries_requestT());
+    run_until(events, [&] { return nodes[4].messages == 1; });
+    BOOST_TEST(nodes[0].messages == 1);
+    nodes[2].network.reset();
+    run_until(events, [&] { return all_have(count - 2); });
+    BOOST_TEST(nodes[4].disconnects == 1);
+}
--- /dev/null
+++ b/libs/wire/tests/wire_test.cpp
@@ -0,0 +1,47 @@
+#define BOOST_TEST_MODULE wire
+#include <boost/test/unit_test.hpp>
+
+#include "wire/frame.h"
+
+using namespace knapweedknot;
+
+namespace {
+
+std::string sample_frame() {
+    wire::token_requestT request;
+    request.id = 7;
+    request.account = "shop";
+    request.wanted = 3;
+    return encode_frame(request);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(a_frame_decodes_to_what_was_encoded) {
+    const std::string frame = sample_frame();
+    const auto length = message_length(frame);
+    BOOST_REQUIRE(length.has_value());
+    BOOST_TEST(*length == frame.size() - frame_header_bytes);
+    const auto message = decode_message(std::string_view(frame).substr(frame_header_bytes));
+    BOOST_REQUIRE(message.has_value());
+    const auto* request = (*message)->body.Astoken_request();
+    BOOST_REQUIRE(request != nullptr);
+    BOOST_TEST(request->account == "shop");
+    BOOST_TEST(request->wanted == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(a_cut_or_changed_message_is_refused_or_still_well_formed) {
+    const std::string bytes = sample_frame().substr(frame_header_bytes);
+    for (std::size_t size = 0; size < bytes.size() / 2; ++size) {
+        BOOST_TEST(!decode_message(bytes.substr(0, size)).has_value());
+    }
+    for (std::size_t i = 0; i < bytes.size(); ++i) {
+        std::string changed = bytes;
+        changed[i] = static_cast<char>(changed[i] ^ 0x5A);
+        static_cast<void>(decode_message(changed));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(an_overlong_frame_is_refused_by_its_header) {
+    BOOST_TEST(!message_length(std::string(4, '\xFF')).has_value());
+}
