--- a/libs/config/include/config/history.h
+++ b/libs/config/include/config/history.h
@@ -38,8 +38,8 @@
     config_number number;
     /// Keys of the values whose concatenation is the document.
     std::vector<std::string> chunk_keys;
-    /// Keys of the archived parts of the history, oldest first.
-    std::vector<std::string> archive_keys;
+    /// Key of the newest archived part of the history; empty when there is none.
+    std::string archive_key;
     /// Hash of the last archived entry.
     std::string last_hash;
 };
@@ -67,9 +67,17 @@
 /// Parses a head record and checks that numbers and hashes form a chain. Thread safe.
 [[nodiscard]] result<history_head> decode_head(std::string_view text);
 
-/// Text form of a part of the history for the archive, and back. Thread safe.
-[[nodiscard]] std::string encode_entries(const std::vector<history_entry>& entries);
-[[nodiscard]] result<std::vector<history_entry>> decode_entries(std::string_view text);
+/// An archived part of the history.
+struct history_archive {
+    /// Key of the part before; empty for the first.
+    std::string previous_key;
+    /// Oldest first.
+    std::vector<history_entry> entries;
+};
+
+/// Text form of an archived part, and back. Thread safe.
+[[nodiscard]] std::string encode_archive(const history_archive& archive);
+[[nodiscard]] result<history_archive> decode_archive(std::string_view text);
 
 /// Problem in the chain that starts after \p previous_hash, or an empty text. Thread safe.
 [[nodiscard]] std::string find_chain_problem(const std::vector<history_entry>& entries,
--- a/libs/config/src/history.cpp
+++ b/libs/config/src/history.cpp
@@ -33,7 +33,7 @@
     const nlohmann::json& snapshot = source.at("snapshot");
     head.snapshot.number.value = snapshot.at("number").get<std::uint64_t>();
     head.snapshot.chunk_keys = snapshot.at("chunk_keys").get<std::vector<std::string>>();
-    head.snapshot.archive_keys = snapshot.at("archive_keys").get<std::vector<std::string>>();
+    head.snapshot.archive_key = snapshot.at("archive_key").get<std::string>();
     head.snapshot.last_hash = snapshot.at("last_hash").get<std::string>();
     auto tail = list_from_json(source.at("tail"));
     if (!tail) {
@@ -90,7 +90,7 @@
 std::string encode_head(const history_head& head) {
     const nlohmann::json snapshot = {{"number", head.snapshot.number.value},
                                      {"chunk_keys", head.snapshot.chunk_keys},
-                                     {"archive_keys", head.snapshot.archive_keys},
+                                     {"archive_key", head.snapshot.archive_key},
                                      {"last_hash", head.snapshot.last_hash}};
     return nlohmann::json{{"snapshot", snapshot}, {"tail", list_to_json(head.tail)}}.dump();
 }
@@ -103,13 +103,23 @@
     }
 }
 
-std::string encode_entries(const std::vector<history_entry>& entries) {
-    return list_to_json(entries).dump();
+std::string encode_archive(const history_archive& archive) {
+    return nlohmann::json{{"previous_key", archive.previous_key},
+                          {"entries", list_to_json(archive.entries)}}
+        .dump();
 }
 
-result<std::vector<history_entry>> decode_entries(std::string_view text) {
+result<history_archive> decode_archive(std::string_view text) {
     try {
-        return list_from_json(nlohmann::json::parse(text));
+        const nlohmann::json source = nlohmann::json::parse(text);
+        history_archive archive;
+        archive.previous_key = source.at("previous_key").get<std::string>();
+        auto entries = list_from_json(source.at("entries"));
+        if (!entries) {
+            return tl::unexpected(entries.error());
+        }
+        archive.entries = std::move(*entries);
+        return archive;
     } catch (const nlohmann::json::exception& problem) {
         return fail(error_kind::invalid_value, problem.what());
     }
--- /dev/null
+++ b/libs/control/include/control/patch_committer.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+#include "control/acceptance.h"
+#include "control/config_follower.h"
+#include "event/loop.h"
+#include "platform/store_client.h"
+
+/// \file
+/// Accepts operators' patches: announces them, writes them by compare-and-swap, and finds out what
+/// became of a write whose answer was lost.
+
+namespace knapweedknot {
+
+/// A patch as an operator submits it.
+struct patch_submission {
+    /// Number that the patch was written against.
+    config_number base;
+    std::string author;
+    /// RFC 7396 merge patch.
+    nlohmann::json patch;
+    /// Chosen by the submitter; the same submission sent twice is accepted once.
+    std::string patch_id;
+};
+
+/// An accepted patch.
+struct accepted_patch {
+    config_number number;
+    /// True when every connected instance has adopted it; the others serve no keyed route.
+    bool in_force{false};
+};
+
+/// Accepts one patch after another. Not thread safe.
+class patch_committer {
+public:
+    using handler = std::function<void(result<accepted_patch>)>;
+
+    patch_committer(loop& owner, store_client& store, config_follower& follower,
+                    configuration& config, acceptance& votes);
+
+    /// Queues \p submission. Errors: configuration_conflict when another patch came first,
+    /// invalid_value with the paths of bad values, peer_unreachable or store_unavailable when
+    /// nothing was written, outcome_unknown when it could not be found out.
+    void submit(patch_submission submission, handler done);
+
+private:
+    struct job {
+        patch_submission submission;
+        handler done;
+        history_head written;
+        int tries{0};
+        time_point announced_at;
+    };
+
+    void start_next();
+    void check();
+    void announce();
+    void append_entry();
+    void compact();
+    void write_chunk(history_head compacted, std::size_t offset, const std::string& document);
+    void write_archive(history_head compacted, const history_archive& archive);
+    void write_head();
+    void handle_swap(const result<swap_outcome>& outcome);
+    void read_back();
+    void accepted(config_number number);
+    [[nodiscard]] bool must_compact() const;
+    void compaction_failed(const error& problem);
+    void refuse(error problem);
+    [[nodiscard]] const history_entry* find_own_entry() const;
+
+    loop& owner;
+    store_client& store;
+    config_follower& follower;
+    configuration& config;
+    acceptance& votes;
+    std::deque<job> queue;
+    bool busy{false};
+    timer retry;
+};
+
+} // namespace knapweedknot
--- a/libs/platform/include/platform/store_client.h
+++ b/libs/platform/include/platform/store_client.h
@@ -66,8 +66,6 @@
 
     /// Calls sent since the start; a waiting watch counts as one.
     [[nodiscard]] std::uint64_t calls() const noexcept { return this->sent; }
-    /// When a read or watch last had an answer, counted from before it was sent.
-    [[nodiscard]] std::optional<time_point> last_read() const noexcept { return this->read_at; }
 
 private:
     void send(const http_request& request, duration timeout, http_connection::handler done);
@@ -75,7 +73,6 @@
 
     http_pool pool;
     std::uint64_t sent{0};
-    std::optional<time_point> read_at;
 };
 
 } // namespace knapweedknot
--- a/libs/platform/src/store_client.cpp
+++ b/libs/platform/src/store_client.cpp
@@ -92,14 +92,8 @@
 void store_client::get(const std::string& key, handler<store_value> done) {
     http_request request;
     request.uri = key_uri(key);
-    const time_point asked = boot_clock::now();
-    this->send(request, call_timeout, [this, asked, reply = std::move(done)](http_outcome outcome) {
-        auto value = to_value(outcome);
-        if (value) {
-            this->read_at = asked;
-        }
-        reply(std::move(value));
-    });
+    this->send(request, call_timeout,
+               [reply = std::move(done)](http_outcome outcome) { reply(to_value(outcome)); });
 }
 
 void store_client::watch(const std::string& key, std::uint64_t after, duration wait,
@@ -107,22 +101,18 @@
     http_request request;
     request.uri = key_uri(key) + "?after=" + std::to_string(after) +
                   "&wait_ms=" + std::to_string(to_milliseconds(wait));
-    const time_point asked = boot_clock::now();
-    this->send(request, wait + watch_grace,
-               [this, asked, reply = std::move(done)](http_outcome outcome) {
-                   if (outcome && outcome->status == status_not_modified) {
-                       this->read_at = asked;
-                       reply(std::optional<store_value>());
-                       return;
-                   }
-                   auto value = to_value(outcome);
-                   if (!value) {
-                       reply(tl::unexpected(value.error()));
-                       return;
-                   }
-                   this->read_at = asked;
-                   reply(std::optional(std::move(*value)));
-               });
+    this->send(request, wait + watch_grace, [reply = std::move(done)](http_outcome outcome) {
+        if (outcome && outcome->status == status_not_modified) {
+            reply(std::optional<store_value>());
+            return;
+        }
+        auto value = to_value(outcome);
+        if (!value) {
+            reply(tl::unexpected(value.error()));
+            return;
+        }
+        reply(std::optional(std::move(*value)));
+    });
 }
 
 void store_client::swap(const std::string& key, const std::string& data, std::uint64_t expected,
--- a/libs/wire/include/wire/peer_message_generated.h
+++ b/libs/wire/include/wire/peer_message_generated.h
@@ -66,6 +66,10 @@
 struct prefix_replyBuilder;
 struct prefix_replyT;
 
+struct listing;
+struct listingBuilder;
+struct listingT;
+
 struct message;
 struct messageBuilder;
 struct messageT;
@@ -84,11 +88,12 @@
   entries_reply = 10,
   prefix_request = 11,
   prefix_reply = 12,
+  listing = 13,
   MIN = NONE,
-  MAX = prefix_reply
+  MAX = listing
 };
 
-inline const message_body (&EnumValuesmessage_body())[13] {
+inline const message_body (&EnumValuesmessage_body())[14] {
   static const message_body values[] = {
     message_body::NONE,
     message_body::heartbeat,
@@ -102,13 +107,14 @@
     message_body::entries_request,
     message_body::entries_reply,
     message_body::prefix_request,
-    message_body::prefix_reply
+    message_body::prefix_reply,
+    message_body::listing
   };
   return values;
 }
 
 inline const char * const *EnumNamesmessage_body() {
-  static const char * const names[14] = {
+  static const char * const names[15] = {
     "NONE",
     "heartbeat",
     "hello",
@@ -122,13 +128,14 @@
     "entries_reply",
     "prefix_request",
     "prefix_reply",
+    "listing",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNamemessage_body(message_body e) {
-  if (flatbuffers::IsOutRange(e, message_body::NONE, message_body::prefix_reply)) return "";
+  if (flatbuffers::IsOutRange(e, message_body::NONE, message_body::listing)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesmessage_body()[index];
 }
@@ -185,6 +192,10 @@
   static const message_body enum_value = message_body::prefix_reply;
 };
 
+template<> struct message_bodyTraits<knapweedknot::wire::listing> {
+  static const message_body enum_value = message_body::listing;
+};
+
 template<typename T> struct message_bodyUnionTraits {
   static const message_body enum_value = message_body::NONE;
 };
@@ -237,6 +248,10 @@
   static const message_body enum_value = message_body::prefix_reply;
 };
 
+template<> struct message_bodyUnionTraits<knapweedknot::wire::listingT> {
+  static const message_body enum_value = message_body::listing;
+};
+
 struct message_bodyUnion {
   message_body type;
   void *value;
@@ -363,6 +378,14 @@
     return type == message_body::prefix_reply ?
       reinterpret_cast<const knapweedknot::wire::prefix_replyT *>(value) : nullptr;
   }
+  knapweedknot::wire::listingT *Aslisting() {
+    return type == message_body::listing ?
+      reinterpret_cast<knapweedknot::wire::listingT *>(value) : nullptr;
+  }
+  const knapweedknot::wire::listingT *Aslisting() const {
+    return type == message_body::listing ?
+      reinterpret_cast<const knapweedknot::wire::listingT *>(value) : nullptr;
+  }
 };
 
 bool Verifymessage_body(flatbuffers::Verifier &verifier, const void *obj, message_body type);
@@ -377,9 +400,10 @@
   uint32_t acknowledged_;
   uint32_t sent_ms_;
   uint32_t echo_ms_;
-  uint16_t seats_;
+  uint16_t lent_seats_;
+  uint16_t held_seats_;
   uint16_t flags_;
-  int32_t padding0__;
+  uint16_t reserved_;
 
  public:
   struct Traits;
@@ -391,12 +415,12 @@
         acknowledged_(0),
         sent_ms_(0),
         echo_ms_(0),
-        seats_(0),
+        lent_seats_(0),
+        held_seats_(0),
         flags_(0),
-        padding0__(0) {
-    (void)padding0__;
+        reserved_(0) {
   }
-  heartbeat_fields(uint64_t _config_number, uint64_t _lent_slots_low, uint64_t _lent_slots_high, uint32_t _sequence, uint32_t _acknowledged, uint32_t _sent_ms, uint32_t _echo_ms, uint16_t _seats, uint16_t _flags)
+  heartbeat_fields(uint64_t _config_number, uint64_t _lent_slots_low, uint64_t _lent_slots_high, uint32_t _sequence, uint32_t _acknowledged, uint32_t _sent_ms, uint32_t _echo_ms, uint16_t _lent_seats, uint16_t _held_seats, uint16_t _flags, uint16_t _reserved)
       : config_number_(flatbuffers::EndianScalar(_config_number)),
         lent_slots_low_(flatbuffers::EndianScalar(_lent_slots_low)),
         lent_slots_high_(flatbuffers::EndianScalar(_lent_slots_high)),
@@ -404,10 +428,10 @@
         acknowledged_(flatbuffers::EndianScalar(_acknowledged)),
         sent_ms_(flatbuffers::EndianScalar(_sent_ms)),
         echo_ms_(flatbuffers::EndianScalar(_echo_ms)),
-        seats_(flatbuffers::EndianScalar(_seats)),
+        lent_seats_(flatbuffers::EndianScalar(_lent_seats)),
+        held_seats_(flatbuffers::EndianScalar(_held_seats)),
         flags_(flatbuffers::EndianScalar(_flags)),
-        padding0__(0) {
-    (void)padding0__;
+        reserved_(flatbuffers::EndianScalar(_reserved)) {
   }
   uint64_t config_number() const {
     return flatbuffers::EndianScalar(config_number_);
@@ -430,12 +454,18 @@
   uint32_t echo_ms() const {
     return flatbuffers::EndianScalar(echo_ms_);
   }
-  uint16_t seats() const {
-    return flatbuffers::EndianScalar(seats_);
+  uint16_t lent_seats() const {
+    return flatbuffers::EndianScalar(lent_seats_);
+  }
+  uint16_t held_seats() const {
+    return flatbuffers::EndianScalar(held_seats_);
   }
   uint16_t flags() const {
     return flatbuffers::EndianScalar(flags_);
   }
+  uint16_t reserved() const {
+    return flatbuffers::EndianScalar(reserved_);
+  }
 };
 FLATBUFFERS_STRUCT_END(heartbeat_fields, 48);
 
@@ -1191,7 +1221,7 @@
 struct entries_replyT : public flatbuffers::NativeTable {
   typedef entries_reply TableType;
   std::string head{};
-  std::string snapshot_document{};
+  std::string document{};
 };
 
 struct entries_reply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1200,20 +1230,20 @@
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_HEAD = 4,
-    VT_SNAPSHOT_DOCUMENT = 6
+    VT_DOCUMENT = 6
   };
   const flatbuffers::String *head() const {
     return GetPointer<const flatbuffers::String *>(VT_HEAD);
   }
-  const flatbuffers::String *snapshot_document() const {
-    return GetPointer<const flatbuffers::String *>(VT_SNAPSHOT_DOCUMENT);
+  const flatbuffers::String *document() const {
+    return GetPointer<const flatbuffers::String *>(VT_DOCUMENT);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_HEAD) &&
            verifier.VerifyString(head()) &&
-           VerifyOffset(verifier, VT_SNAPSHOT_DOCUMENT) &&
-           verifier.VerifyString(snapshot_document()) &&
+           VerifyOffset(verifier, VT_DOCUMENT) &&
+           verifier.VerifyString(document()) &&
            verifier.EndTable();
   }
   entries_replyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1228,8 +1258,8 @@
   void add_head(flatbuffers::Offset<flatbuffers::String> head) {
     fbb_.AddOffset(entries_reply::VT_HEAD, head);
   }
-  void add_snapshot_document(flatbuffers::Offset<flatbuffers::String> snapshot_document) {
-    fbb_.AddOffset(entries_reply::VT_SNAPSHOT_DOCUMENT, snapshot_document);
+  void add_document(flatbuffers::Offset<flatbuffers::String> document) {
+    fbb_.AddOffset(entries_reply::VT_DOCUMENT, document);
   }
   explicit entries_replyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
@@ -1245,9 +1275,9 @@
 inline flatbuffers::Offset<entries_reply> Createentries_reply(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> head = 0,
-    flatbuffers::Offset<flatbuffers::String> snapshot_document = 0) {
+    flatbuffers::Offset<flatbuffers::String> document = 0) {
   entries_replyBuilder builder_(_fbb);
-  builder_.add_snapshot_document(snapshot_document);
+  builder_.add_document(document);
   builder_.add_head(head);
   return builder_.Finish();
 }
@@ -1260,13 +1290,13 @@
 inline flatbuffers::Offset<entries_reply> Createentries_replyDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *head = nullptr,
-    const char *snapshot_document = nullptr) {
+    const char *document = nullptr) {
   auto head__ = head ? _fbb.CreateString(head) : 0;
-  auto snapshot_document__ = snapshot_document ? _fbb.CreateString(snapshot_document) : 0;
+  auto document__ = document ? _fbb.CreateString(document) : 0;
   return knapweedknot::wire::Createentries_reply(
       _fbb,
       head__,
-      snapshot_document__);
+      document__);
 }
 
 flatbuffers::Offset<entries_reply> Createentries_reply(flatbuffers::FlatBufferBuilder &_fbb, const entries_replyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1433,6 +1463,75 @@
 
 flatbuffers::Offset<prefix_reply> Createprefix_reply(flatbuffers::FlatBufferBuilder &_fbb, const prefix_replyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct listingT : public flatbuffers::NativeTable {
+  typedef listing TableType;
+  std::vector<std::string> leaving{};
+};
+
+struct listing FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef listingT NativeTableType;
+  typedef listingBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_LEAVING = 4
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *leaving() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_LEAVING);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_LEAVING) &&
+           verifier.VerifyVector(leaving()) &&
+           verifier.VerifyVectorOfStrings(leaving()) &&
+           verifier.EndTable();
+  }
+  listingT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(listingT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<listing> Pack(flatbuffers::FlatBufferBuilder &_fbb, const listingT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct listingBuilder {
+  typedef listing Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_leaving(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> leaving) {
+    fbb_.AddOffset(listing::VT_LEAVING, leaving);
+  }
+  explicit listingBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<listing> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<listing>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<listing> Createlisting(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> leaving = 0) {
+  listingBuilder builder_(_fbb);
+  builder_.add_leaving(leaving);
+  return builder_.Finish();
+}
+
+struct listing::Traits {
+  using type = listing;
+  static auto constexpr Create = Createlisting;
+};
+
+inline flatbuffers::Offset<listing> CreatelistingDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *leaving = nullptr) {
+  auto leaving__ = leaving ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*leaving) : 0;
+  return knapweedknot::wire::Createlisting(
+      _fbb,
+      leaving__);
+}
+
+flatbuffers::Offset<listing> Createlisting(flatbuffers::FlatBufferBuilder &_fbb, const listingT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct messageT : public flatbuffers::NativeTable {
   typedef message TableType;
   knapweedknot::wire::message_bodyUnion body{};
@@ -1489,6 +1588,9 @@
   const knapweedknot::wire::prefix_reply *body_as_prefix_reply() const {
     return body_type() == knapweedknot::wire::message_body::prefix_reply ? static_cast<const knapweedknot::wire::prefix_reply *>(body()) : nullptr;
   }
+  const knapweedknot::wire::listing *body_as_listing() const {
+    return body_type() == knapweedknot::wire::message_body::listing ? static_cast<const knapweedknot::wire::listing *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -1549,6 +1651,10 @@
   return body_as_prefix_reply();
 }
 
+template<> inline const knapweedknot::wire::listing *message::body_as<knapweedknot::wire::listing>() const {
+  return body_as_listing();
+}
+
 struct messageBuilder {
   typedef message Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -1876,7 +1982,7 @@
   (void)_o;
   (void)_resolver;
   { auto _e = head(); if (_e) _o->head = _e->str(); }
-  { auto _e = snapshot_document(); if (_e) _o->snapshot_document = _e->str(); }
+  { auto _e = document(); if (_e) _o->document = _e->str(); }
 }
 
 inline flatbuffers::Offset<entries_reply> entries_reply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const entries_replyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1888,11 +1994,11 @@
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const entries_replyT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _head = _o->head.empty() ? 0 : _fbb.CreateString(_o->head);
-  auto _snapshot_document = _o->snapshot_document.empty() ? 0 : _fbb.CreateString(_o->snapshot_document);
+  auto _document = _o->document.empty() ? 0 : _fbb.CreateString(_o->document);
   return knapweedknot::wire::Createentries_reply(
       _fbb,
       _head,
-      _snapshot_document);
+      _document);
 }
 
 inline prefix_requestT *prefix_request::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -1953,6 +2059,32 @@
       _prefix);
 }
 
+inline listingT *listing::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<listingT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void listing::UnPackTo(listingT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = leaving(); if (_e) { _o->leaving.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->leaving[_i] = _e->Get(_i)->str(); } } }
+}
+
+inline flatbuffers::Offset<listing> listing::Pack(flatbuffers::FlatBufferBuilder &_fbb, const listingT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createlisting(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<listing> Createlisting(flatbuffers::FlatBufferBuilder &_fbb, const listingT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const listingT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _leaving = _o->leaving.size() ? _fbb.CreateVectorOfStrings(_o->leaving) : 0;
+  return knapweedknot::wire::Createlisting(
+      _fbb,
+      _leaving);
+}
+
 inline messageT *message::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<messageT>();
   UnPackTo(_o.get(), _resolver);
@@ -2035,6 +2167,10 @@
       auto ptr = reinterpret_cast<const knapweedknot::wire::prefix_reply *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case message_body::listing: {
+      auto ptr = reinterpret_cast<const knapweedknot::wire::listing *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -2102,6 +2238,10 @@
       auto ptr = reinterpret_cast<const knapweedknot::wire::prefix_reply *>(obj);
       return ptr->UnPack(resolver);
     }
+    case message_body::listing: {
+      auto ptr = reinterpret_cast<const knapweedknot::wire::listing *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -2157,6 +2297,10 @@
       auto ptr = reinterpret_cast<const knapweedknot::wire::prefix_replyT *>(value);
       return Createprefix_reply(_fbb, ptr, _rehasher).Union();
     }
+    case message_body::listing: {
+      auto ptr = reinterpret_cast<const knapweedknot::wire::listingT *>(value);
+      return Createlisting(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -2211,6 +2355,10 @@
       value = new knapweedknot::wire::prefix_replyT(*reinterpret_cast<knapweedknot::wire::prefix_replyT *>(u.value));
       break;
     }
+    case message_body::listing: {
+      value = new knapweedknot::wire::listingT(*reinterpret_cast<knapweedknot::wire::listingT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -2278,6 +2426,11 @@
       delete ptr;
       break;
     }
+    case message_body::listing: {
+      auto ptr = reinterpret_cast<knapweedknot::wire::listingT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
