--- a/libs/control/include/control/acceptance.h
+++ b/libs/control/include/control/acceptance.h
@@ -44,7 +44,7 @@
     /// Whether this instance vouches for its number.
     [[nodiscard]] bool vouches() const;
     /// Whether keyed routes may be served.
-    [[nodiscard]] bool is_fresh() const;
+    [[nodiscard]] bool is_fresh();
     /// Whether an announced number's outcome is still open here.
     [[nodiscard]] bool is_pending() const noexcept { return this->pending.has_value(); }
 
@@ -81,6 +81,9 @@
     };
     std::vector<force_waiter> force_waiters;
     timer looking;
+    /// Last result of the freshness rule, and when it was worked out.
+    bool was_fresh{false};
+    time_point fresh_checked;
     bool reading{false};
 };
 
--- a/libs/control/include/control/config_follower.h
+++ b/libs/control/include/control/config_follower.h
@@ -33,7 +33,7 @@
     void refresh(done_handler done);
     /// Takes a head record from any source. \p document is the text of the whole document at the
     /// head's number, or empty when it is to be read from the store if needed.
-    void adopt(history_head head, const std::string& document, done_handler done);
+    void adopt(const history_head& head, const std::string& document, const done_handler& done);
     /// Like adopt, for a head that was just written to the store as \p revision.
     void adopt_written(const history_head& head, std::uint64_t revision);
 
--- a/libs/control/src/acceptance.cpp
+++ b/libs/control/src/acceptance.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr duration look_interval = milliseconds(100);
+// The freshness rule is worked out at most this often.
+constexpr duration fresh_reuse = milliseconds(20);
 constexpr duration announce_limit = milliseconds(1500);
 // An announced write cannot take effect later than this after its announcement: the announcer
 // starts it within announce_limit and its call is bounded.
@@ -160,9 +162,9 @@
 }
 
 void acceptance::handle_entries(const wire::entries_replyT& message) {
-    auto head = decode_head(message.head);
+    const auto head = decode_head(message.head);
     if (head) {
-        this->follower.adopt(std::move(*head), message.document,
+        this->follower.adopt(*head, message.document,
                              [this](const result<void>&) { this->settle_pending(); });
     }
 }
@@ -170,7 +172,7 @@
 void acceptance::peer_connected(const peer_info& peer) {
     wire::entries_requestT request;
     request.after = this->config.number().value;
-    this->network.send(peer.incarnation, std::move(request));
+    this->network.send(peer.incarnation, request);
 }
 
 void acceptance::settle_pending() {
@@ -184,11 +186,16 @@
                          boot_clock::now());
 }
 
-bool acceptance::is_fresh() const {
+bool acceptance::is_fresh() {
     const time_point now = boot_clock::now();
-    return knapweedknot::is_fresh(this->loans.vouchers(now), this->config.number(),
-                                  this->follower.last_read(), this->loans.total_seats(),
-                                  this->loans.freshness(), now);
+    if (now - this->fresh_checked < fresh_reuse) {
+        return this->was_fresh;
+    }
+    this->fresh_checked = now;
+    this->was_fresh = knapweedknot::is_fresh(this->loans.vouchers(now), this->config.number(),
+                                             this->follower.last_read(), this->loans.total_seats(),
+                                             this->loans.freshness(), now);
+    return this->was_fresh;
 }
 
 void acceptance::look_around() {
@@ -203,7 +210,7 @@
     if (newest != peers.end() && newest->second.number > this->config.number()) {
         wire::entries_requestT request;
         request.after = this->config.number().value;
-        this->network.send(newest->first, std::move(request));
+        this->network.send(newest->first, request);
     }
     const bool must_read = !this->vouches() || !this->is_fresh();
     if (must_read && !this->reading) {
--- a/libs/control/src/config_follower.cpp
+++ b/libs/control/src/config_follower.cpp
@@ -66,14 +66,14 @@
         done({});
         return;
     }
-    auto head = decode_head(value.data);
+    const auto head = decode_head(value.data);
     if (!head) {
         log_event(log_level::error, "head_record_malformed", {{"detail", head.error().detail}});
         done(tl::unexpected(head.error()));
         return;
     }
     const std::uint64_t revision = value.revision;
-    this->adopt(std::move(*head), "", [this, revision, done](const result<void>& outcome) {
+    this->adopt(*head, "", [this, revision, done](const result<void>& outcome) {
         if (outcome) {
             this->head_revision = std::max(this->head_revision, revision);
         }
@@ -81,7 +81,8 @@
     });
 }
 
-void config_follower::adopt(history_head head, const std::string& document, done_handler done) {
+void config_follower::adopt(const history_head& head, const std::string& document,
+                            const done_handler& done) {
     if (head.number() <= this->config.number()) {
         done({});
         return;
--- a/libs/control/src/loan_keeper.cpp
+++ b/libs/control/src/loan_keeper.cpp
@@ -75,6 +75,7 @@
             candidates[peer.info.instance] = peer.info;
         }
     }
+    names.reserve(candidates.size());
     for (const auto& [name, info] : candidates) {
         names.push_back(name);
     }
--- a/libs/control/src/token_client.cpp
+++ b/libs/control/src/token_client.cpp
@@ -149,7 +149,7 @@
                          now + grant_lifetime));
         reply.is_broker = now - slot.share_since >= settling || reply.granted > 0;
     }
-    this->network.send(from.incarnation, std::move(reply));
+    this->network.send(from.incarnation, reply);
 }
 
 void token_client::handle_reply(const peer_info& /*from*/, const wire::token_replyT& reply) {
--- a/libs/decide/tests/decide_test.cpp
+++ b/libs/decide/tests/decide_test.cpp
@@ -9,6 +9,7 @@
 
 BOOST_AUTO_TEST_CASE(slots_spread_over_instances_and_move_only_when_theirs_leaves) {
     std::vector<instance_id> instances;
+    instances.reserve(44);
     for (int i = 0; i < 44; ++i) {
         instances.push_back(instance_id{"instance-" + std::to_string(i)});
     }
--- /dev/null
+++ b/libs/entry/include/entry/filters.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "base/error.h"
+#include "config/configuration.h"
+#include "event/http_message.h"
+#include "event/http_server.h"
+
+/// \file
+/// The steps that a request passes before anything waits: each is a function over the request's
+/// context that succeeds or gives the refusal.
+
+namespace knapweedknot {
+
+/// What is known of a request on its way through an instance.
+struct request_context {
+    std::shared_ptr<incoming_request> incoming;
+    time_point arrived;
+    time_point deadline;
+    route_ptr matched_route;
+    service_ptr matched_service;
+    /// Null on a route that is open to all.
+    client_account_ptr account;
+    /// The presented key; never logged and never sent on.
+    std::string presented_key;
+    /// True when a target may run the request more than once.
+    bool repeatable{false};
+};
+
+/// Takes the presented key from "Authorization: Bearer KEY" or "X-Api-Key: KEY", if there is one.
+[[nodiscard]] result<void> read_key(request_context& context);
+/// Finds the route and its service.
+[[nodiscard]] result<void> find_route(request_context& context, const configuration& config);
+/// Finds the account of the presented key and checks that it may use the route. Open routes pass.
+[[nodiscard]] result<void> authenticate(request_context& context, const configuration& config);
+/// Finds the account of the presented key, whatever the route.
+[[nodiscard]] result<client_account_ptr> find_account(const std::string& presented_key,
+                                                      const configuration& config);
+/// Refuses a request that would show the presented key to a target in its URI or in a header.
+[[nodiscard]] result<void> refuse_exposed_key(const request_context& context);
+/// Sets the deadline from the caller's header or the service's policy.
+[[nodiscard]] result<void> set_deadline(request_context& context);
+
+/// The request to send to a target: without keys, hop-by-hop headers and the product's own ones,
+/// with the account's name. The body is shared with the incoming request.
+[[nodiscard]] http_request make_target_request(const request_context& context);
+/// The answer to pass on: without hop-by-hop headers, framed anew.
+[[nodiscard]] http_answer make_caller_answer(http_answer&& answer, bool is_head);
+
+} // namespace knapweedknot
--- /dev/null
+++ b/libs/entry/include/entry/gateway.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+
+#include "config/configuration.h"
+#include "control/acceptance.h"
+#include "control/list_watcher.h"
+#include "control/loan_keeper.h"
+#include "control/settings.h"
+#include "control/token_client.h"
+#include "entry/filters.h"
+#include "entry/metrics.h"
+#include "entry/service_dispatcher.h"
+#include "event/http_server.h"
+
+/// \file
+/// The request path of an instance: parse, route, authenticate, admit, dispatch, answer.
+
+namespace knapweedknot {
+
+/// Serves callers. Not thread safe.
+class gateway {
+public:
+    gateway(loop& owner, const instance_settings& settings, configuration& config,
+            acceptance& votes, token_client& tokens, loan_keeper& loans, list_watcher& listing);
+
+    [[nodiscard]] result<void> listen();
+    /// Takes the services of a changed configuration.
+    void update_services();
+
+    [[nodiscard]] http_server& server() noexcept { return this->callers; }
+    [[nodiscard]] metrics& measured() noexcept { return this->counters; }
+    [[nodiscard]] const std::map<service_id, std::unique_ptr<service_dispatcher>>&
+    dispatchers() const noexcept {
+        return this->by_service;
+    }
+
+private:
+    using context_ptr = std::shared_ptr<request_context>;
+
+    void handle(const std::shared_ptr<incoming_request>& request);
+    [[nodiscard]] result<void> prepare(request_context& context) const;
+    void admit(const context_ptr& context);
+    void dispatch(const context_ptr& context);
+    void pass_on(const context_ptr& context, result<service_answer> outcome);
+    void refuse(const request_context& context, const error& problem);
+    void answer_addresses(request_context& context);
+    [[nodiscard]] dispatcher_options make_dispatcher_options() const;
+
+    loop& owner;
+    const instance_settings& settings;
+    configuration& config;
+    acceptance& votes;
+    token_client& tokens;
+    loan_keeper& loans;
+    list_watcher& listing;
+    metrics counters;
+    std::map<service_id, std::unique_ptr<service_dispatcher>> by_service;
+    std::map<service_id, service_ptr> known_services;
+    http_server callers;
+};
+
+} // namespace knapweedknot
--- /dev/null
+++ b/libs/entry/include/entry/header_names.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <string_view>
+
+/// \file
+/// Names of the headers that the product adds or reads.
+
+namespace knapweedknot {
+
+/// Caller to instance and instance to target: time left for the answer, in milliseconds.
+inline constexpr std::string_view deadline_header = "Knapweedknot-Deadline-Ms";
+/// Instance to target: the client account of the request.
+inline constexpr std::string_view account_header = "Knapweedknot-Account";
+/// Instance to caller: the instance that answered.
+inline constexpr std::string_view instance_header = "Knapweedknot-Instance";
+/// Instance to caller: the target that answered.
+inline constexpr std::string_view target_header = "Knapweedknot-Target";
+/// Instance to caller: the error kind of a refusal.
+inline constexpr std::string_view error_header = "Knapweedknot-Error";
+/// In a refusal, also by a target: "not_run", "ran" or "may_have_run".
+inline constexpr std::string_view outcome_header = "Knapweedknot-Outcome";
+/// Prefix of all of them; a caller's other headers with it are dropped.
+inline constexpr std::string_view product_header_prefix = "Knapweedknot-";
+
+} // namespace knapweedknot
--- /dev/null
+++ b/libs/entry/include/entry/operator_service.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "control/acceptance.h"
+#include "control/loan_keeper.h"
+#include "control/patch_committer.h"
+#include "control/seat_keeper.h"
+#include "control/token_client.h"
+#include "entry/gateway.h"
+#include "event/http_server.h"
+
+/// \file
+/// The operators' interface of an instance, on a listener of its own.
+///
+///     GET   /v1/configuration          {"number", "document"}
+///     PATCH /v1/configuration?base=N   a merge patch or a JSON patch, by Content-Type
+///     GET   /v1/history?after=N        accepted patches, oldest first
+///     GET   /v1/status                 instances, seats, targets, accounts
+///     POST  /v1/drain                  starts a graceful stop
+///     GET   /metrics                   without a token
+///
+/// All others need "Authorization: Bearer TOKEN" of an operator named in the settings; the name
+/// goes into the audit trail.
+
+namespace knapweedknot {
+
+/// What the operators' interface shows and changes.
+struct operator_service_parts {
+    const instance_settings& settings;
+    configuration& config;
+    config_follower& follower;
+    patch_committer& committer;
+    acceptance& votes;
+    loan_keeper& loans;
+    seat_keeper& seats;
+    token_client& tokens;
+    gateway& front;
+    store_client& store;
+    mesh& network;
+};
+
+/// Serves operators. Not thread safe.
+class operator_service {
+public:
+    operator_service(loop& owner, const operator_service_parts& parts,
+                     std::function<void()> start_drain);
+
+    [[nodiscard]] result<void> listen();
+
+private:
+    using request_ptr = std::shared_ptr<incoming_request>;
+
+    void handle(const request_ptr& request);
+    void handle_known(const request_ptr& request, const std::string& author);
+    void handle_patch(const request_ptr& request, const std::string& author);
+    void answer_accepted(const request_ptr& request, config_number base,
+                         const result<accepted_patch>& outcome);
+    void handle_history(const request_ptr& request);
+    void collect_history(const request_ptr& request, std::uint64_t after,
+                         const std::string& archive_key, std::vector<history_entry> newer);
+    void answer_status(const request_ptr& request);
+    void answer_metrics(const request_ptr& request);
+    [[nodiscard]] result<std::string> operator_of(const incoming_request& request) const;
+    [[nodiscard]] nlohmann::json changes_since(config_number base) const;
+    [[nodiscard]] nlohmann::json describe_instances() const;
+    [[nodiscard]] nlohmann::json describe_services() const;
+    [[nodiscard]] nlohmann::json describe_accounts() const;
+    [[nodiscard]] nlohmann::json describe_seats() const;
+
+    operator_service_parts parts;
+    std::function<void()> start_drain;
+    http_server server;
+};
+
+} // namespace knapweedknot
--- /dev/null
+++ b/libs/entry/src/filters.cpp
@@ -0,0 +1,221 @@
+#include "entry/filters.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cstdlib>
+
+#include <event2/http.h>
+
+#include "config/api_key.h"
+#include "entry/header_names.h"
+#include "event/http_methods.h"
+
+namespace knapweedknot {
+
+namespace {
+
+constexpr std::string_view bearer = "Bearer ";
+constexpr long long max_deadline_ms = 600'000;
+
+// RFC 9110, 7.6.1, and headers that only concern the caller's connection.
+constexpr std::array<std::string_view, 11> hop_by_hop{"Connection",
+                                                      "Keep-Alive",
+                                                      "Proxy-Connection",
+                                                      "Proxy-Authenticate",
+                                                      "Proxy-Authorization",
+                                                      "TE",
+                                                      "Trailer",
+                                                      "Transfer-Encoding",
+                                                      "Upgrade",
+                                                      "Expect",
+                                                      "Content-Length"};
+constexpr std::array<std::string_view, 2> key_headers{"Authorization", "X-Api-Key"};
+
+template <std::size_t Count>
+bool is_one_of(std::string_view name, const std::array<std::string_view, Count>& names) {
+    return std::any_of(names.begin(), names.end(),
+                       [name](std::string_view other) { return equal_ignoring_case(name, other); });
+}
+
+bool has_product_prefix(std::string_view name) {
+    return equal_ignoring_case(name.substr(0, product_header_prefix.size()), product_header_prefix);
+}
+
+/// True when a Connection header lists \p name as belonging to one hop.
+bool is_listed_by_connection(const http_headers& headers, std::string_view name) {
+    const std::string* value = find_header(headers, "Connection");
+    std::string_view rest = value == nullptr ? std::string_view() : std::string_view(*value);
+    while (!rest.empty()) {
+        const std::size_t comma = std::min(rest.find(','), rest.size());
+        std::string_view item = rest.substr(0, comma);
+        rest = rest.substr(std::min(comma + 1, rest.size()));
+        while (!item.empty() && item.front() == ' ') {
+            item.remove_prefix(1);
+        }
+        while (!item.empty() && item.back() == ' ') {
+            item.remove_suffix(1);
+        }
+        if (equal_ignoring_case(item, name)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+std::string_view host_without_port(std::string_view host) {
+    return host.substr(0, host.find(':'));
+}
+
+std::string decode_uri(const std::string& uri) {
+    std::size_t size = 0;
+    char* decoded = evhttp_uridecode(uri.c_str(), 1, &size);
+    if (decoded == nullptr) {
+        return uri;
+    }
+    std::string text(decoded, size);
+    std::free(decoded);
+    return text;
+}
+
+} // namespace
+
+result<void> read_key(request_context& context) {
+    const std::string_view authorization = context.incoming->header("Authorization");
+    if (!authorization.empty()) {
+        if (!equal_ignoring_case(authorization.substr(0, bearer.size()), bearer)) {
+            return fail(error_kind::key_missing, "use Authorization: Bearer KEY");
+        }
+        context.presented_key = authorization.substr(bearer.size());
+        return {};
+    }
+    context.presented_key = context.incoming->header("X-Api-Key");
+    return {};
+}
+
+result<void> find_route(request_context& context, const configuration& config) {
+    const std::string_view path = context.incoming->path();
+    context.matched_route =
+        config.find_route(host_without_port(context.incoming->header("Host")), path);
+    if (context.matched_route == nullptr) {
+        return fail(error_kind::route_not_found, "no route for this path");
+    }
+    const auto& methods = context.matched_route->methods;
+    if (!methods.empty() && !methods.contains(std::string(context.incoming->method()))) {
+        return fail(error_kind::route_not_found, "the route does not serve this method");
+    }
+    context.matched_service = config.find_service(context.matched_route->service);
+    const idempotency rule = context.matched_route->repeatable;
+    context.repeatable =
+        rule == idempotency::always ||
+        (rule == idempotency::by_method && is_idempotent_method(context.incoming->method()));
+    return {};
+}
+
+result<client_account_ptr> find_account(const std::string& presented_key,
+                                        const configuration& config) {
+    if (presented_key.empty()) {
+        return fail(error_kind::key_missing, "this route needs a key");
+    }
+    const auto parts = split_key(presented_key);
+    if (!parts) {
+        return fail(error_kind::key_unknown, "the key is unknown or withdrawn");
+    }
+    const key_owner owner = config.find_key(parts->key_id);
+    if (owner.account == nullptr || !key_matches(owner.key, parts->secret)) {
+        return fail(error_kind::key_unknown, "the key is unknown or withdrawn");
+    }
+    return owner.account;
+}
+
+result<void> authenticate(request_context& context, const configuration& config) {
+    if (context.matched_route->open) {
+        return {};
+    }
+    auto account = find_account(context.presented_key, config);
+    if (!account) {
+        return tl::unexpected(account.error());
+    }
+    const auto& allowed = context.matched_route->accounts;
+    if (!allowed.empty() && !allowed.contains((*account)->id.value)) {
+        return fail(error_kind::account_not_allowed, "the account may not use this route");
+    }
+    context.account = std::move(*account);
+    return {};
+}
+
+result<void> refuse_exposed_key(const request_context& context) {
+    const auto parts = split_key(context.presented_key);
+    if (!parts) {
+        return {};
+    }
+    const std::string_view secret = parts->secret;
+    const auto shows = [secret](std::string_view text) {
+        return text.find(secret) != std::string_view::npos;
+    };
+    const std::string& uri = context.incoming->uri();
+    if (shows(uri) || (uri.find('%') != std::string::npos && shows(decode_uri(uri)))) {
+        return fail(error_kind::key_exposed, "the URI holds the key");
+    }
+    for (const auto& [name, value] : context.incoming->headers()) {
+        if (!is_one_of(name, key_headers) && (shows(value) || shows(name))) {
+            return fail(error_kind::key_exposed, "a header that targets see holds the key");
+        }
+    }
+    return {};
+}
+
+result<void> set_deadline(request_context& context) {
+    const std::string_view text = context.incoming->header(deadline_header);
+    if (text.empty()) {
+        context.deadline = context.arrived + context.matched_service->policy.request_timeout;
+        return {};
+    }
+    long long value = 0;
+    const char* const end = text.data() + text.size();
+    const auto [stop, code] = std::from_chars(text.data(), end, value);
+    if (code != std::errc{} || stop != end || value < 1 || value > max_deadline_ms) {
+        return fail(error_kind::bad_request,
+                    std::string(deadline_header) + " must be from 1 to 600000 ms, a whole number");
+    }
+    context.deadline = context.arrived + milliseconds(value);
+    return {};
+}
+
+http_request make_target_request(const request_context& context) {
+    const incoming_request& incoming = *context.incoming;
+    http_request request;
+    request.method = std::string(incoming.method());
+    request.uri = incoming.uri();
+    for (const auto& [name, value] : incoming.headers()) {
+        const bool is_dropped = is_one_of(name, hop_by_hop) || is_one_of(name, key_headers) ||
+                                has_product_prefix(name) ||
+                                is_listed_by_connection(incoming.headers(), name);
+        if (!is_dropped) {
+            request.headers.push_back({name, value});
+        }
+    }
+    if (context.account != nullptr) {
+        request.headers.push_back({std::string(account_header), context.account->id.value});
+    }
+    request.headers.push_back({"X-Forwarded-For", incoming.caller_ip()});
+    request.body = copy_body(incoming.body());
+    return request;
+}
+
+http_answer make_caller_answer(http_answer&& answer, bool is_head) {
+    http_headers kept;
+    for (auto& [name, value] : answer.headers) {
+        const bool is_length_of_head = is_head && equal_ignoring_case(name, "Content-Length");
+        const bool is_dropped = (is_one_of(name, hop_by_hop) && !is_length_of_head) ||
+                                has_product_prefix(name) ||
+                                is_listed_by_connection(answer.headers, name);
+        if (!is_dropped) {
+            kept.push_back({std::move(name), std::move(value)});
+        }
+    }
+    answer.headers = std::move(kept);
+    return std::move(answer);
+}
+
+} // namespace knapweedknot
--- /dev/null
+++ b/libs/entry/src/gateway.cpp
@@ -0,0 +1,196 @@
+#include "entry/gateway.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "base/log.h"
+#include "decide/placement.h"
+#include "entry/answers.h"
+#include "entry/header_names.h"
+
+namespace knapweedknot {
+
+namespace {
+
+constexpr std::string_view addresses_path = "/v1/addresses";
+// Callers of an account get one more address for each of these.
+constexpr double rate_per_address = 2000;
+constexpr std::size_t least_addresses = 2;
+
+http_server_limits caller_limits(const instance_settings& settings) {
+    http_server_limits limits;
+    limits.max_header_bytes = settings.max_header_bytes;
+    limits.max_body_bytes = settings.max_request_bytes;
+    return limits;
+}
+
+} // namespace
+
+gateway::gateway(loop& event_loop, const instance_settings& instance, configuration& config_used,
+                 acceptance& acceptance_used, token_client& token_source, loan_keeper& keeper,
+                 list_watcher& list)
+    : owner(event_loop), settings(instance), config(config_used), votes(acceptance_used),
+      tokens(token_source), loans(keeper), listing(list),
+      callers(event_loop, caller_limits(instance),
+              [this](const auto& request) { this->handle(request); }) {}
+
+result<void> gateway::listen() {
+    return this->callers.listen(this->settings.callers_address);
+}
+
+dispatcher_options gateway::make_dispatcher_options() const {
+    dispatcher_options options;
+    options.max_instances = this->settings.max_instances;
+    options.limits.max_header_bytes = this->settings.max_header_bytes;
+    options.limits.max_body_bytes = this->settings.max_answer_bytes;
+    options.source_ip = this->settings.callers_address.ip;
+    options.is_leaving = [&list = this->listing](const endpoint& address) {
+        return list.is_leaving(address);
+    };
+    return options;
+}
+
+void gateway::update_services() {
+    for (const auto& [id, defined] : this->config.services()) {
+        service_ptr& known = this->known_services[id];
+        if (known == defined) {
+            continue;
+        }
+        known = defined;
+        std::unique_ptr<service_dispatcher>& dispatcher = this->by_service[id];
+        if (dispatcher == nullptr) {
+            dispatcher = std::make_unique<service_dispatcher>(this->owner, defined,
+                                                              this->make_dispatcher_options());
+        } else {
+            dispatcher->update(defined);
+        }
+    }
+    // A removed service's dispatcher stays while it has work; it gets no new work.
+    std::erase_if(this->known_services, [this](const auto& item) {
+        return this->config.find_service(item.first) == nullptr;
+    });
+}
+
+void gateway::handle(const std::shared_ptr<incoming_request>& request) {
+    auto context = std::make_shared<request_context>();
+    context->incoming = request;
+    context->arrived = boot_clock::now();
+    if (request->path() == addresses_path) {
+        this->answer_addresses(*context);
+        return;
+    }
+    if (const auto prepared = this->prepare(*context); !prepared) {
+        this->refuse(*context, prepared.error());
+        return;
+    }
+    if (context->account == nullptr) {
+        this->dispatch(context);
+    } else {
+        this->admit(context);
+    }
+}
+
+result<void> gateway::prepare(request_context& context) const {
+    if (context.incoming->method().empty() || !context.incoming->uri().starts_with('/')) {
+        return fail(error_kind::bad_request, "use a served method and an absolute path");
+    }
+    return read_key(context)
+        .and_then([&] { return find_route(context, this->config); })
+        .and_then([&] { return authenticate(context, this->config); })
+        .and_then([&]() -> result<void> {
+            if (context.account != nullptr && !this->votes.is_fresh()) {
+                return fail(error_kind::configuration_stale,
+                            "this instance cannot tell whether the key still stands");
+            }
+            return {};
+        })
+        .and_then([&] { return refuse_exposed_key(context); })
+        .and_then([&] { return set_deadline(context); });
+}
+
+void gateway::admit(const context_ptr& context) {
+    this->tokens.admit(context->account, context->deadline,
+                       [this, context](const result<void>& outcome) {
+                           if (context->incoming->is_caller_gone()) {
+                               return;
+                           }
+                           if (!outcome) {
+                               this->refuse(*context, outcome.error());
+                               return;
+                           }
+                           this->dispatch(context);
+                       });
+}
+
+void gateway::dispatch(const context_ptr& context) {
+    service_dispatcher& dispatcher = *this->by_service.at(context->matched_service->id);
+    const account_id payer = context->account == nullptr ? account_id{} : context->account->id;
+    auto ticket = std::make_shared<dispatch_ticket>();
+    context->incoming->on_caller_gone([&dispatcher, ticket] { dispatcher.cancel(*ticket); });
+    *ticket = dispatcher.dispatch(
+        {make_target_request(*context), payer, context->deadline, context->repeatable},
+        [this, context](result<service_answer> outcome) {
+            this->pass_on(context, std::move(outcome));
+        });
+}
+
+void gateway::pass_on(const context_ptr& context, result<service_answer> outcome) {
+    incoming_request& incoming = *context->incoming;
+    incoming.on_caller_gone(nullptr);
+    if (!outcome) {
+        this->refuse(*context, outcome.error());
+        return;
+    }
+    const duration total = boot_clock::now() - context->arrived;
+    this->counters.note_request("answered", total, outcome->spent);
+    http_answer answer =
+        make_caller_answer(std::move(outcome->answer), incoming.method() == "HEAD");
+    answer.headers.push_back({std::string(instance_header), this->settings.instance.value});
+    answer.headers.push_back({std::string(target_header), outcome->target.value});
+    incoming.answer(std::move(answer));
+}
+
+void gateway::refuse(const request_context& context, const error& problem) {
+    const duration total = boot_clock::now() - context.arrived;
+    this->counters.note_request(answer_for(problem.kind).name, total, duration::zero());
+    if (!context.incoming->is_caller_gone()) {
+        answer_error(*context.incoming, problem, this->settings.instance);
+    }
+}
+
+void gateway::answer_addresses(request_context& context) {
+    const auto account = read_key(context).and_then(
+        [&] { return find_account(context.presented_key, this->config); });
+    if (!account) {
+        this->refuse(context, account.error());
+        return;
+    }
+    const auto more =
+        static_cast<std::size_t>(std::ceil((*account)->rate_per_s / rate_per_address));
+    const std::size_t wanted = std::max(least_addresses, more);
+    nlohmann::json addresses = nlohmann::json::array();
+    std::vector<peer_info> ranked = this->loans.ranked(slot_of((*account)->id, slot_count));
+    // The second address is in another failure domain where there is one.
+    if (ranked.size() > 2) {
+        const auto elsewhere =
+            std::find_if(ranked.begin() + 1, ranked.end(), [&ranked](const peer_info& peer) {
+                return peer.failure_domain != ranked.front().failure_domain;
+            });
+        if (elsewhere != ranked.end()) {
+            std::rotate(ranked.begin() + 1, elsewhere, elsewhere + 1);
+        }
+    }
+    for (const peer_info& peer : ranked) {
+        if (addresses.size() < wanted) {
+            addresses.push_back({{"address", to_string(peer.callers_address)},
+                                 {"instance", peer.instance.value},
+                                 {"failure_domain", peer.failure_domain.value}});
+        }
+    }
+    answer_json(
+        *context.incoming, 200,
+        {{"addresses", addresses}, {"keep_ms", to_milliseconds(this->settings.address_lifetime)}});
+}
+
+} // namespace knapweedknot
--- a/libs/event/include/event/http_client.h
+++ b/libs/event/include/event/http_client.h
@@ -18,8 +18,8 @@
 
 /// Limits of a client connection.
 struct http_client_limits {
-    std::size_t max_header_bytes{64 * 1024};
-    std::size_t max_body_bytes{16 * 1024 * 1024};
+    std::size_t max_header_bytes{std::size_t{64} * 1024};
+    std::size_t max_body_bytes{std::size_t{16} * 1024 * 1024};
     duration connect_timeout{milliseconds(1000)};
 };
 
--- a/libs/event/include/event/http_server.h
+++ b/libs/event/include/event/http_server.h
@@ -23,8 +23,8 @@
 
 /// Limits of a listener.
 struct http_server_limits {
-    std::size_t max_header_bytes{64 * 1024};
-    std::size_t max_body_bytes{4 * 1024 * 1024};
+    std::size_t max_header_bytes{std::size_t{64} * 1024};
+    std::size_t max_body_bytes{std::size_t{4} * 1024 * 1024};
     /// Time without a byte after which an idle caller connection is closed.
     duration idle_timeout{seconds(60)};
 };
--- a/libs/event/src/http_client.cpp
+++ b/libs/event/src/http_client.cpp
@@ -133,6 +133,10 @@
         evhttp_add_header(sent->output_headers, name.c_str(), value.c_str());
     }
     append_copy(sent->output_buffer, request.body.get());
+    // evhttp adds a length for POST and PUT only.
+    if (const std::size_t size = body_size(request.body.get()); size > 0) {
+        evhttp_add_header(sent->output_headers, "Content-Length", std::to_string(size).c_str());
+    }
     this->running->request = sent;
     this->running->deadline = this->owner.after(timeout, [this] { this->time_out(); });
     if (this->limits.connect_timeout < timeout) {
--- a/libs/event/src/http_server.cpp
+++ b/libs/event/src/http_server.cpp
@@ -18,7 +18,7 @@
 namespace {
 
 // Bytes read ahead from a caller while its request runs.
-constexpr std::size_t max_read_ahead_bytes = 64 * 1024;
+constexpr std::size_t max_read_ahead_bytes = std::size_t{64} * 1024;
 
 void event_while_running(bufferevent* /*unused*/, short what, void* argument) {
     if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) {
--- a/libs/event/tests/event_test.cpp
+++ b/libs/event/tests/event_test.cpp
@@ -217,6 +217,19 @@
     BOOST_TEST((outcome->error().progress == send_progress::not_connected));
 }
 
+BOOST_AUTO_TEST_CASE(bodies_arrive_whole_with_every_method) {
+    queue_server fixture;
+    for (const char* method : {"POST", "PUT", "PATCH", "DELETE", "OPTIONS"}) {
+        http_request request;
+        request.method = method;
+        request.body = make_body("content");
+        send_once(fixture.events, server_address, request, seconds(2), {}, [](const auto&) {});
+        fixture.run_until([&] { return !fixture.requests.empty(); });
+        BOOST_TEST(body_text(fixture.requests.front()->body()) == "content", method);
+        fixture.answer_first("");
+    }
+}
+
 BOOST_AUTO_TEST_CASE(an_unanswered_request_ends_at_its_timeout) {
     queue_server fixture;
     std::optional<http_outcome> outcome;
