--- a/libs/control/include/control/loan_keeper.h
+++ b/libs/control/include/control/loan_keeper.h
@@ -56,6 +56,8 @@
     void handle_heartbeat(const peer_info& from, const wire::heartbeat_fields& fields);
     void peer_connected(const peer_info& peer);
     void peer_disconnected(const peer_info& peer);
+    /// Sends a heartbeat to one peer now, if it is connected.
+    void beat_now(incarnation_id to);
     /// From now on this instance takes no loans and no seats.
     void set_leaving();
     /// What this instance says of its configuration.
--- a/libs/control/include/control/settings.h
+++ b/libs/control/include/control/settings.h
@@ -30,7 +30,10 @@
     failure_domain_id failure_domain;
     endpoint callers_address;
     endpoint operators_address;
+    /// Where other instances connect.
     endpoint peers_address;
+    /// Where this instance listens for them; peers_address unless something stands between.
+    endpoint peers_listen;
     endpoint platform_address;
     /// Instances to ask for others when the store is away.
     std::vector<endpoint> peer_seeds;
--- a/libs/control/src/loan_keeper.cpp
+++ b/libs/control/src/loan_keeper.cpp
@@ -126,6 +126,13 @@
     }
 }
 
+void loan_keeper::beat_now(incarnation_id to) {
+    const auto found = this->statuses.find(to);
+    if (found != this->statuses.end() && found->second.connected) {
+        this->beat(to, boot_clock::now());
+    }
+}
+
 void loan_keeper::beat_soon() {
     if (this->soon_planned) {
         return;
--- a/libs/control/src/settings.cpp
+++ b/libs/control/src/settings.cpp
@@ -89,6 +89,10 @@
     settings.callers_address = read_address(reader, "callers_address");
     settings.operators_address = read_address(reader, "operators_address");
     settings.peers_address = read_address(reader, "peers_address");
+    settings.peers_listen = settings.peers_address;
+    if (reader.has("peers_listen")) {
+        settings.peers_listen = read_address(reader, "peers_listen");
+    }
     settings.platform_address = read_address(reader, "platform_address");
     read_seeds(reader, settings);
     read_operators(reader, settings);
--- a/programs/knapweedknotctl/operator_client.cpp
+++ b/libs/operator_client/src/operator_client.cpp
@@ -1,4 +1,4 @@
-#include "operator_client.h"
+#include "operator_client/operator_client.h"
 
 #include "event/http_client.h"
 #include "event/loop.h"
--- a/libs/peers/include/peers/peer_info.h
+++ b/libs/peers/include/peers/peer_info.h
@@ -15,6 +15,8 @@
     failure_domain_id failure_domain;
     /// Where other instances connect.
     endpoint peers_address;
+    /// Where this instance listens for others; not told to them.
+    endpoint peers_listen;
     /// Where callers connect.
     endpoint callers_address;
 };
--- a/libs/peers/src/mesh.cpp
+++ b/libs/peers/src/mesh.cpp
@@ -36,13 +36,13 @@
 result<void> mesh::listen() {
     sockaddr_in address{};
     address.sin_family = AF_INET;
-    address.sin_port = htons(this->own.peers_address.port);
-    inet_pton(AF_INET, this->own.peers_address.ip.c_str(), &address.sin_addr);
+    address.sin_port = htons(this->own.peers_listen.port);
+    inet_pton(AF_INET, this->own.peers_listen.ip.c_str(), &address.sin_addr);
     this->listener.reset(evconnlistener_new_bind(
         this->owner.handle(), &mesh::accepted, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
         listen_backlog, reinterpret_cast<const sockaddr*>(&address), sizeof address));
     if (this->listener == nullptr) {
-        return fail(error_kind::internal, "cannot listen on " + to_string(this->own.peers_address));
+        return fail(error_kind::internal, "cannot listen on " + to_string(this->own.peers_listen));
     }
     return {};
 }
@@ -122,7 +122,7 @@
 
 void mesh::dial(const endpoint& address) {
     this->links.push_back(std::make_unique<peer_link>(
-        this->owner, address, this->own.peers_address.ip, this->link_handlers()));
+        this->owner, address, this->own.peers_listen.ip, this->link_handlers()));
     this->send_hello(*this->links.back());
 }
 
@@ -158,8 +158,11 @@
 }
 
 void mesh::handle_hello(peer_link& link, const wire::helloT& hello) {
-    peer_info peer{instance_id{hello.instance}, incarnation_id{hello.incarnation},
-                   failure_domain_id{hello.failure_domain}, parse_or_empty(hello.peers_address),
+    peer_info peer{instance_id{hello.instance},
+                   incarnation_id{hello.incarnation},
+                   failure_domain_id{hello.failure_domain},
+                   parse_or_empty(hello.peers_address),
+                   endpoint{},
                    parse_or_empty(hello.callers_address)};
     if (peer.incarnation == this->own.incarnation || link.peer) {
         this->close(link);
--- a/libs/peers/tests/mesh_test.cpp
+++ b/libs/peers/tests/mesh_test.cpp
@@ -22,7 +22,10 @@
 void start(loop& events, node& one, int number) {
     const peer_info self{instance_id{"n" + std::to_string(number)},
                          incarnation_id{static_cast<std::uint64_t>(100 + number)},
-                         failure_domain_id{"a"}, address_of(number), address_of(number)};
+                         failure_domain_id{"a"},
+                         address_of(number),
+                         address_of(number),
+                         address_of(number)};
     one.network = std::make_unique<mesh>(
         events, self,
         mesh_handlers{[&one](const auto&, const auto&) { ++one.messages; }, [](const auto&) {},
--- a/programs/knapweedknotctl/commands.h
+++ b/programs/knapweedknotctl/commands.h
@@ -3,7 +3,7 @@
 #include <string>
 #include <vector>
 
-#include "operator_client.h"
+#include "operator_client/operator_client.h"
 
 /// \file
 /// The commands of the operators' tool. Each prints its result and returns an exit code.
--- a/programs/knapweedknotd/instance.cpp
+++ b/programs/knapweedknotd/instance.cpp
@@ -15,8 +15,9 @@
 constexpr duration closing_grace = milliseconds(1000);
 
 peer_info describe(const instance_settings& settings) {
-    return {settings.instance, incarnation_id{random_nonzero()}, settings.failure_domain,
-            settings.peers_address, settings.callers_address};
+    return {settings.instance,       incarnation_id{random_nonzero()},
+            settings.failure_domain, settings.peers_address,
+            settings.peers_listen,   settings.callers_address};
 }
 
 loan_keeper_options make_loan_options(const instance_settings& settings) {
--- /dev/null
+++ b/tools/harness/cut_relay.cpp
@@ -0,0 +1,101 @@
+#include "cut_relay.h"
+
+#include <stdexcept>
+
+#include <arpa/inet.h>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+
+namespace knapweedknot::harness {
+
+namespace {
+
+constexpr int backlog = 128;
+
+sockaddr_in to_sockaddr(const endpoint& address) {
+    sockaddr_in name{};
+    name.sin_family = AF_INET;
+    name.sin_port = htons(address.port);
+    inet_pton(AF_INET, address.ip.c_str(), &name.sin_addr);
+    return name;
+}
+
+} // namespace
+
+/// The two halves of a relayed connection.
+struct cut_relay::pair {
+    cut_relay* relay;
+    std::string caller_ip;
+    bufferevent* caller;
+    bufferevent* callee;
+
+    ~pair() {
+        bufferevent_free(this->caller);
+        bufferevent_free(this->callee);
+    }
+    [[nodiscard]] bool is_cut(bool from_caller) const {
+        const std::string& callee_ip = this->relay->target.ip;
+        return this->relay->cuts.contains(from_caller ? std::pair(this->caller_ip, callee_ip)
+                                                      : std::pair(callee_ip, this->caller_ip));
+    }
+};
+
+cut_relay::cut_relay(loop& event_loop, const endpoint& listen, const endpoint& destination,
+                     const cut_set& cut_pairs)
+    : owner(event_loop), target(destination), cuts(cut_pairs) {
+    const sockaddr_in name = to_sockaddr(listen);
+    this->listener = evconnlistener_new_bind(event_loop.handle(), &cut_relay::accepted, this,
+                                             LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, backlog,
+                                             reinterpret_cast<const sockaddr*>(&name), sizeof name);
+    if (this->listener == nullptr) {
+        throw std::runtime_error("cannot relay on " + to_string(listen));
+    }
+}
+
+cut_relay::~cut_relay() {
+    evconnlistener_free(this->listener);
+}
+
+void cut_relay::accepted(evconnlistener* /*unused*/, int socket, sockaddr* address, int /*unused*/,
+                         void* argument) {
+    auto* self = static_cast<cut_relay*>(argument);
+    char ip[INET_ADDRSTRLEN];
+    inet_ntop(AF_INET, &reinterpret_cast<const sockaddr_in*>(address)->sin_addr, ip, sizeof ip);
+    auto made = std::make_unique<pair>();
+    made->relay = self;
+    made->caller_ip = ip;
+    made->caller = bufferevent_socket_new(self->owner.handle(), socket, BEV_OPT_CLOSE_ON_FREE);
+    made->callee = bufferevent_socket_new(self->owner.handle(), -1, BEV_OPT_CLOSE_ON_FREE);
+    for (bufferevent* stream : {made->caller, made->callee}) {
+        bufferevent_setcb(stream, &cut_relay::forward, nullptr, &cut_relay::closed, made.get());
+        bufferevent_enable(stream, EV_READ | EV_WRITE);
+    }
+    const sockaddr_in name = to_sockaddr(self->target);
+    bufferevent_socket_connect(made->callee, reinterpret_cast<const sockaddr*>(&name), sizeof name);
+    self->pairs.push_back(std::move(made));
+}
+
+void cut_relay::forward(bufferevent* from, void* argument) {
+    const auto* joined = static_cast<pair*>(argument);
+    const bool from_caller = from == joined->caller;
+    evbuffer* input = bufferevent_get_input(from);
+    if (joined->is_cut(from_caller)) {
+        evbuffer_drain(input, evbuffer_get_length(input));
+        return;
+    }
+    bufferevent_write_buffer(from_caller ? joined->callee : joined->caller, input);
+}
+
+void cut_relay::closed(bufferevent* /*unused*/, short what, void* argument) {
+    if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) == 0) {
+        return;
+    }
+    const auto* joined = static_cast<pair*>(argument);
+    std::erase_if(joined->relay->pairs,
+                  [joined](const auto& item) { return item.get() == joined; });
+}
+
+} // namespace knapweedknot::harness
--- /dev/null
+++ b/tools/harness/cut_relay.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <functional>
+#include <list>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+
+#include "base/endpoint.h"
+#include "event/loop.h"
+
+struct bufferevent;
+struct evconnlistener;
+struct sockaddr;
+
+/// \file
+/// A TCP relay that can swallow the bytes of one direction between two IP addresses, for tests of
+/// one-way partitions.
+
+namespace knapweedknot::harness {
+
+/// Directions that are cut: bytes from the first address to the second are swallowed.
+using cut_set = std::set<std::pair<std::string, std::string>>;
+
+/// Relays connections to one endpoint. Not thread safe.
+class cut_relay {
+public:
+    /// \param cuts must outlive the relay; changes take effect at once
+    cut_relay(loop& owner, const endpoint& listen, const endpoint& target, const cut_set& cuts);
+    ~cut_relay();
+    cut_relay(const cut_relay&) = delete;
+    cut_relay& operator=(const cut_relay&) = delete;
+
+private:
+    struct pair;
+    static void accepted(evconnlistener* listener, int socket, sockaddr* address, int size,
+                         void* argument);
+    static void forward(bufferevent* from, void* argument);
+    static void closed(bufferevent* stream, short what, void* argument);
+
+    loop& owner;
+    endpoint target;
+    const cut_set& cuts;
+    std::list<std::unique_ptr<pair>> pairs;
+    evconnlistener* listener{nullptr};
+};
+
+} // namespace knapweedknot::harness
--- /dev/null
+++ b/tools/harness/executions.cpp
@@ -0,0 +1,49 @@
+#include "executions.h"
+
+#include <algorithm>
+#include <fstream>
+#include <limits>
+
+#include <nlohmann/json.hpp>
+
+namespace knapweedknot::harness {
+
+std::vector<execution_record> read_executions(const std::string& path) {
+    constexpr double ms_per_second = 1000;
+    std::vector<execution_record> all;
+    std::ifstream file(path);
+    for (std::string line; std::getline(file, line);) {
+        const nlohmann::json item = nlohmann::json::parse(line, nullptr, false);
+        if (item.is_object() && item.value("step", "") == "started") {
+            all.push_back({item.at("at_ms").get<double>() / ms_per_second,
+                           item.value("account", ""), item.value("target", ""),
+                           item.value("idempotency_key", ""), item.value("uri", "")});
+        }
+    }
+    std::sort(all.begin(), all.end(),
+              [](const auto& left, const auto& right) { return left.at_s < right.at_s; });
+    return all;
+}
+
+double worst_excess(const std::vector<double>& times_s, double rate_per_s, double burst) {
+    // Over all i <= j: (j - i + 1) - rate * (t_j - t_i) - burst, by a running minimum.
+    double worst = -std::numeric_limits<double>::infinity();
+    double least = std::numeric_limits<double>::infinity();
+    for (std::size_t j = 0; j < times_s.size(); ++j) {
+        const double level = static_cast<double>(j) - rate_per_s * times_s[j];
+        least = std::min(least, level);
+        worst = std::max(worst, level + 1 - least - burst);
+    }
+    return worst;
+}
+
+std::map<std::string, std::vector<double>>
+times_by_account(const std::vector<execution_record>& executions) {
+    std::map<std::string, std::vector<double>> times;
+    for (const execution_record& item : executions) {
+        times[item.account].push_back(item.at_s);
+    }
+    return times;
+}
+
+} // namespace knapweedknot::harness
--- /dev/null
+++ b/tools/harness/fleet.cpp
@@ -0,0 +1,239 @@
+#include "fleet.h"
+
+#include <algorithm>
+#include <filesystem>
+#include <fstream>
+#include <stdexcept>
+
+#include <stdlib.h> // mkdtemp
+
+#include "base/digest.h"
+#include "config/api_key.h"
+
+namespace knapweedknot::harness {
+
+namespace {
+
+constexpr std::uint16_t callers_port = 8080;
+constexpr std::uint16_t operators_port = 8081;
+constexpr std::uint16_t peers_port = 8082;
+constexpr std::uint16_t peers_listen_port = 8083;
+constexpr std::uint16_t platform_port = 7000;
+constexpr std::uint16_t admin_port = 7100;
+constexpr std::uint16_t target_port = 9000;
+constexpr int fleet_seats = 128;
+constexpr int ip_base = 10;
+constexpr duration settle_step = milliseconds(200);
+
+std::string binary(const char* path) {
+    return std::string(KNAPWEEDKNOT_BUILD_DIR) + '/' + path;
+}
+
+std::string make_folder() {
+    std::string path = (std::filesystem::temp_directory_path() / "knapweedknot-XXXXXX").string();
+    if (mkdtemp(path.data()) == nullptr) {
+        throw std::runtime_error("cannot create a folder for logs");
+    }
+    return path;
+}
+
+} // namespace
+
+fleet::fleet(const fleet_options& fleet_settings)
+    : options(fleet_settings), folder(make_folder()), token(random_hex(16)) {}
+
+fleet::~fleet() {
+    this->daemons.clear();
+    this->targets_process.reset();
+    this->platform_process.reset();
+    if (std::getenv("KNAPWEEDKNOT_KEEP_LOGS") == nullptr) {
+        std::filesystem::remove_all(this->folder);
+    }
+}
+
+std::string fleet::instance_ip(int number) const {
+    return "127." + std::to_string(this->options.network) + ".1." +
+           std::to_string(ip_base + number);
+}
+
+endpoint fleet::callers_address(int number) const {
+    return {this->instance_ip(number), callers_port};
+}
+
+endpoint fleet::target_address(int number) const {
+    return {"127." + std::to_string(this->options.network) + ".2." +
+                std::to_string(ip_base + number),
+            target_port};
+}
+
+endpoint fleet::platform_address() const {
+    return {"127." + std::to_string(this->options.network) + ".0.1", platform_port};
+}
+
+endpoint fleet::admin_address() const {
+    return {"127." + std::to_string(this->options.network) + ".0.1", admin_port};
+}
+
+operator_target fleet::operators_target(int number) const {
+    return {{this->instance_ip(number), operators_port}, this->token};
+}
+
+std::string fleet::write_settings(int number) const {
+    const std::string ip = this->instance_ip(number);
+    const endpoint peers{ip, peers_port};
+    nlohmann::json seeds = nlohmann::json::array();
+    for (int i = 0; i < std::min(3, this->options.instances); ++i) {
+        seeds.push_back(to_string(endpoint{this->instance_ip(i), peers_port}));
+    }
+    nlohmann::json settings = {
+        {"instance", "instance-" + std::to_string(number)},
+        {"failure_domain", "domain-" + std::to_string(number % this->options.failure_domains)},
+        {"callers_address", to_string(endpoint{ip, callers_port})},
+        {"operators_address", to_string(endpoint{ip, operators_port})},
+        {"peers_address", to_string(peers)},
+        {"platform_address", to_string(this->platform_address())},
+        {"peer_seeds", seeds},
+        {"operators", {{"bench-operator", sha256_hex(this->token)}}}};
+    if (this->options.with_relays) {
+        settings["peers_listen"] = to_string(endpoint{ip, peers_listen_port});
+    }
+    settings.update(this->options.settings);
+    std::string path = this->folder + "/instance-" + std::to_string(number) + ".json";
+    std::ofstream(path) << settings.dump();
+    return path;
+}
+
+void fleet::start_platform() {
+    this->platform_process = std::make_unique<process>(
+        std::vector<std::string>{binary("tools/platform_standin/platform_standin"), "--listen",
+                                 to_string(this->platform_address())},
+        this->folder + "/platform.log");
+}
+
+void fleet::start_instance(int number) {
+    if (this->options.with_relays && !this->relays.contains(number)) {
+        const std::string ip = this->instance_ip(number);
+        this->relays[number] =
+            std::make_unique<cut_relay>(this->relay_loop, endpoint{ip, peers_port},
+                                        endpoint{ip, peers_listen_port}, this->cut_pairs);
+    }
+    const std::string path = this->write_settings(number);
+    this->daemons.insert_or_assign(
+        number, process({binary("programs/knapweedknotd"), "--settings", path},
+                        this->folder + "/instance-" + std::to_string(number) + ".log"));
+}
+
+void fleet::start() {
+    this->start_platform();
+    std::vector<std::string> arguments{binary("tools/target_standin/target_standin"),
+                                       "--admin",
+                                       to_string(this->admin_address()),
+                                       "--log",
+                                       this->execution_log(),
+                                       "--behaviour",
+                                       this->options.behaviour.dump()};
+    for (int i = 0; i < this->options.targets; ++i) {
+        arguments.emplace_back("--target");
+        arguments.push_back("target-" + std::to_string(i) + '=' +
+                            to_string(this->target_address(i)));
+    }
+    this->targets_process = std::make_unique<process>(arguments, this->folder + "/targets.log");
+    run_for(this->relay_loop, settle_step);
+    for (int i = 0; i < this->options.instances; ++i) {
+        this->start_instance(i);
+    }
+    this->wait_until_settled();
+}
+
+std::vector<int> fleet::running() {
+    std::vector<int> numbers;
+    for (auto& [number, daemon] : this->daemons) {
+        if (!daemon.has_ended()) {
+            numbers.push_back(number);
+        }
+    }
+    return numbers;
+}
+
+void fleet::wait_until_settled(int seconds_limit) {
+    const time_point limit = boot_clock::now() + seconds(seconds_limit);
+    while (boot_clock::now() < limit) {
+        run_for(this->relay_loop, settle_step);
+        const std::vector<int> numbers = this->running();
+        const auto status = this->operate(numbers.front(), "GET", "/v1/status");
+        if (!status || !status->body.is_object()) {
+            continue;
+        }
+        int lent = 0;
+        std::size_t connected = 0;
+        for (const nlohmann::json& item : status->body.at("instances")) {
+            const bool is_connected = item.at("connected").get<bool>();
+            lent += is_connected ? item.at("lent_seats").get<int>() : 0;
+            connected += is_connected ? 1 : 0;
+        }
+        if (lent == fleet_seats && connected == numbers.size()) {
+            return;
+        }
+    }
+    throw std::runtime_error("the fleet did not settle; logs in " + this->folder);
+}
+
+result<operator_answer> fleet::operate(int number, const std::string& method,
+                                       const std::string& uri, const nlohmann::json& body) const {
+    return call(this->operators_target(number), method, uri,
+                body.is_null() ? "" : "application/merge-patch+json",
+                body.is_null() ? "" : body.dump());
+}
+
+std::uint64_t fleet::patch(const nlohmann::json& merge_patch, int number) {
+    const auto present = this->operate(number, "GET", "/v1/configuration");
+    if (!present) {
+        throw std::runtime_error("no configuration: " + present.error().detail);
+    }
+    const std::string uri = "/v1/configuration?base=" + present->body.at("number").dump();
+    const auto accepted = this->operate(number, "PATCH", uri, merge_patch);
+    if (!accepted || accepted->status != 200) {
+        throw std::runtime_error("patch refused: " +
+                                 (accepted ? accepted->body.dump() : accepted.error().detail));
+    }
+    return accepted->body.at("number").get<std::uint64_t>();
+}
+
+std::string fleet::add_key(const std::string& account) {
+    const new_api_key key = make_api_key();
+    const nlohmann::json stored = {{"salt", key.stored.salt}, {"sha256", key.stored.sha256}};
+    this->patch({{"accounts", {{account, {{"keys", {{key.key_id, stored}}}}}}}});
+    return key.presented;
+}
+
+void fleet::set_platform_faults(const nlohmann::json& faults) const {
+    static_cast<void>(call({this->platform_address(), ""}, "PUT", "/v1/admin/faults",
+                           "application/json", faults.dump()));
+}
+
+nlohmann::json fleet::platform_counts() const {
+    const auto answer = call({this->platform_address(), ""}, "GET", "/v1/admin/counts", "", "");
+    return answer ? answer->body : nlohmann::json();
+}
+
+void fleet::set_target(const std::string& name, const nlohmann::json& behaviour) const {
+    static_cast<void>(
+        call({this->admin_address(), ""}, "PUT", '/' + name, "application/json", behaviour.dump()));
+}
+
+nlohmann::json fleet::service() const {
+    nlohmann::json targets = nlohmann::json::object();
+    for (int i = 0; i < this->options.targets; ++i) {
+        targets["target-" + std::to_string(i)] = {
+            {"address", to_string(this->target_address(i))},
+            {"failure_domain", "domain-" + std::to_string(i % this->options.failure_domains)}};
+    }
+    return {{"targets", targets}, {"floor", this->options.targets / 2}};
+}
+
+void run_for(loop& events, duration length) {
+    const timer end = events.after(length, [&events] { events.stop(); });
+    events.run();
+}
+
+} // namespace knapweedknot::harness
--- a/tools/platform_standin/platform_service.cpp
+++ b/tools/platform_standin/platform_service.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 constexpr duration expiry_interval = milliseconds(20);
-constexpr std::size_t max_value_bytes = 1024 * 1024;
+constexpr std::size_t max_value_bytes = std::size_t{1024} * 1024;
 constexpr std::string_view key_prefix = "/v1/kv/";
 
 std::uint64_t number_of(const std::string& text, std::uint64_t fallback = 0) {
