--- a/libs/control/src/acceptance.cpp
+++ b/libs/control/src/acceptance.cpp
@@ -131,7 +131,7 @@
     } else if (const auto* request = message.body.Asentries_request(); request != nullptr) {
         this->send_head(from.incarnation, request->after);
     } else if (const auto* reply = message.body.Asentries_reply(); reply != nullptr) {
-        this->handle_entries(*reply);
+        this->handle_entries(from, *reply);
     } else {
         return false;
     }
@@ -161,11 +161,14 @@
     }
 }
 
-void acceptance::handle_entries(const wire::entries_replyT& message) {
+void acceptance::handle_entries(const peer_info& from, const wire::entries_replyT& message) {
     const auto head = decode_head(message.head);
     if (head) {
-        this->follower.adopt(*head, message.document,
-                             [this](const result<void>&) { this->settle_pending(); });
+        this->follower.adopt(*head, message.document, [this, from](const result<void>& /*unused*/) {
+            this->settle_pending();
+            // The sender waits to hear that the number is in force here.
+            this->loans.beat_now(from.incarnation);
+        });
     }
 }
 
--- a/tools/harness/fleet.cpp
+++ b/tools/harness/fleet.cpp
@@ -160,6 +160,9 @@
     while (boot_clock::now() < limit) {
         run_for(this->relay_loop, settle_step);
         const std::vector<int> numbers = this->running();
+        if (numbers.empty()) {
+            throw std::runtime_error("no instance runs; logs in " + this->folder);
+        }
         const auto status = this->operate(numbers.front(), "GET", "/v1/status");
         if (!status || !status->body.is_object()) {
             continue;
