--- a/libs/control/src/loan_keeper.cpp
+++ b/libs/control/src/loan_keeper.cpp
@@ -176,13 +176,12 @@
     std::uint16_t flags = this->own_vouch() ? flag_vouches : 0;
     flags |= this->leaving ? flag_leaving : 0;
     flags |= peer.processed != 0 ? flag_has_echo : 0;
-    wire::heartbeatT message;
-    message.fields = std::make_unique<wire::heartbeat_fields>(
-        this->own_number().value, words[0], words[1], this->sequence, peer.processed,
-        this->stamp_of(now), peer.stamp,
+    const wire::heartbeat_fields fields(
+        this->network.self().incarnation.value, this->own_number().value, words[0], words[1],
+        this->sequence, peer.processed, this->stamp_of(now), peer.stamp,
         static_cast<std::uint16_t>(this->seats.lendable_seats(now)),
         static_cast<std::uint16_t>(this->seats.voting_seats(now)), flags, std::uint16_t{0});
-    this->network.send(to, std::move(message));
+    this->network.send_heartbeat(to, fields);
 }
 
 void loan_keeper::handle_heartbeat(const peer_info& from, const wire::heartbeat_fields& fields) {
--- a/libs/entry/src/operator_service.cpp
+++ b/libs/entry/src/operator_service.cpp
@@ -289,7 +289,8 @@
                  {"services", this->describe_services()},
                  {"accounts", this->describe_accounts()},
                  {"store_calls", this->parts.store.calls()},
-                 {"peer_bytes_sent", this->parts.network.bytes_sent()}});
+                 {"peer_bytes_sent", this->parts.network.bytes_sent()},
+                 {"peer_datagrams_sent", this->parts.network.datagrams_sent()}});
 }
 
 void operator_service::answer_metrics(const request_ptr& request) {
--- a/libs/peers/include/peers/mesh.h
+++ b/libs/peers/include/peers/mesh.h
@@ -25,6 +25,8 @@
 /// Events of the mesh.
 struct mesh_handlers {
     std::function<void(const peer_info&, const wire::messageT&)> on_message;
+    /// A heartbeat from a connected peer.
+    std::function<void(const peer_info&, const wire::heartbeat_fields&)> on_heartbeat;
     std::function<void(const peer_info&)> on_connected;
     std::function<void(const peer_info&)> on_disconnected;
 };
@@ -56,10 +58,14 @@
         }
     }
 
+    /// Sends a datagram to a connected peer; it may be lost.
+    void send_heartbeat(incarnation_id to, const wire::heartbeat_fields& fields);
+
     [[nodiscard]] const peer_info& self() const noexcept { return this->own; }
     /// Connected peers by incarnation. A copy, so that handlers may change the mesh.
     [[nodiscard]] std::map<incarnation_id, peer_info> peers() const;
     [[nodiscard]] std::uint64_t bytes_sent() const noexcept;
+    [[nodiscard]] std::uint64_t datagrams_sent() const noexcept { return this->datagrams; }
 
 private:
     struct known_address {
@@ -79,6 +85,8 @@
     void handle_members(const wire::membersT& members);
     void announce_member(const peer_info& joined);
     void close(peer_link& link);
+    [[nodiscard]] result<void> open_datagrams();
+    void read_datagrams();
     [[nodiscard]] bool prefers_new(const peer_link& present, const peer_link& added) const;
     static void accepted(evconnlistener* listener, int socket, sockaddr* address, int size,
                          void* argument);
@@ -91,6 +99,10 @@
     std::unordered_map<incarnation_id, peer_link*> links_by_peer;
     std::map<endpoint, known_address> addresses;
     std::uint64_t bytes_of_closed_links{0};
+    int datagram_socket{-1};
+    std::unique_ptr<event, detail::event_deleter> datagram_event;
+    std::uint64_t datagrams{0};
+    std::uint64_t datagram_bytes{0};
     timer maintenance;
 };
 
--- a/libs/peers/src/mesh.cpp
+++ b/libs/peers/src/mesh.cpp
@@ -1,9 +1,13 @@
 #include "peers/mesh.h"
 
 #include <algorithm>
+#include <array>
 
 #include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
+#include <event2/event.h>
 #include <event2/listener.h>
 
 #include "base/log.h"
@@ -14,12 +18,21 @@
 
 constexpr duration maintenance_interval = milliseconds(250);
 constexpr duration redial_interval = milliseconds(500);
-constexpr duration silence_limit = milliseconds(5000);
 constexpr duration hello_limit = milliseconds(1500);
 // An address that nobody answered at for this long is forgotten unless it is a seed.
 constexpr duration address_lifetime = seconds(60);
 constexpr int listen_backlog = 128;
 
+constexpr std::size_t max_datagram_bytes = 512;
+
+sockaddr_in to_socket_address(const endpoint& address) {
+    sockaddr_in name{};
+    name.sin_family = AF_INET;
+    name.sin_port = htons(address.port);
+    inet_pton(AF_INET, address.ip.c_str(), &name.sin_addr);
+    return name;
+}
+
 endpoint parse_or_empty(const std::string& text) {
     return parse_endpoint(text).value_or(endpoint{});
 }
@@ -31,22 +44,74 @@
       listener(nullptr, &evconnlistener_free),
       maintenance(event_loop.every(maintenance_interval, [this] { this->maintain(); })) {}
 
-mesh::~mesh() = default;
+mesh::~mesh() {
+    if (this->datagram_socket >= 0) {
+        this->datagram_event.reset();
+        ::close(this->datagram_socket);
+    }
+}
 
 result<void> mesh::listen() {
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(this->own.peers_listen.port);
-    inet_pton(AF_INET, this->own.peers_listen.ip.c_str(), &address.sin_addr);
+    const sockaddr_in address = to_socket_address(this->own.peers_listen);
     this->listener.reset(evconnlistener_new_bind(
         this->owner.handle(), &mesh::accepted, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
         listen_backlog, reinterpret_cast<const sockaddr*>(&address), sizeof address));
     if (this->listener == nullptr) {
         return fail(error_kind::internal, "cannot listen on " + to_string(this->own.peers_listen));
     }
+    return this->open_datagrams();
+}
+
+result<void> mesh::open_datagrams() {
+    this->datagram_socket = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    const sockaddr_in address = to_socket_address(this->own.peers_listen);
+    if (bind(this->datagram_socket, reinterpret_cast<const sockaddr*>(&address), sizeof address) !=
+        0) {
+        return fail(error_kind::internal,
+                    "cannot receive datagrams on " + to_string(this->own.peers_listen));
+    }
+    this->datagram_event.reset(event_new(
+        this->owner.handle(), this->datagram_socket, EV_READ | EV_PERSIST,
+        [](int /*unused*/, short /*unused*/, void* argument) {
+            static_cast<mesh*>(argument)->read_datagrams();
+        },
+        this));
+    event_add(this->datagram_event.get(), nullptr);
     return {};
 }
 
+void mesh::read_datagrams() {
+    std::array<char, max_datagram_bytes> buffer{};
+    while (true) {
+        const ssize_t size = recv(this->datagram_socket, buffer.data(), buffer.size(), 0);
+        if (size <= 0) {
+            return;
+        }
+        const auto fields =
+            decode_heartbeat(std::string_view(buffer.data(), static_cast<std::size_t>(size)));
+        const auto link = fields ? this->links_by_peer.find(incarnation_id{fields->sender()})
+                                 : this->links_by_peer.end();
+        if (link != this->links_by_peer.end()) {
+            const peer_info from = *link->second->peer;
+            this->calls.on_heartbeat(from, *fields);
+        }
+    }
+}
+
+void mesh::send_heartbeat(incarnation_id to, const wire::heartbeat_fields& fields) {
+    const auto link = this->links_by_peer.find(to);
+    if (link == this->links_by_peer.end() || this->datagram_socket < 0) {
+        return;
+    }
+    const std::string bytes = encode_heartbeat(fields);
+    const sockaddr_in address = to_socket_address(link->second->peer->peers_address);
+    // A datagram that cannot be sent is a lost one.
+    static_cast<void>(sendto(this->datagram_socket, bytes.data(), bytes.size(), 0,
+                             reinterpret_cast<const sockaddr*>(&address), sizeof address));
+    ++this->datagrams;
+    this->datagram_bytes += bytes.size();
+}
+
 void mesh::learn(const endpoint& address, bool is_seed) {
     if (address == this->own.peers_address || address.port == 0) {
         return;
@@ -67,7 +132,7 @@
 }
 
 std::uint64_t mesh::bytes_sent() const noexcept {
-    std::uint64_t total = this->bytes_of_closed_links;
+    std::uint64_t total = this->bytes_of_closed_links + this->datagram_bytes;
     for (const auto& link : this->links) {
         total += link->bytes_sent();
     }
@@ -87,8 +152,8 @@
     const time_point now = boot_clock::now();
     std::vector<peer_link*> dead;
     for (const auto& link : this->links) {
-        const duration limit = link->peer ? silence_limit : hello_limit;
-        if (link->silence(now) > limit) {
+        // A link that was set up and then fails is ended by the system's keep-alive.
+        if (!link->peer && link->silence(now) > hello_limit) {
             dead.push_back(link.get());
         }
     }
--- a/libs/peers/src/peer_link.cpp
+++ b/libs/peers/src/peer_link.cpp
@@ -14,6 +14,10 @@
 
 namespace {
 
+constexpr int keep_alive_idle_s = 10;
+constexpr int keep_alive_interval_s = 2;
+constexpr int keep_alive_probes = 2;
+constexpr unsigned unacknowledged_limit_ms = 4000;
 constexpr std::size_t max_queued_bytes = 2 * max_message_bytes;
 
 sockaddr_in socket_address(const std::string& ip, std::uint16_t port) {
@@ -59,7 +63,16 @@
 
 void peer_link::set_up() {
     const int on = 1;
-    setsockopt(bufferevent_getfd(this->stream.get()), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    const int socket = bufferevent_getfd(this->stream.get());
+    setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    // Most links are quiet for long, so the system watches over them.
+    setsockopt(socket, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+    setsockopt(socket, IPPROTO_TCP, TCP_KEEPIDLE, &keep_alive_idle_s, sizeof keep_alive_idle_s);
+    setsockopt(socket, IPPROTO_TCP, TCP_KEEPINTVL, &keep_alive_interval_s,
+               sizeof keep_alive_interval_s);
+    setsockopt(socket, IPPROTO_TCP, TCP_KEEPCNT, &keep_alive_probes, sizeof keep_alive_probes);
+    setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledged_limit_ms,
+               sizeof unacknowledged_limit_ms);
     bufferevent_setcb(this->stream.get(), &peer_link::read_ready, nullptr,
                       &peer_link::event_happened, this);
     bufferevent_enable(this->stream.get(), EV_READ | EV_WRITE);
--- a/libs/peers/tests/mesh_test.cpp
+++ b/libs/peers/tests/mesh_test.cpp
@@ -12,6 +12,7 @@
 struct node {
     std::unique_ptr<mesh> network;
     int messages{0};
+    int heartbeats{0};
     int disconnects{0};
 };
 
@@ -28,7 +29,8 @@
                          address_of(number)};
     one.network = std::make_unique<mesh>(
         events, self,
-        mesh_handlers{[&one](const auto&, const auto&) { ++one.messages; }, [](const auto&) {},
+        mesh_handlers{[&one](const auto&, const auto&) { ++one.messages; },
+                      [&one](const auto&, const auto&) { ++one.heartbeats; }, [](const auto&) {},
                       [&one](const auto&) { ++one.disconnects; }});
     BOOST_REQUIRE(one.network->listen().has_value());
 }
@@ -64,6 +66,11 @@
     nodes[1].network->broadcast(wire::entries_requestT());
     run_until(events, [&] { return nodes[4].messages == 1; });
     BOOST_TEST(nodes[0].messages == 1);
+    wire::heartbeat_fields fields;
+    fields.mutate_sender(nodes[1].network->self().incarnation.value);
+    nodes[1].network->send_heartbeat(nodes[3].network->self().incarnation, fields);
+    run_until(events, [&] { return nodes[3].heartbeats == 1; });
+    BOOST_TEST(nodes[4].heartbeats == 0);
     nodes[2].network.reset();
     run_until(events, [&] { return all_have(count - 2); });
     BOOST_TEST(nodes[4].disconnects == 1);
--- a/libs/wire/include/wire/frame.h
+++ b/libs/wire/include/wire/frame.h
@@ -12,7 +12,7 @@
 
 /// \file
 /// Frames between instances: a length of four bytes, least significant first, then a FlatBuffers
-/// message. All functions are thread safe.
+/// message; and heartbeats, which are datagrams. All functions are thread safe.
 
 namespace knapweedknot {
 
@@ -32,6 +32,10 @@
 /// Checks and unpacks a message without its frame header.
 [[nodiscard]] result<std::unique_ptr<wire::messageT>> decode_message(std::string_view bytes);
 
+/// A heartbeat as a datagram, and back; the error says that it is malformed.
+[[nodiscard]] std::string encode_heartbeat(const wire::heartbeat_fields& fields);
+[[nodiscard]] result<wire::heartbeat_fields> decode_heartbeat(std::string_view bytes);
+
 namespace detail {
 [[nodiscard]] std::string encode_message(const wire::messageT& message);
 } // namespace detail
--- a/libs/wire/src/frame.cpp
+++ b/libs/wire/src/frame.cpp
@@ -21,6 +21,22 @@
     return frame;
 }
 
+std::string encode_heartbeat(const wire::heartbeat_fields& fields) {
+    flatbuffers::FlatBufferBuilder builder(initial_builder_bytes);
+    builder.Finish(wire::Createheartbeat(builder, &fields));
+    return {reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize()};
+}
+
+result<wire::heartbeat_fields> decode_heartbeat(std::string_view bytes) {
+    const auto* data = reinterpret_cast<const std::uint8_t*>(bytes.data());
+    flatbuffers::Verifier verifier(data, bytes.size());
+    if (!verifier.VerifyBuffer<wire::heartbeat>(nullptr) ||
+        flatbuffers::GetRoot<wire::heartbeat>(data)->fields() == nullptr) {
+        return fail(error_kind::bad_request, "malformed heartbeat");
+    }
+    return *flatbuffers::GetRoot<wire::heartbeat>(data)->fields();
+}
+
 std::optional<std::size_t> message_length(std::string_view header) noexcept {
     std::size_t length = 0;
     for (std::size_t i = 0; i < frame_header_bytes; ++i) {
--- a/libs/wire/tests/wire_test.cpp
+++ b/libs/wire/tests/wire_test.cpp
@@ -42,6 +42,19 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(a_heartbeat_survives_its_datagram_and_a_cut_one_is_refused) {
+    wire::heartbeat_fields fields;
+    fields.mutate_sender(7);
+    fields.mutate_lent_seats(3);
+    const std::string bytes = encode_heartbeat(fields);
+    BOOST_TEST(bytes.size() <= 80U);
+    BOOST_REQUIRE(decode_heartbeat(bytes).has_value());
+    BOOST_TEST(decode_heartbeat(bytes)->lent_seats() == 3);
+    for (std::size_t size = 0; size < bytes.size(); ++size) {
+        BOOST_TEST(!decode_heartbeat(bytes.substr(0, size)).has_value());
+    }
+}
+
 BOOST_AUTO_TEST_CASE(an_overlong_frame_is_refused_by_its_header) {
     BOOST_TEST(!message_length(std::string(4, '\xFF')).has_value());
 }
--- a/programs/knapweedknotd/instance.cpp
+++ b/programs/knapweedknotd/instance.cpp
@@ -67,6 +67,9 @@
     return {[this](const peer_info& from, const wire::messageT& message) {
                 this->handle_message(from, message);
             },
+            [this](const peer_info& from, const wire::heartbeat_fields& fields) {
+                this->loans.handle_heartbeat(from, fields);
+            },
             [this](const peer_info& peer) {
                 this->loans.peer_connected(peer);
                 this->votes.peer_connected(peer);
@@ -75,11 +78,7 @@
 }
 
 void instance::handle_message(const peer_info& from, const wire::messageT& message) {
-    if (const auto* beat = message.body.Asheartbeat(); beat != nullptr) {
-        if (beat->fields != nullptr) {
-            this->loans.handle_heartbeat(from, *beat->fields);
-        }
-    } else if (const auto* request = message.body.Astoken_request(); request != nullptr) {
+    if (const auto* request = message.body.Astoken_request(); request != nullptr) {
         this->tokens.handle_request(from, *request,
                                     this->config.find_account(account_id{request->account}));
     } else if (const auto* reply = message.body.Astoken_reply(); reply != nullptr) {
--- a/tools/fleet_bench/control_cost.cpp
+++ b/tools/fleet_bench/control_cost.cpp
@@ -14,6 +14,8 @@
 constexpr duration measured_time = seconds(20);
 // IPv4 and TCP headers with time stamps of one segment.
 constexpr double segment_header_bytes = 52;
+// IPv4 and UDP headers.
+constexpr double datagram_header_bytes = 28;
 
 /// Totals over all running instances.
 struct totals {
@@ -22,6 +24,7 @@
     double peer_bytes{0};
     double store_calls{0};
     double segments{0};
+    double datagrams{0};
 };
 
 /// TCP segments sent by all sockets of this network namespace, from the system's counters.
@@ -53,6 +56,7 @@
         sum.memory_bytes += fleet.instance(i).resident_bytes();
         const auto status = fleet.operate(i, "GET", "/v1/status");
         if (status && status->body.is_object()) {
+            sum.datagrams += status->body.at("peer_datagrams_sent").get<double>();
             sum.peer_bytes += status->body.at("peer_bytes_sent").get<double>();
         }
     }
@@ -87,7 +91,9 @@
         const totals after = collect(fleet, count);
         const double each = passed * count;
         const double payload = (after.peer_bytes - before.peer_bytes) / each;
-        const double headers = (after.segments - before.segments) * segment_header_bytes / each;
+        const double headers = ((after.segments - before.segments) * segment_header_bytes +
+                                (after.datagrams - before.datagrams) * datagram_header_bytes) /
+                               each;
         const double calls = (after.store_calls - before.store_calls) / passed;
         std::printf("%9d %12.0f %14.0f %12.2f %12.1f %14.2f %12.2f\n", count, payload,
                     payload + headers, (after.cpu_s - before.cpu_s) / each * 100,
--- a/tools/fleet_bench/main.cpp
+++ b/tools/fleet_bench/main.cpp
@@ -49,5 +49,10 @@
         std::cout << known;
         return given.count("help") > 0 ? 0 : 2;
     }
-    return found->second(chosen);
+    try {
+        return found->second(chosen);
+    } catch (const std::exception& problem) {
+        std::cerr << "fleet_bench: " << problem.what() << '\n';
+        return 1;
+    }
 }
--- a/tools/harness/cut_relay.cpp
+++ b/tools/harness/cut_relay.cpp
@@ -1,8 +1,11 @@
 #include "cut_relay.h"
 
+#include <array>
 #include <stdexcept>
 
 #include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -23,6 +26,12 @@
     return name;
 }
 
+std::string ip_text(const sockaddr_in& address) {
+    char text[INET_ADDRSTRLEN];
+    inet_ntop(AF_INET, &address.sin_addr, text, sizeof text);
+    return text;
+}
+
 } // namespace
 
 /// The two halves of a relayed connection.
@@ -53,20 +62,50 @@
     if (this->listener == nullptr) {
         throw std::runtime_error("cannot relay on " + to_string(listen));
     }
+    this->datagram_socket = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK, 0);
+    if (bind(this->datagram_socket, reinterpret_cast<const sockaddr*>(&name), sizeof name) != 0) {
+        throw std::runtime_error("cannot relay datagrams on " + to_string(listen));
+    }
+    this->datagram_event.reset(event_new(
+        event_loop.handle(), this->datagram_socket, EV_READ | EV_PERSIST,
+        [](int /*unused*/, short /*unused*/, void* argument) {
+            static_cast<cut_relay*>(argument)->relay_datagrams();
+        },
+        this));
+    event_add(this->datagram_event.get(), nullptr);
+}
+
+void cut_relay::relay_datagrams() {
+    constexpr std::size_t max_datagram_bytes = 2048;
+    std::array<char, max_datagram_bytes> buffer{};
+    const sockaddr_in destination = to_sockaddr(this->target);
+    while (true) {
+        sockaddr_in source{};
+        socklen_t source_size = sizeof source;
+        const ssize_t size = recvfrom(this->datagram_socket, buffer.data(), buffer.size(), 0,
+                                      reinterpret_cast<sockaddr*>(&source), &source_size);
+        if (size < 0) {
+            return;
+        }
+        if (!this->cuts.contains(std::pair(ip_text(source), this->target.ip))) {
+            sendto(this->datagram_socket, buffer.data(), static_cast<std::size_t>(size), 0,
+                   reinterpret_cast<const sockaddr*>(&destination), sizeof destination);
+        }
+    }
 }
 
 cut_relay::~cut_relay() {
+    this->datagram_event.reset();
+    ::close(this->datagram_socket);
     evconnlistener_free(this->listener);
 }
 
 void cut_relay::accepted(evconnlistener* /*unused*/, int socket, sockaddr* address, int /*unused*/,
                          void* argument) {
     auto* self = static_cast<cut_relay*>(argument);
-    char ip[INET_ADDRSTRLEN];
-    inet_ntop(AF_INET, &reinterpret_cast<const sockaddr_in*>(address)->sin_addr, ip, sizeof ip);
     auto made = std::make_unique<pair>();
     made->relay = self;
-    made->caller_ip = ip;
+    made->caller_ip = ip_text(*reinterpret_cast<const sockaddr_in*>(address));
     made->caller = bufferevent_socket_new(self->owner.handle(), socket, BEV_OPT_CLOSE_ON_FREE);
     made->callee = bufferevent_socket_new(self->owner.handle(), -1, BEV_OPT_CLOSE_ON_FREE);
     for (bufferevent* stream : {made->caller, made->callee}) {
--- a/tools/harness/cut_relay.h
+++ b/tools/harness/cut_relay.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <list>
 #include <memory>
+#include <mutex>
 #include <set>
 #include <string>
 #include <utility>
@@ -15,13 +16,31 @@
 struct sockaddr;
 
 /// \file
-/// A TCP relay that can swallow the bytes of one direction between two IP addresses, for tests of
-/// one-way partitions.
+/// A relay of connections and datagrams that can swallow the bytes of one direction between two IP
+/// addresses, for tests of one-way partitions.
 
 namespace knapweedknot::harness {
 
-/// Directions that are cut: bytes from the first address to the second are swallowed.
-using cut_set = std::set<std::pair<std::string, std::string>>;
+/// Directions that are cut: bytes from the first address to the second are swallowed. Thread safe.
+class cut_set {
+public:
+    void insert(const std::pair<std::string, std::string>& direction) {
+        const std::lock_guard lock(this->mutex);
+        this->directions.insert(direction);
+    }
+    void erase(const std::pair<std::string, std::string>& direction) {
+        const std::lock_guard lock(this->mutex);
+        this->directions.erase(direction);
+    }
+    [[nodiscard]] bool contains(const std::pair<std::string, std::string>& direction) const {
+        const std::lock_guard lock(this->mutex);
+        return this->directions.contains(direction);
+    }
+
+private:
+    mutable std::mutex mutex;
+    std::set<std::pair<std::string, std::string>> directions;
+};
 
 /// Relays connections to one endpoint. Not thread safe.
 class cut_relay {
@@ -34,6 +53,7 @@
 
 private:
     struct pair;
+    void relay_datagrams();
     static void accepted(evconnlistener* listener, int socket, sockaddr* address, int size,
                          void* argument);
     static void forward(bufferevent* from, void* argument);
@@ -44,6 +64,8 @@
     const cut_set& cuts;
     std::list<std::unique_ptr<pair>> pairs;
     evconnlistener* listener{nullptr};
+    int datagram_socket{-1};
+    std::unique_ptr<event, knapweedknot::detail::event_deleter> datagram_event;
 };
 
 } // namespace knapweedknot::harness
--- a/tools/harness/fleet.cpp
+++ b/tools/harness/fleet.cpp
@@ -23,6 +23,7 @@
 constexpr std::uint16_t target_port = 9000;
 constexpr int fleet_seats = 128;
 constexpr int ip_base = 10;
+constexpr duration relay_stop_interval = milliseconds(50);
 constexpr duration settle_step = milliseconds(200);
 
 std::string binary(const char* path) {
@@ -44,6 +45,10 @@
 
 fleet::~fleet() {
     this->daemons.clear();
+    this->relays_ended = true;
+    if (this->relay_thread.joinable()) {
+        this->relay_thread.join();
+    }
     this->targets_process.reset();
     this->platform_process.reset();
     if (std::getenv("KNAPWEEDKNOT_KEEP_LOGS") == nullptr) {
@@ -111,19 +116,31 @@
 }
 
 void fleet::start_instance(int number) {
-    if (this->options.with_relays && !this->relays.contains(number)) {
+    const std::string path = this->write_settings(number);
+    this->daemons.insert_or_assign(
+        number, process({binary("programs/knapweedknotd"), "--settings", path},
+                        this->folder + "/instance-" + std::to_string(number) + ".log"));
+}
+
+void fleet::start_relays() {
+    for (int number = 0; number < this->options.instances; ++number) {
         const std::string ip = this->instance_ip(number);
         this->relays[number] =
             std::make_unique<cut_relay>(this->relay_loop, endpoint{ip, peers_port},
                                         endpoint{ip, peers_listen_port}, this->cut_pairs);
     }
-    const std::string path = this->write_settings(number);
-    this->daemons.insert_or_assign(
-        number, process({binary("programs/knapweedknotd"), "--settings", path},
-                        this->folder + "/instance-" + std::to_string(number) + ".log"));
+    this->relay_stop = this->relay_loop.every(relay_stop_interval, [this] {
+        if (this->relays_ended) {
+            this->relay_loop.stop();
+        }
+    });
+    this->relay_thread = std::thread([this] { this->relay_loop.run(); });
 }
 
 void fleet::start() {
+    if (this->options.with_relays) {
+        this->start_relays();
+    }
     this->start_platform();
     std::vector<std::string> arguments{binary("tools/target_standin/target_standin"),
                                        "--admin",
@@ -138,7 +155,7 @@
                             to_string(this->target_address(i)));
     }
     this->targets_process = std::make_unique<process>(arguments, this->folder + "/targets.log");
-    run_for(this->relay_loop, settle_step);
+    run_for(this->main_loop, settle_step);
     for (int i = 0; i < this->options.instances; ++i) {
         this->start_instance(i);
     }
@@ -158,7 +175,7 @@
 void fleet::wait_until_settled(int seconds_limit) {
     const time_point limit = boot_clock::now() + seconds(seconds_limit);
     while (boot_clock::now() < limit) {
-        run_for(this->relay_loop, settle_step);
+        run_for(this->main_loop, settle_step);
         const std::vector<int> numbers = this->running();
         if (numbers.empty()) {
             throw std::runtime_error("no instance runs; logs in " + this->folder);
--- a/tools/harness/fleet.h
+++ b/tools/harness/fleet.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include <atomic>
 #include <map>
 #include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include <nlohmann/json.hpp>
@@ -72,11 +74,12 @@
     [[nodiscard]] std::string instance_ip(int number) const;
     [[nodiscard]] std::string execution_log() const { return this->folder + "/executions"; }
     [[nodiscard]] const std::string& log_folder() const noexcept { return this->folder; }
-    /// Loop that carries the relays; run it while relays are in use.
-    [[nodiscard]] loop& events() noexcept { return this->relay_loop; }
+    /// Loop for callers and timers of a bench.
+    [[nodiscard]] loop& events() noexcept { return this->main_loop; }
     [[nodiscard]] cut_set& cuts() noexcept { return this->cut_pairs; }
 
 private:
+    void start_relays();
     [[nodiscard]] std::string write_settings(int number) const;
     [[nodiscard]] endpoint platform_address() const;
     [[nodiscard]] endpoint admin_address() const;
@@ -85,7 +88,12 @@
     fleet_options options;
     std::string folder;
     std::string token;
+    loop main_loop;
+    /// Relays run on a thread of their own, so that blocking calls do not hold them up.
     loop relay_loop;
+    timer relay_stop;
+    std::atomic<bool> relays_ended{false};
+    std::thread relay_thread;
     cut_set cut_pairs;
     std::map<int, std::unique_ptr<cut_relay>> relays;
     std::unique_ptr<process> platform_process;
--- a/tools/harness/process.cpp
+++ b/tools/harness/process.cpp
@@ -39,6 +39,7 @@
     posix_spawn_file_actions_init(&actions);
     posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, log_path.c_str(),
                                      O_WRONLY | O_CREAT | O_APPEND, log_mode);
+    posix_spawn_file_actions_adddup2(&actions, STDERR_FILENO, STDOUT_FILENO);
     const int failed = posix_spawn(&this->pid, raw[0], &actions, nullptr, raw.data(), environ);
     posix_spawn_file_actions_destroy(&actions);
     if (failed != 0) {
