--- a/libs/entry/include/entry/filters.h
+++ b/libs/entry/include/entry/filters.h
@@ -46,6 +46,12 @@
 /// The request to send to a target: without keys, hop-by-hop headers and the product's own ones,
 /// with the account's name. The body is shared with the incoming request.
 [[nodiscard]] http_request make_target_request(const request_context& context);
+/// The request to pass on to another instance, with the key and the time that is left.
+[[nodiscard]] http_request make_instance_request(const request_context& context, duration left);
+/// The same answer of another instance: without hop-by-hop headers, framed anew.
+[[nodiscard]] http_answer make_relayed_answer(http_answer&& answer, bool is_head);
+/// Hash of what the request asks for: method, URI and body.
+[[nodiscard]] std::uint64_t fingerprint_of(const request_context& context);
 /// The answer to pass on: without hop-by-hop headers, framed anew.
 [[nodiscard]] http_answer make_caller_answer(http_answer&& answer, bool is_head);
 
--- a/libs/entry/include/entry/gateway.h
+++ b/libs/entry/include/entry/gateway.h
@@ -12,6 +12,8 @@
 #include "control/token_client.h"
 #include "entry/filters.h"
 #include "entry/metrics.h"
+#include "entry/once_keeper.h"
+#include "entry/prefix_collector.h"
 #include "entry/service_dispatcher.h"
 #include "event/http_server.h"
 
@@ -24,13 +26,15 @@
 class gateway {
 public:
     gateway(loop& owner, const instance_settings& settings, configuration& config,
-            acceptance& votes, token_client& tokens, loan_keeper& loans, list_watcher& listing);
+            acceptance& votes, token_client& tokens, loan_keeper& loans, list_watcher& listing,
+            mesh& network);
 
     [[nodiscard]] result<void> listen();
     /// Takes the services of a changed configuration.
     void update_services();
 
     [[nodiscard]] http_server& server() noexcept { return this->callers; }
+    [[nodiscard]] prefix_collector& prefixes() noexcept { return this->collector; }
     [[nodiscard]] metrics& measured() noexcept { return this->counters; }
     [[nodiscard]] const std::map<service_id, std::unique_ptr<service_dispatcher>>&
     dispatchers() const noexcept {
@@ -42,11 +46,18 @@
 
     void handle(const std::shared_ptr<incoming_request>& request);
     [[nodiscard]] result<void> prepare(request_context& context) const;
-    void admit(const context_ptr& context);
-    void dispatch(const context_ptr& context);
+    /// Admits the request if it has an account and sends it; \p done gets the outcome.
+    void run(const context_ptr& context, bool cancel_with_caller, service_dispatcher::handler done);
+    void dispatch(const context_ptr& context, service_request&& request, bool cancel_with_caller,
+                  service_dispatcher::handler done);
+    void run_once(const context_ptr& context, const std::string& key);
+    void pass_to_issuer(const context_ptr& context, incarnation_id issuer);
+    void send_addresses(const context_ptr& context, const std::vector<peer_info>& named,
+                        const prefix_collector::prefixes& issued);
+    [[nodiscard]] std::vector<peer_info> name_instances(const client_account& account) const;
     void pass_on(const context_ptr& context, result<service_answer> outcome);
     void refuse(const request_context& context, const error& problem);
-    void answer_addresses(request_context& context);
+    void answer_addresses(const context_ptr& context);
     [[nodiscard]] dispatcher_options make_dispatcher_options() const;
 
     loop& owner;
@@ -56,6 +67,9 @@
     token_client& tokens;
     loan_keeper& loans;
     list_watcher& listing;
+    mesh& network;
+    once_keeper once;
+    prefix_collector collector;
     metrics counters;
     std::map<service_id, std::unique_ptr<service_dispatcher>> by_service;
     std::map<service_id, service_ptr> known_services;
--- /dev/null
+++ b/libs/entry/include/entry/once_keeper.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "decide/idempotency.h"
+#include "entry/service_dispatcher.h"
+#include "event/loop.h"
+
+/// \file
+/// Requests under idempotency keys that this instance issued: each runs once at most, and repeats
+/// get the first answer.
+
+namespace knapweedknot {
+
+/// Remembers keys and answers. Not thread safe.
+class once_keeper {
+public:
+    using handler = std::function<void(result<service_answer>)>;
+    /// Starts the request; called for the first use of a key only.
+    using starter = std::function<void(handler)>;
+
+    once_keeper(loop& owner, incarnation_id issuer);
+
+    /// A prefix for \p account.
+    [[nodiscard]] std::string issue(const account_id& account) const;
+    /// True for a key that this instance issued.
+    [[nodiscard]] bool is_own(const idempotency_key& key) const noexcept {
+        return key.issuer == this->issuer;
+    }
+    /// Runs \p start if the key is new, and calls \p done once with the outcome of its one run. The
+    /// error is also outcome_unknown, idempotency_key_invalid, _expired or _reused.
+    void run(const std::string& presented, const account_id& account, std::uint64_t fingerprint,
+             const starter& start, handler done);
+
+private:
+    struct remembered {
+        std::unique_ptr<service_answer> answer;
+        std::vector<handler> waiting;
+    };
+
+    [[nodiscard]] std::uint64_t now_ms() const;
+    void settle(const std::string& key, result<service_answer> outcome);
+
+    incarnation_id issuer;
+    std::string secret;
+    time_point epoch;
+    key_table table;
+    std::unordered_map<std::string, remembered> outcomes;
+    std::size_t answer_bytes{0};
+    timer expiry;
+};
+
+} // namespace knapweedknot
--- /dev/null
+++ b/libs/entry/include/entry/prefix_collector.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "entry/once_keeper.h"
+#include "event/loop.h"
+#include "peers/mesh.h"
+
+/// \file
+/// Collects idempotency prefixes from the instances that an answer of addresses names.
+
+namespace knapweedknot {
+
+/// Asks other instances for prefixes. Not thread safe.
+class prefix_collector {
+public:
+    /// Prefixes by issuer; instances that did not answer in time are missing.
+    using prefixes = std::map<incarnation_id, std::string>;
+    using handler = std::function<void(const prefixes&)>;
+
+    prefix_collector(loop& owner, mesh& network, const once_keeper& own);
+
+    /// Calls \p done once with the prefixes of \p issuers for \p account.
+    void collect(const account_id& account, const std::vector<incarnation_id>& issuers,
+                 handler done);
+    void handle_request(const peer_info& from, const wire::prefix_requestT& request);
+    void handle_reply(const peer_info& from, const wire::prefix_replyT& reply);
+
+private:
+    struct collection {
+        std::size_t missing{0};
+        prefixes found;
+        handler done;
+        timer limit;
+    };
+    void finish(std::uint64_t id);
+
+    loop& owner;
+    mesh& network;
+    const once_keeper& own;
+    std::unordered_map<std::uint64_t, collection> open;
+    std::uint64_t last_id{0};
+};
+
+} // namespace knapweedknot
--- a/libs/entry/src/filters.cpp
+++ b/libs/entry/src/filters.cpp
@@ -7,6 +7,7 @@
 
 #include <event2/http.h>
 
+#include "base/digest.h"
 #include "config/api_key.h"
 #include "entry/header_names.h"
 #include "event/http_methods.h"
@@ -203,18 +204,46 @@
     return request;
 }
 
-http_answer make_caller_answer(http_answer&& answer, bool is_head) {
-    http_headers kept;
-    for (auto& [name, value] : answer.headers) {
-        const bool is_length_of_head = is_head && equal_ignoring_case(name, "Content-Length");
-        const bool is_dropped = (is_one_of(name, hop_by_hop) && !is_length_of_head) ||
-                                has_product_prefix(name) ||
-                                is_listed_by_connection(answer.headers, name);
+http_request make_instance_request(const request_context& context, duration left) {
+    const incoming_request& incoming = *context.incoming;
+    http_request request;
+    request.method = std::string(incoming.method());
+    request.uri = incoming.uri();
+    for (const auto& [name, value] : incoming.headers()) {
+        const bool is_dropped = is_one_of(name, hop_by_hop) || has_product_prefix(name) ||
+                                is_listed_by_connection(incoming.headers(), name);
         if (!is_dropped) {
-            kept.push_back({std::move(name), std::move(value)});
+            request.headers.push_back({name, value});
         }
     }
-    answer.headers = std::move(kept);
+    request.headers.push_back({std::string(passed_on_header), "1"});
+    request.headers.push_back(
+        {std::string(deadline_header), std::to_string(std::max(1LL, to_milliseconds(left)))});
+    request.body = copy_body(incoming.body());
+    return request;
+}
+
+std::uint64_t fingerprint_of(const request_context& context) {
+    std::string text(context.incoming->method());
+    text.append(" ").append(context.incoming->uri()).append("\n");
+    return hash64(text + body_text(context.incoming->body()));
+}
+
+http_answer make_relayed_answer(http_answer&& answer, bool is_head) {
+    std::erase_if(answer.headers, [&](const http_header& header) {
+        const bool is_length_of_head =
+            is_head && equal_ignoring_case(header.name, "Content-Length");
+        return is_one_of(header.name, hop_by_hop) && !is_length_of_head;
+    });
+    return std::move(answer);
+}
+
+http_answer make_caller_answer(http_answer&& answer, bool is_head) {
+    const http_headers all = answer.headers;
+    answer = make_relayed_answer(std::move(answer), is_head);
+    std::erase_if(answer.headers, [&all](const http_header& header) {
+        return has_product_prefix(header.name) || is_listed_by_connection(all, header.name);
+    });
     return std::move(answer);
 }
 
--- a/libs/entry/src/gateway.cpp
+++ b/libs/entry/src/gateway.cpp
@@ -29,9 +29,10 @@
 
 gateway::gateway(loop& event_loop, const instance_settings& instance, configuration& config_used,
                  acceptance& acceptance_used, token_client& token_source, loan_keeper& keeper,
-                 list_watcher& list)
+                 list_watcher& list, mesh& peer_mesh)
     : owner(event_loop), settings(instance), config(config_used), votes(acceptance_used),
-      tokens(token_source), loans(keeper), listing(list),
+      tokens(token_source), loans(keeper), listing(list), network(peer_mesh),
+      once(event_loop, peer_mesh.self().incarnation), collector(event_loop, peer_mesh, once),
       callers(event_loop, caller_limits(instance),
               [this](const auto& request) { this->handle(request); }) {}
 
@@ -77,18 +78,22 @@
     context->incoming = request;
     context->arrived = boot_clock::now();
     if (request->path() == addresses_path) {
-        this->answer_addresses(*context);
+        this->answer_addresses(context);
         return;
     }
     if (const auto prepared = this->prepare(*context); !prepared) {
         this->refuse(*context, prepared.error());
         return;
     }
-    if (context->account == nullptr) {
-        this->dispatch(context);
-    } else {
-        this->admit(context);
+    const std::string key(request->header(idempotency_key_header));
+    if (context->account != nullptr && !key.empty()) {
+        this->run_once(context, key);
+        return;
     }
+    constexpr bool cancel_with_caller = true;
+    this->run(context, cancel_with_caller, [this, context](result<service_answer> outcome) {
+        this->pass_on(context, std::move(outcome));
+    });
 }
 
 result<void> gateway::prepare(request_context& context) const {
@@ -109,32 +114,85 @@
         .and_then([&] { return set_deadline(context); });
 }
 
-void gateway::admit(const context_ptr& context) {
+void gateway::run(const context_ptr& context, bool cancel_with_caller,
+                  service_dispatcher::handler done) {
+    const account_id payer = context->account == nullptr ? account_id{} : context->account->id;
+    // Made before any wait, since the caller may be gone by then.
+    auto request = std::make_shared<service_request>(service_request{
+        make_target_request(*context), payer, context->deadline, context->repeatable});
+    if (context->account == nullptr) {
+        this->dispatch(context, std::move(*request), cancel_with_caller, std::move(done));
+        return;
+    }
     this->tokens.admit(context->account, context->deadline,
-                       [this, context](const result<void>& outcome) {
-                           if (context->incoming->is_caller_gone()) {
-                               return;
-                           }
+                       [this, context, request, cancel_with_caller,
+                        reply = std::move(done)](const result<void>& outcome) {
                            if (!outcome) {
-                               this->refuse(*context, outcome.error());
-                               return;
+                               reply(tl::unexpected(outcome.error()));
+                           } else if (!cancel_with_caller || !context->incoming->is_caller_gone()) {
+                               this->dispatch(context, std::move(*request), cancel_with_caller,
+                                              reply);
                            }
-                           this->dispatch(context);
                        });
 }
 
-void gateway::dispatch(const context_ptr& context) {
+void gateway::dispatch(const context_ptr& context, service_request&& request,
+                       bool cancel_with_caller, service_dispatcher::handler done) {
     service_dispatcher& dispatcher = *this->by_service.at(context->matched_service->id);
-    const account_id payer = context->account == nullptr ? account_id{} : context->account->id;
     auto ticket = std::make_shared<dispatch_ticket>();
-    context->incoming->on_caller_gone([&dispatcher, ticket] { dispatcher.cancel(*ticket); });
-    *ticket = dispatcher.dispatch(
-        {make_target_request(*context), payer, context->deadline, context->repeatable},
+    if (cancel_with_caller) {
+        context->incoming->on_caller_gone([&dispatcher, ticket] { dispatcher.cancel(*ticket); });
+    }
+    *ticket = dispatcher.dispatch(std::move(request), std::move(done));
+}
+
+void gateway::run_once(const context_ptr& context, const std::string& key) {
+    const auto parsed = parse_idempotency_key(key);
+    if (!parsed) {
+        this->refuse(*context, {error_kind::idempotency_key_invalid,
+                                "use a prefix from /v1/addresses, a dot, and a text of your own"});
+        return;
+    }
+    if (!this->once.is_own(*parsed)) {
+        this->pass_to_issuer(context, parsed->issuer);
+        return;
+    }
+    constexpr bool cancel_with_caller = false;
+    this->once.run(
+        key, context->account->id, fingerprint_of(*context),
+        [this, context](const service_dispatcher::handler& settle) {
+            this->run(context, cancel_with_caller, settle);
+        },
         [this, context](result<service_answer> outcome) {
             this->pass_on(context, std::move(outcome));
         });
 }
 
+/// Only the issuer knows whether the request ran before.
+void gateway::pass_to_issuer(const context_ptr& context, incarnation_id issuer) {
+    const auto found = this->loans.peers().find(issuer);
+    const bool was_passed_on = !context->incoming->header(passed_on_header).empty();
+    if (found == this->loans.peers().end() || !found->second.connected || was_passed_on) {
+        this->refuse(*context, {error_kind::outcome_unknown,
+                                "the instance that issued the prefix cannot be reached"});
+        return;
+    }
+    const duration left = context->deadline - boot_clock::now();
+    http_client_limits limits;
+    limits.max_body_bytes = this->settings.max_answer_bytes;
+    send_once(
+        this->owner, found->second.info.callers_address, make_instance_request(*context, left),
+        left, limits, [this, context](http_outcome outcome) {
+            if (!outcome) {
+                this->refuse(*context, {error_kind::outcome_unknown,
+                                        "the instance that issued the prefix did not answer"});
+                return;
+            }
+            const bool is_head = context->incoming->method() == "HEAD";
+            context->incoming->answer(make_relayed_answer(std::move(*outcome), is_head));
+        });
+}
+
 void gateway::pass_on(const context_ptr& context, result<service_answer> outcome) {
     incoming_request& incoming = *context->incoming;
     incoming.on_caller_gone(nullptr);
@@ -159,18 +217,9 @@
     }
 }
 
-void gateway::answer_addresses(request_context& context) {
-    const auto account = read_key(context).and_then(
-        [&] { return find_account(context.presented_key, this->config); });
-    if (!account) {
-        this->refuse(context, account.error());
-        return;
-    }
-    const auto more =
-        static_cast<std::size_t>(std::ceil((*account)->rate_per_s / rate_per_address));
-    const std::size_t wanted = std::max(least_addresses, more);
-    nlohmann::json addresses = nlohmann::json::array();
-    std::vector<peer_info> ranked = this->loans.ranked(slot_of((*account)->id, slot_count));
+std::vector<peer_info> gateway::name_instances(const client_account& account) const {
+    const auto more = static_cast<std::size_t>(std::ceil(account.rate_per_s / rate_per_address));
+    std::vector<peer_info> ranked = this->loans.ranked(slot_of(account.id, slot_count));
     // The second address is in another failure domain where there is one.
     if (ranked.size() > 2) {
         const auto elsewhere =
@@ -181,16 +230,46 @@
             std::rotate(ranked.begin() + 1, elsewhere, elsewhere + 1);
         }
     }
-    for (const peer_info& peer : ranked) {
-        if (addresses.size() < wanted) {
-            addresses.push_back({{"address", to_string(peer.callers_address)},
-                                 {"instance", peer.instance.value},
-                                 {"failure_domain", peer.failure_domain.value}});
+    ranked.resize(std::min(ranked.size(), std::max(least_addresses, more)));
+    return ranked;
+}
+
+void gateway::answer_addresses(const context_ptr& context) {
+    const auto account = read_key(*context).and_then(
+        [&] { return find_account(context->presented_key, this->config); });
+    if (!account) {
+        this->refuse(*context, account.error());
+        return;
+    }
+    const std::vector<peer_info> named = this->name_instances(**account);
+    std::vector<incarnation_id> issuers;
+    issuers.reserve(named.size());
+    for (const peer_info& peer : named) {
+        issuers.push_back(peer.incarnation);
+    }
+    this->collector.collect((*account)->id, issuers,
+                            [this, context, named](const prefix_collector::prefixes& issued) {
+                                this->send_addresses(context, named, issued);
+                            });
+}
+
+void gateway::send_addresses(const context_ptr& context, const std::vector<peer_info>& named,
+                             const prefix_collector::prefixes& issued) {
+    nlohmann::json addresses = nlohmann::json::array();
+    for (const peer_info& peer : named) {
+        nlohmann::json item = {{"address", to_string(peer.callers_address)},
+                               {"instance", peer.instance.value},
+                               {"failure_domain", peer.failure_domain.value}};
+        if (const auto prefix = issued.find(peer.incarnation); prefix != issued.end()) {
+            item["idempotency_prefix"] = prefix->second;
         }
+        addresses.push_back(std::move(item));
+    }
+    if (!context->incoming->is_caller_gone()) {
+        answer_json(*context->incoming, 200,
+                    {{"addresses", addresses},
+                     {"keep_ms", to_milliseconds(this->settings.address_lifetime)}});
     }
-    answer_json(
-        *context.incoming, 200,
-        {{"addresses", addresses}, {"keep_ms", to_milliseconds(this->settings.address_lifetime)}});
 }
 
 } // namespace knapweedknot
--- /dev/null
+++ b/libs/entry/src/once_keeper.cpp
@@ -0,0 +1,121 @@
+#include "entry/once_keeper.h"
+
+#include <utility>
+
+#include "base/digest.h"
+
+namespace knapweedknot {
+
+namespace {
+
+constexpr std::size_t secret_bytes = 32;
+constexpr duration expiry_interval = seconds(1);
+// Answers beyond this are not kept; their repeats are told that the outcome is unknown.
+constexpr std::size_t max_answer_bytes = std::size_t{32} * 1024 * 1024;
+
+service_answer copy_of(const service_answer& original) {
+    service_answer copy;
+    copy.target = original.target;
+    copy.spent = original.spent;
+    copy.answer.status = original.answer.status;
+    copy.answer.headers = original.answer.headers;
+    append_copy(copy.answer.body.get(), original.answer.body.get());
+    return copy;
+}
+
+tl::unexpected<error> unknown_outcome() {
+    return fail(error_kind::outcome_unknown,
+                "the request may have run before, and its answer is not known");
+}
+
+} // namespace
+
+once_keeper::once_keeper(loop& owner, incarnation_id own)
+    : issuer(own), secret(random_hex(secret_bytes)), epoch(boot_clock::now()),
+      expiry(owner.every(expiry_interval, [this] {
+          this->table.expire(boot_clock::now(), [this](const std::string& key) {
+              const auto found = this->outcomes.find(key);
+              if (found != this->outcomes.end()) {
+                  if (found->second.answer != nullptr) {
+                      this->answer_bytes -= body_size(found->second.answer->answer.body.get());
+                  }
+                  this->outcomes.erase(found);
+              }
+          });
+      })) {}
+
+std::uint64_t once_keeper::now_ms() const {
+    return static_cast<std::uint64_t>(to_milliseconds(boot_clock::now() - this->epoch));
+}
+
+std::string once_keeper::issue(const account_id& account) const {
+    return make_idempotency_prefix(this->secret, this->issuer, this->now_ms(), account);
+}
+
+void once_keeper::run(const std::string& presented, const account_id& account,
+                      std::uint64_t fingerprint, const starter& start, handler done) {
+    const auto key = parse_idempotency_key(presented);
+    if (!key) {
+        done(fail(error_kind::idempotency_key_invalid, "use PREFIX.UNIQUE"));
+        return;
+    }
+    if (const auto checked = check_idempotency_key(*key, this->secret, account, this->now_ms());
+        !checked) {
+        done(tl::unexpected(checked.error()));
+        return;
+    }
+    const time_point forget_at =
+        this->epoch + milliseconds(key->issued_ms) + idempotency_prefix_life;
+    switch (this->table.begin(presented, fingerprint, forget_at)) {
+    case key_state::first:
+        this->outcomes[presented].waiting.push_back(std::move(done));
+        start([this, presented](result<service_answer> outcome) {
+            this->settle(presented, std::move(outcome));
+        });
+        return;
+    case key_state::running:
+        this->outcomes[presented].waiting.push_back(std::move(done));
+        return;
+    case key_state::done:
+        if (const auto found = this->outcomes.find(presented); found->second.answer != nullptr) {
+            done(copy_of(*found->second.answer));
+            return;
+        }
+        done(unknown_outcome());
+        return;
+    case key_state::unknown:
+        done(unknown_outcome());
+        return;
+    case key_state::reused:
+        done(fail(error_kind::idempotency_key_reused, "the key was used for another request"));
+        return;
+    }
+}
+
+void once_keeper::settle(const std::string& key, result<service_answer> outcome) {
+    remembered& kept = this->outcomes.at(key);
+    const std::vector<handler> waiting = std::move(kept.waiting);
+    kept.waiting.clear();
+    if (outcome) {
+        this->table.finish(key);
+        const std::size_t size = body_size(outcome->answer.body.get());
+        if (this->answer_bytes + size <= max_answer_bytes) {
+            this->answer_bytes += size;
+            kept.answer = std::make_unique<service_answer>(copy_of(*outcome));
+        }
+    } else if (answer_for(outcome.error().kind).outcome == execution::not_run) {
+        this->table.release(key);
+        this->outcomes.erase(key);
+    } else {
+        this->table.lose(key);
+    }
+    for (const handler& done : waiting) {
+        if (outcome) {
+            done(copy_of(*outcome));
+        } else {
+            done(tl::unexpected(outcome.error()));
+        }
+    }
+}
+
+} // namespace knapweedknot
--- a/programs/knapweedknotd/instance.cpp
+++ b/programs/knapweedknotd/instance.cpp
@@ -49,7 +49,7 @@
       votes(event_loop, network, loans, follower, config),
       committer(event_loop, store, follower, config, votes),
       listing(event_loop, store, network, loans, seats), tokens(event_loop, network, loans, given),
-      front(event_loop, settings, config, votes, tokens, loans, listing),
+      front(event_loop, settings, config, votes, tokens, loans, listing, network),
       operators(event_loop,
                 {settings, config, follower, committer, votes, loans, seats, tokens, front, store,
                  network},
@@ -83,6 +83,10 @@
                                     this->config.find_account(account_id{request->account}));
     } else if (const auto* reply = message.body.Astoken_reply(); reply != nullptr) {
         this->tokens.handle_reply(from, *reply);
+    } else if (const auto* asked = message.body.Asprefix_request(); asked != nullptr) {
+        this->front.prefixes().handle_request(from, *asked);
+    } else if (const auto* issued = message.body.Asprefix_reply(); issued != nullptr) {
+        this->front.prefixes().handle_reply(from, *issued);
     } else if (const auto* list = message.body.Aslisting(); list != nullptr) {
         this->listing.handle_listing(*list);
     } else {
--- /dev/null
+++ b/tests/once_test.cpp
@@ -0,0 +1,109 @@
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <csignal>
+
+#include "executions.h"
+#include "fetch.h"
+
+using namespace knapweedknot;
+using namespace knapweedknot::harness;
+
+/// \file
+/// Work under idempotency keys, repeated while and after everything fails.
+
+namespace {
+
+constexpr int first_instance = 0;
+
+struct once_fleet {
+    fleet running;
+    std::string key;
+
+    explicit once_fleet(const fleet_options& options) : running(options) {
+        this->running.start();
+        this->running.patch(usual_configuration(this->running));
+        this->key = this->running.add_key("shop");
+        run_for(this->running.events(), seconds(2));
+    }
+    /// A named instance's number and its prefix.
+    std::pair<int, std::string> prefix() {
+        const fetched answer = fetch(this->running, this->running.callers_address(first_instance),
+                                     "GET", "/v1/addresses", with_key(this->key));
+        const auto body = nlohmann::json::parse(answer.body);
+        const auto& first = body.at("addresses").at(0);
+        const std::string name = first.at("instance").get<std::string>();
+        return {std::stoi(name.substr(name.find('-') + 1)),
+                first.at("idempotency_prefix").get<std::string>()};
+    }
+    fetched post(int instance, const std::string& once_key, const std::string& uri) {
+        http_headers headers = with_key(this->key);
+        headers.push_back({"Idempotency-Key", once_key});
+        return fetch(this->running, this->running.callers_address(instance), "POST", uri, headers);
+    }
+    std::size_t executions_of(const std::string& uri) {
+        run_for(this->running.events(), milliseconds(300));
+        const auto all = read_executions(this->running.execution_log());
+        return static_cast<std::size_t>(std::count_if(
+            all.begin(), all.end(), [&](const auto& item) { return item.uri == uri; }));
+    }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(a_repeated_key_runs_once_and_gets_the_first_answer) {
+    once_fleet fleet({});
+    const auto [issuer, prefix] = fleet.prefix();
+    const int other = (issuer + 1) % 4;
+    const fetched first = fleet.post(issuer, prefix + ".a", "/once/a");
+    BOOST_TEST(first.status == 200);
+    for (const int instance : {issuer, other}) {
+        const fetched again = fleet.post(instance, prefix + ".a", "/once/a");
+        BOOST_TEST(again.status == 200);
+        BOOST_TEST(again.body == first.body);
+    }
+    BOOST_TEST(fleet.executions_of("/once/a") == 1U);
+    BOOST_TEST(fleet.post(issuer, prefix + ".a", "/once/b").header("Knapweedknot-Error") ==
+               "idempotency_key_reused");
+    BOOST_TEST(fleet.post(issuer, "my-own-key", "/once/c").header("Knapweedknot-Error") ==
+               "idempotency_key_invalid");
+
+    // A run without an answer stays unknown, and is not repeated.
+    fleet.running.set_target("*", {{"mode", "reset"}});
+    BOOST_TEST(fleet.post(issuer, prefix + ".d", "/once/d").status == 502);
+    fleet.running.set_target("*", {{"mode", "ok"}});
+    const fetched unknown = fleet.post(issuer, prefix + ".d", "/once/d");
+    BOOST_TEST(unknown.header("Knapweedknot-Error") == "outcome_unknown");
+    BOOST_TEST(fleet.executions_of("/once/d") == 1U);
+
+    // A refusal that says "not run" frees the key.
+    fleet.running.set_target("*", {{"mode", "shed"}});
+    const fetched refused = fleet.post(issuer, prefix + ".e", "/once/e");
+    BOOST_TEST(refused.header("Knapweedknot-Outcome") == "not_run");
+    fleet.running.set_target("*", {{"mode", "ok"}});
+    BOOST_TEST(fleet.post(other, prefix + ".e", "/once/e").status == 200);
+    BOOST_TEST(fleet.executions_of("/once/e") == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_key_whose_issuer_freezes_or_dies_is_never_run_elsewhere) {
+    once_fleet fleet({});
+    const auto [issuer, prefix] = fleet.prefix();
+    const int other = (issuer + 1) % 4;
+    BOOST_TEST(fleet.post(issuer, prefix + ".a", "/once/a").status == 200);
+    fleet.running.instance(issuer).signal(SIGSTOP);
+    const fetched frozen = fleet.post(other, prefix + ".a", "/once/a");
+    BOOST_TEST(frozen.header("Knapweedknot-Error") == "outcome_unknown");
+    fleet.running.instance(issuer).signal(SIGCONT);
+    run_for(fleet.running.events(), seconds(3));
+    BOOST_TEST(fleet.post(other, prefix + ".a", "/once/a").status == 200);
+    fleet.running.instance(issuer).kill();
+    run_for(fleet.running.events(), seconds(3));
+    const fetched dead = fleet.post(other, prefix + ".a", "/once/a");
+    BOOST_TEST(dead.header("Knapweedknot-Error") == "outcome_unknown");
+    BOOST_TEST(dead.header("Knapweedknot-Outcome") == "may_have_run");
+    fleet.running.start_instance(issuer);
+    run_for(fleet.running.events(), seconds(4));
+    BOOST_TEST(fleet.post(issuer, prefix + ".a", "/once/a").header("Knapweedknot-Error") ==
+               "outcome_unknown");
+    BOOST_TEST(fleet.executions_of("/once/a") == 1U);
+}
