--- a/libs/peers/src/mesh.cpp
+++ b/libs/peers/src/mesh.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <array>
 
-#include <arpa/inet.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -11,6 +10,7 @@
 #include <event2/listener.h>
 
 #include "base/log.h"
+#include "event/socket_address.h"
 
 namespace knapweedknot {
 
@@ -25,14 +25,6 @@
 
 constexpr std::size_t max_datagram_bytes = 512;
 
-sockaddr_in to_socket_address(const endpoint& address) {
-    sockaddr_in name{};
-    name.sin_family = AF_INET;
-    name.sin_port = htons(address.port);
-    inet_pton(AF_INET, address.ip.c_str(), &name.sin_addr);
-    return name;
-}
-
 endpoint parse_or_empty(const std::string& text) {
     return parse_endpoint(text).value_or(endpoint{});
 }
--- a/libs/peers/src/peer_link.cpp
+++ b/libs/peers/src/peer_link.cpp
@@ -2,7 +2,6 @@
 
 #include <utility>
 
-#include <arpa/inet.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
@@ -10,6 +9,8 @@
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 
+#include "event/socket_address.h"
+
 namespace knapweedknot {
 
 namespace {
@@ -20,20 +21,12 @@
 constexpr unsigned unacknowledged_limit_ms = 4000;
 constexpr std::size_t max_queued_bytes = 2 * max_message_bytes;
 
-sockaddr_in socket_address(const std::string& ip, std::uint16_t port) {
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(port);
-    inet_pton(AF_INET, ip.c_str(), &address.sin_addr);
-    return address;
-}
-
 /// A socket that connects from \p source_ip, so that peers and cuts can tell instances apart.
 int bound_socket(const std::string& source_ip) {
     const int made = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     const int on = 1;
     setsockopt(made, IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, &on, sizeof on);
-    const sockaddr_in source = socket_address(source_ip, 0);
+    const sockaddr_in source = to_socket_address({source_ip, 0});
     static_cast<void>(bind(made, reinterpret_cast<const sockaddr*>(&source), sizeof source));
     return made;
 }
@@ -56,7 +49,7 @@
           bufferevent_socket_new(owner.handle(), bound_socket(source_ip), BEV_OPT_CLOSE_ON_FREE)),
       target(address), calls(std::move(receivers)), last_received(boot_clock::now()) {
     this->set_up();
-    const sockaddr_in name = socket_address(address.ip, address.port);
+    const sockaddr_in name = to_socket_address(address);
     bufferevent_socket_connect(this->stream.get(), reinterpret_cast<const sockaddr*>(&name),
                                sizeof name);
 }
--- a/tests/fetch.h
+++ b/tests/fetch.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include <algorithm>
 #include <string>
 
 #include "event/http_client.h"
 #include "event/loop.h"
+#include "executions.h"
 #include "fleet.h"
 
 /// \file
@@ -59,4 +61,30 @@
               {"open", {{"path_prefix", "/open"}, {"service", "work"}, {"open", true}}}}}};
 }
 
+/// A fleet with the usual configuration and one key.
+struct served_fleet {
+    fleet running;
+    std::string key;
+
+    explicit served_fleet(const fleet_options& options = {}) : running(options) {
+        this->running.start();
+        this->running.patch(usual_configuration(this->running));
+        this->key = this->running.add_key("shop");
+        // Loans are made with the next heartbeats.
+        run_for(this->running.events(), seconds(2));
+    }
+    fetched get(const std::string& uri, const http_headers& extra = {}, int instance = 0) {
+        http_headers headers = with_key(this->key);
+        headers.insert(headers.end(), extra.begin(), extra.end());
+        return fetch(this->running, this->running.callers_address(instance), "GET", uri, headers);
+    }
+    /// Executions of exactly this URI in the targets' log.
+    std::size_t executions_of(const std::string& uri) {
+        run_for(this->running.events(), milliseconds(300));
+        const auto all = read_executions(this->running.execution_log());
+        return static_cast<std::size_t>(std::count_if(
+            all.begin(), all.end(), [&](const auto& item) { return item.uri == uri; }));
+    }
+};
+
 } // namespace knapweedknot::harness
--- a/tests/once_test.cpp
+++ b/tests/once_test.cpp
@@ -1,6 +1,5 @@
 #include <boost/test/unit_test.hpp>
 
-#include <algorithm>
 #include <csignal>
 
 #include "executions.h"
@@ -16,16 +15,9 @@
 
 constexpr int first_instance = 0;
 
-struct once_fleet {
-    fleet running;
-    std::string key;
+struct once_fleet : served_fleet {
+    using served_fleet::served_fleet;
 
-    explicit once_fleet(const fleet_options& options) : running(options) {
-        this->running.start();
-        this->running.patch(usual_configuration(this->running));
-        this->key = this->running.add_key("shop");
-        run_for(this->running.events(), seconds(2));
-    }
     /// A named instance's number and its prefix.
     std::pair<int, std::string> prefix() {
         const fetched answer = fetch(this->running, this->running.callers_address(first_instance),
@@ -41,18 +33,12 @@
         headers.push_back({"Idempotency-Key", once_key});
         return fetch(this->running, this->running.callers_address(instance), "POST", uri, headers);
     }
-    std::size_t executions_of(const std::string& uri) {
-        run_for(this->running.events(), milliseconds(300));
-        const auto all = read_executions(this->running.execution_log());
-        return static_cast<std::size_t>(std::count_if(
-            all.begin(), all.end(), [&](const auto& item) { return item.uri == uri; }));
-    }
 };
 
 } // namespace
 
 BOOST_AUTO_TEST_CASE(a_repeated_key_runs_once_and_gets_the_first_answer) {
-    once_fleet fleet({});
+    once_fleet fleet;
     const auto [issuer, prefix] = fleet.prefix();
     const int other = (issuer + 1) % 4;
     const fetched first = fleet.post(issuer, prefix + ".a", "/once/a");
@@ -86,7 +72,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(a_key_whose_issuer_freezes_or_dies_is_never_run_elsewhere) {
-    once_fleet fleet({});
+    once_fleet fleet;
     const auto [issuer, prefix] = fleet.prefix();
     const int other = (issuer + 1) % 4;
     BOOST_TEST(fleet.post(issuer, prefix + ".a", "/once/a").status == 200);
--- a/tests/system_test.cpp
+++ b/tests/system_test.cpp
@@ -16,34 +16,6 @@
 /// \file
 /// Whole paths through fleets of processes without injected crashes.
 
-namespace {
-
-/// A fleet with the usual configuration and one key.
-struct served_fleet {
-    fleet running;
-    std::string key;
-
-    explicit served_fleet(const fleet_options& options = {}) : running(options) {
-        this->running.start();
-        this->running.patch(usual_configuration(this->running));
-        this->key = this->running.add_key("shop");
-        run_for(this->running.events(), seconds(2));
-    }
-    fetched get(const std::string& uri, http_headers extra = {}, int instance = 0) {
-        http_headers headers = with_key(this->key);
-        headers.insert(headers.end(), extra.begin(), extra.end());
-        return fetch(this->running, this->running.callers_address(instance), "GET", uri, headers);
-    }
-    std::size_t executions_of(const std::string& uri) {
-        run_for(this->running.events(), milliseconds(300));
-        const auto all = read_executions(this->running.execution_log());
-        return static_cast<std::size_t>(std::count_if(
-            all.begin(), all.end(), [&](const auto& item) { return item.uri == uri; }));
-    }
-};
-
-} // namespace
-
 BOOST_AUTO_TEST_CASE(requests_and_refusals_on_the_whole_path) {
     served_fleet fleet;
     const std::string secret = fleet.key.substr(fleet.key.find('.') + 1);
--- a/tools/harness/cut_relay.cpp
+++ b/tools/harness/cut_relay.cpp
@@ -12,20 +12,14 @@
 #include <event2/event.h>
 #include <event2/listener.h>
 
+#include "event/socket_address.h"
+
 namespace knapweedknot::harness {
 
 namespace {
 
 constexpr int backlog = 128;
 
-sockaddr_in to_sockaddr(const endpoint& address) {
-    sockaddr_in name{};
-    name.sin_family = AF_INET;
-    name.sin_port = htons(address.port);
-    inet_pton(AF_INET, address.ip.c_str(), &name.sin_addr);
-    return name;
-}
-
 std::string ip_text(const sockaddr_in& address) {
     char text[INET_ADDRSTRLEN];
     inet_ntop(AF_INET, &address.sin_addr, text, sizeof text);
@@ -55,7 +49,7 @@
 cut_relay::cut_relay(loop& event_loop, const endpoint& listen, const endpoint& destination,
                      const cut_set& cut_pairs)
     : owner(event_loop), target(destination), cuts(cut_pairs) {
-    const sockaddr_in name = to_sockaddr(listen);
+    const sockaddr_in name = to_socket_address(listen);
     this->listener = evconnlistener_new_bind(event_loop.handle(), &cut_relay::accepted, this,
                                              LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, backlog,
                                              reinterpret_cast<const sockaddr*>(&name), sizeof name);
@@ -78,7 +72,7 @@
 void cut_relay::relay_datagrams() {
     constexpr std::size_t max_datagram_bytes = 2048;
     std::array<char, max_datagram_bytes> buffer{};
-    const sockaddr_in destination = to_sockaddr(this->target);
+    const sockaddr_in destination = to_socket_address(this->target);
     while (true) {
         sockaddr_in source{};
         socklen_t source_size = sizeof source;
@@ -112,7 +106,7 @@
         bufferevent_setcb(stream, &cut_relay::forward, nullptr, &cut_relay::closed, made.get());
         bufferevent_enable(stream, EV_READ | EV_WRITE);
     }
-    const sockaddr_in name = to_sockaddr(self->target);
+    const sockaddr_in name = to_socket_address(self->target);
     bufferevent_socket_connect(made->callee, reinterpret_cast<const sockaddr*>(&name), sizeof name);
     self->pairs.push_back(std::move(made));
 }
