--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -15,7 +15,6 @@
     rm -rf "$work"
 }
 trap stop_all EXIT
-[ -n "${KEEP_LOGS:-}" ] && work=$KEEP_LOGS
 
 bin=build/programs
 export KNAPWEEDKNOT_TOKEN=demo-token
