One list of broker candidates, one request for entries, no unused byte count

Cause: ranked() and choose() each built the instances that may broker a slot, two places built the same request for entries, and a count of received bytes was read by nobody. No behaviour changes.

--- a/libs/control/include/control/acceptance.h
+++ b/libs/control/include/control/acceptance.h
@@ -60,6 +60,7 @@
     void handle_announce(const peer_info& from, const wire::announceT& message);
     void handle_ack(const peer_info& from, const wire::announce_ackT& message);
     void handle_entries(const peer_info& from, const wire::entries_replyT& message);
+    void ask_for_entries(incarnation_id from);
     void send_head(incarnation_id to, std::uint64_t after);
     void check_majority();
     void check_in_force();
--- a/libs/control/include/control/loan_keeper.h
+++ b/libs/control/include/control/loan_keeper.h
@@ -97,6 +97,8 @@
     void beat_soon();
     void take_loans(peer_status& from, const wire::heartbeat_fields& fields, time_point until,
                     time_point now);
+    /// Instances that may broker slots: this one unless it leaves, and the peers heard lately.
+    [[nodiscard]] std::vector<peer_info> candidates(time_point now) const;
     [[nodiscard]] bool is_candidate(const peer_status& peer, time_point now) const;
     [[nodiscard]] std::uint32_t stamp_of(time_point moment) const;
     [[nodiscard]] time_point moment_of(std::uint32_t stamp, time_point now) const;
--- a/libs/control/src/acceptance.cpp
+++ b/libs/control/src/acceptance.cpp
@@ -173,9 +173,13 @@
 }
 
 void acceptance::peer_connected(const peer_info& peer) {
+    this->ask_for_entries(peer.incarnation);
+}
+
+void acceptance::ask_for_entries(incarnation_id from) {
     wire::entries_requestT request;
     request.after = this->config.number().value;
-    this->network.send(peer.incarnation, request);
+    this->network.send(from, request);
 }
 
 void acceptance::settle_pending() {
@@ -211,9 +215,7 @@
             return left.second.number < right.second.number;
         });
     if (newest != peers.end() && newest->second.number > this->config.number()) {
-        wire::entries_requestT request;
-        request.after = this->config.number().value;
-        this->network.send(newest->first, request);
+        this->ask_for_entries(newest->first);
     }
     const bool must_read = !this->vouches() || !this->is_fresh();
     if (must_read && !this->reading) {
--- a/libs/control/src/loan_keeper.cpp
+++ b/libs/control/src/loan_keeper.cpp
@@ -63,46 +63,45 @@
     return peer.connected && !peer.leaving && now - peer.last_heard < limit;
 }
 
-std::vector<peer_info> loan_keeper::ranked(slot_id id) const {
-    const time_point now = boot_clock::now();
-    std::map<instance_id, peer_info> candidates;
-    std::vector<instance_id> names;
+std::vector<peer_info> loan_keeper::candidates(time_point now) const {
+    std::vector<peer_info> found;
     if (!this->leaving) {
-        candidates[this->network.self().instance] = this->network.self();
+        found.push_back(this->network.self());
     }
     for (const auto& [incarnation, peer] : this->statuses) {
         if (this->is_candidate(peer, now)) {
-            candidates[peer.info.instance] = peer.info;
+            found.push_back(peer.info);
         }
     }
-    names.reserve(candidates.size());
-    for (const auto& [name, info] : candidates) {
+    return found;
+}
+
+std::vector<peer_info> loan_keeper::ranked(slot_id id) const {
+    std::map<instance_id, peer_info> by_name;
+    std::vector<instance_id> names;
+    for (const peer_info& candidate : this->candidates(boot_clock::now())) {
+        by_name[candidate.instance] = candidate;
+    }
+    names.reserve(by_name.size());
+    for (const auto& [name, info] : by_name) {
         names.push_back(name);
     }
     std::vector<peer_info> ordered;
     for (const instance_id& name : rank_instances(id, names)) {
-        ordered.push_back(candidates.at(name));
+        ordered.push_back(by_name.at(name));
     }
     return ordered;
 }
 
 void loan_keeper::choose(time_point now) {
-    std::vector<std::pair<instance_id, incarnation_id>> candidates;
-    if (!this->leaving) {
-        candidates.emplace_back(this->network.self().instance, this->network.self().incarnation);
-    }
-    for (const auto& [incarnation, peer] : this->statuses) {
-        if (this->is_candidate(peer, now)) {
-            candidates.emplace_back(peer.info.instance, incarnation);
-        }
-    }
+    const std::vector<peer_info> able = this->candidates(now);
     for (std::uint32_t i = 0; i < slot_count; ++i) {
         incarnation_id best;
         std::uint64_t best_weight = 0;
-        for (const auto& [name, incarnation] : candidates) {
-            const std::uint64_t weight = placement_weight(slot_id{i}, name);
+        for (const peer_info& candidate : able) {
+            const std::uint64_t weight = placement_weight(slot_id{i}, candidate.instance);
             if (best.value == 0 || weight > best_weight) {
-                best = incarnation;
+                best = candidate.incarnation;
                 best_weight = weight;
             }
         }
--- a/libs/peers/include/peers/peer_link.h
+++ b/libs/peers/include/peers/peer_link.h
@@ -42,7 +42,6 @@
         return now - this->last_received;
     }
     [[nodiscard]] std::uint64_t bytes_sent() const noexcept { return this->sent; }
-    [[nodiscard]] std::uint64_t bytes_received() const noexcept { return this->received; }
 
     /// Peer's hello; nothing before it has arrived.
     std::optional<peer_info> peer;
@@ -61,7 +60,6 @@
     handlers calls;
     time_point last_received;
     std::uint64_t sent{0};
-    std::uint64_t received{0};
 };
 
 } // namespace knapweedknot
--- a/libs/peers/src/peer_link.cpp
+++ b/libs/peers/src/peer_link.cpp
@@ -109,7 +109,6 @@
         evbuffer_drain(input, frame_header_bytes);
         std::string bytes(*length, '\0');
         evbuffer_remove(input, bytes.data(), bytes.size());
-        this->received += frame_header_bytes + bytes.size();
         const auto message = decode_message(bytes);
         if (!message) {
             this->calls.on_closed(*this);
