--- a/libs/control/src/token_client.cpp
+++ b/libs/control/src/token_client.cpp
@@ -14,9 +14,10 @@
 constexpr double holder_share_of_lifetime = 0.98;
 constexpr duration retry_interval = milliseconds(50);
 // Longest wait for a token while the slot has no settled broker.
-constexpr duration patience = milliseconds(2500);
-// A share that changed this recently is still being collected by its broker.
-constexpr duration settling = milliseconds(1000);
+constexpr duration patience = milliseconds(5000);
+// After its share has changed, a broker lets requests wait for this long, so that those that came
+// while the slot had no broker are admitted at the account's rate and not refused.
+constexpr duration settling = milliseconds(6000);
 constexpr std::uint32_t max_tokens_per_grant = 256;
 
 rate_limit limit_of(const client_account& account) {
@@ -69,6 +70,12 @@
     }
     account_queue& queue = this->queues[account->id];
     queue.account = account;
+    if (to_seconds(patience) * account->rate_per_s < static_cast<double>(queue.waiters.size())) {
+        // Those that wait already use up what the rate allows until this one would give up.
+        ++count.refused;
+        done(fail(error_kind::rate_exceeded, "the account's rate and burst are used up"));
+        return;
+    }
     queue.waiters.push_back({std::min(deadline, now + patience), std::move(done)});
     this->pump(account->id);
 }
--- /dev/null
+++ b/tests/system_test.cpp
@@ -0,0 +1,167 @@
+#define BOOST_TEST_MODULE system
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+
+#include <csignal>
+
+#include "base/digest.h"
+#include "executions.h"
+#include "fetch.h"
+#include "load.h"
+
+using namespace knapweedknot;
+using namespace knapweedknot::harness;
+
+/// \file
+/// Whole paths through fleets of processes without injected crashes.
+
+namespace {
+
+/// A fleet with the usual configuration and one key.
+struct served_fleet {
+    fleet running;
+    std::string key;
+
+    explicit served_fleet(const fleet_options& options = {}) : running(options) {
+        this->running.start();
+        this->running.patch(usual_configuration(this->running));
+        this->key = this->running.add_key("shop");
+        run_for(this->running.events(), seconds(2));
+    }
+    fetched get(const std::string& uri, http_headers extra = {}, int instance = 0) {
+        http_headers headers = with_key(this->key);
+        headers.insert(headers.end(), extra.begin(), extra.end());
+        return fetch(this->running, this->running.callers_address(instance), "GET", uri, headers);
+    }
+    std::size_t executions_of(const std::string& uri) {
+        run_for(this->running.events(), milliseconds(300));
+        const auto all = read_executions(this->running.execution_log());
+        return static_cast<std::size_t>(std::count_if(
+            all.begin(), all.end(), [&](const auto& item) { return item.uri == uri; }));
+    }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(requests_and_refusals_on_the_whole_path) {
+    served_fleet fleet;
+    const std::string secret = fleet.key.substr(fleet.key.find('.') + 1);
+
+    const fetched answered = fleet.get("/work/1?x=y");
+    BOOST_TEST(answered.status == 200);
+    BOOST_TEST(answered.header("Knapweedknot-Instance") == "instance-0");
+    BOOST_TEST(answered.body.find(secret) == std::string::npos);
+    BOOST_TEST(answered.body.find("\"Knapweedknot-Account\":\"shop\"") != std::string::npos);
+
+    // The key in any place that a target sees is refused before anything is sent.
+    for (const std::string& uri :
+         {"/work/2?k=" + secret, "/work/2?k=%" + to_hex(secret.substr(0, 1)) + secret.substr(1)}) {
+        BOOST_TEST(fleet.get(uri).header("Knapweedknot-Error") == "key_exposed");
+    }
+    BOOST_TEST(fleet.get("/work/2", {{"X-Copy", fleet.key}}).status == 400);
+    BOOST_TEST(fleet.executions_of("/work/2") == 0U);
+
+    const endpoint first = fleet.running.callers_address(0);
+    BOOST_TEST(fetch(fleet.running, first, "GET", "/open/1", {}).status == 200);
+    const fetched missing = fetch(fleet.running, first, "GET", "/work/3", {});
+    BOOST_TEST(missing.status == 401);
+    BOOST_TEST(missing.header("Knapweedknot-Outcome") == "not_run");
+    BOOST_TEST(fleet.get("/nowhere").status == 404);
+    BOOST_TEST(fleet.get("/work/4", {{"Knapweedknot-Deadline-Ms", "soon"}}).status == 400);
+
+    const fetched head = fetch(fleet.running, first, "HEAD", "/work/5", with_key(fleet.key));
+    BOOST_TEST(head.status == 200);
+    BOOST_TEST(std::stoi(head.header("Content-Length")) > 0);
+    BOOST_TEST(head.body.empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_failing_target_never_gets_unrepeatable_work_twice) {
+    fleet_options options;
+    options.targets = 3;
+    served_fleet fleet(options);
+    for (const char* mode : {"truncate", "reset"}) {
+        fleet.running.set_target("*", {{"mode", mode}});
+        const std::string uri = std::string("/once/") + mode;
+        const fetched answer = fleet.get(uri);
+        BOOST_TEST(answer.status == 502);
+        BOOST_TEST(answer.header("Knapweedknot-Outcome") == "may_have_run");
+        BOOST_TEST(fleet.executions_of(uri) == 1U);
+    }
+    // What was refused as not run goes to another target, also when it must not be repeated.
+    fleet.running.set_target("*", {{"mode", "ok"}});
+    fleet.running.set_target("target-0", {{"mode", "shed"}});
+    for (int i = 0; i < 10; ++i) {
+        const std::string uri = "/once/shed-" + std::to_string(i);
+        BOOST_TEST(fleet.get(uri).status == 200);
+        BOOST_TEST(fleet.executions_of(uri) == 1U);
+    }
+    fleet.running.set_target("*", {{"mode", "hang"}});
+    const fetched late = fleet.get("/once/late", {{"Knapweedknot-Deadline-Ms", "200"}});
+    BOOST_TEST(late.status == 504);
+    BOOST_TEST(late.header("Knapweedknot-Outcome") == "may_have_run");
+}
+
+BOOST_AUTO_TEST_CASE(operators_that_race_get_one_acceptance_and_one_conflict) {
+    served_fleet fleet;
+    const auto present = fleet.running.operate(0, "GET", "/v1/configuration");
+    const std::string base = present->body.at("number").dump();
+    const auto first = fleet.running.operate(0, "PATCH", "/v1/configuration?base=" + base,
+                                             {{"accounts", {{"shop", {{"burst", 50}}}}}});
+    const auto second = fleet.running.operate(1, "PATCH", "/v1/configuration?base=" + base,
+                                              {{"accounts", {{"shop", {{"burst", 60}}}}}});
+    BOOST_TEST(first->status == 200);
+    BOOST_TEST(second->status == 409);
+    BOOST_TEST(second->body.at("changes_since").size() == 1U);
+    const auto bad = fleet.running.operate(
+        0, "PATCH", "/v1/configuration?base=" + first->body.at("number").dump(),
+        {{"accounts", {{"shop", {{"burst", -1}}}}}});
+    BOOST_TEST(bad->status == 422);
+    BOOST_TEST(bad->body.at("detail").get<std::string>().find("/accounts/shop/burst") !=
+               std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(a_write_whose_answer_is_lost_is_accepted_once) {
+    served_fleet fleet;
+    fleet.running.set_platform_faults({{"lose_answers", 1.0}});
+    const std::uint64_t number = fleet.running.patch({{"accounts", {{"shop", {{"burst", 70}}}}}});
+    fleet.running.set_platform_faults({{"lose_answers", 0.0}});
+    const auto history =
+        fleet.running.operate(1, "GET", "/v1/history?after=" + std::to_string(number - 1));
+    BOOST_TEST(history->body.at("entries").size() == 1U);
+    BOOST_TEST(history->body.at("chain_problem").get<std::string>().empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_graceful_stop_under_load_cuts_no_request) {
+    served_fleet fleet;
+    caller_options given{"shop", fleet.key, "/work/load", "GET", 200, {}, true};
+    for (int i = 0; i < 4; ++i) {
+        given.instances.push_back(fleet.running.callers_address(i));
+    }
+    // These keep an old answer of addresses: they use every instance in turn.
+    caller_options unaware = given;
+    unaware.use_addresses = false;
+    unaware.rate_per_s = 100;
+    caller aware_callers(fleet.running.events(), given, 1);
+    caller unaware_callers(fleet.running.events(), unaware, 2);
+    aware_callers.start();
+    unaware_callers.start();
+    run_for(fleet.running.events(), seconds(1));
+    fleet.running.instance(2).signal(SIGTERM);
+    run_for(fleet.running.events(), seconds(5));
+    // An answer of addresses lasts 5 s, so nobody uses the instance after that.
+    unaware_callers.stop();
+    run_for(fleet.running.events(), seconds(5));
+    aware_callers.stop();
+    run_for(fleet.running.events(), seconds(1));
+    BOOST_TEST(fleet.running.instance(2).has_ended());
+    BOOST_TEST(fleet.running.instance(2).exit_status() == 0);
+    for (const caller* one : {&aware_callers, &unaware_callers}) {
+        const auto& records = one->records();
+        BOOST_TEST(records.size() > 300U);
+        const auto lost =
+            std::count_if(records.begin(), records.end(),
+                          [](const call_record& record) { return record.status != 200; });
+        BOOST_TEST(lost == 0);
+    }
+}
--- a/tools/fleet_bench/benches.h
+++ b/tools/fleet_bench/benches.h
@@ -7,6 +7,9 @@
 
 namespace knapweedknot::bench {
 
+/// Second byte of the addresses that benches use, apart from those of tests.
+inline constexpr int bench_network = 20;
+
 /// What the command line sets.
 struct bench_options {
     std::uint64_t seed{1};
--- a/tools/fleet_bench/configuration_cost.cpp
+++ b/tools/fleet_bench/configuration_cost.cpp
@@ -69,6 +69,7 @@
 
 int measure_configuration(const bench_options& options) {
     harness::fleet_options wanted;
+    wanted.network = bench_network;
     wanted.behaviour = {{"latency_ms", 0}, {"slots", 1000}, {"connections", 100000}};
     harness::fleet fleet(wanted);
     fleet.start();
--- a/tools/fleet_bench/control_cost.cpp
+++ b/tools/fleet_bench/control_cost.cpp
@@ -72,6 +72,7 @@
                 "cpu %", "memory MB", "store calls/s", "per inst 10s");
     for (const int count : instance_counts) {
         harness::fleet_options wanted;
+        wanted.network = bench_network;
         wanted.instances = count;
         wanted.targets = 30;
         harness::fleet fleet(wanted);
--- a/tools/fleet_bench/rate_faults.cpp
+++ b/tools/fleet_bench/rate_faults.cpp
@@ -184,6 +184,7 @@
 
 int measure_rates(const bench_options& options) {
     harness::fleet_options wanted;
+    wanted.network = bench_network;
     wanted.instances = options.instances;
     wanted.targets = 37;
     wanted.with_relays = true;
--- a/tools/fleet_bench/request_cost.cpp
+++ b/tools/fleet_bench/request_cost.cpp
@@ -68,6 +68,7 @@
 
 void measure_latency(const bench_options& options) {
     harness::fleet_options wanted;
+    wanted.network = bench_network;
     wanted.instances = 1;
     wanted.behaviour = {{"latency_ms", 1}, {"slots", 1000}, {"connections", 100000}};
     harness::fleet fleet(wanted);
@@ -100,6 +101,7 @@
 
 void measure_throughput() {
     harness::fleet_options wanted;
+    wanted.network = bench_network;
     wanted.instances = 1;
     wanted.behaviour = {{"latency_ms", 0}, {"slots", 1000}, {"connections", 100000}};
     harness::fleet fleet(wanted);
--- a/tools/target_standin/standin_target.cpp
+++ b/tools/target_standin/standin_target.cpp
@@ -171,6 +171,8 @@
 }
 
 void standin_target::finish(const std::shared_ptr<execution>& running) {
+    // The timer's callback holds the execution; without it the request is dropped when unanswered.
+    running->end = timer();
     std::erase(this->executing, running);
     running->request->on_caller_gone(nullptr);
     this->note("finished", *running);
