--- a/libs/control/include/control/config_follower.h
+++ b/libs/control/include/control/config_follower.h
@@ -57,7 +57,8 @@
                        const done_handler& done);
     [[nodiscard]] result<void> start_from_snapshot(const history_head& head,
                                                    const std::string& text);
-    void note_adopted(const history_head& head);
+    void note_adopted();
+    void keep_complete(const history_head& head, std::uint64_t revision);
     [[nodiscard]] result<void> load_document(const history_head& head, const std::string& text);
     [[nodiscard]] result<void> apply_tail(const history_head& head);
 
--- a/libs/control/src/config_follower.cpp
+++ b/libs/control/src/config_follower.cpp
@@ -73,9 +73,9 @@
         return;
     }
     const std::uint64_t revision = value.revision;
-    this->adopt(*head, "", [this, revision, done](const result<void>& outcome) {
+    this->adopt(*head, "", [this, revision, head, done](const result<void>& outcome) {
         if (outcome) {
-            this->head_revision = std::max(this->head_revision, revision);
+            this->keep_complete(*head, revision);
         }
         done(outcome);
     });
@@ -99,8 +99,16 @@
 }
 
 void config_follower::adopt_written(const history_head& head, std::uint64_t revision) {
-    this->head_revision = std::max(this->head_revision, revision);
     this->adopt(head, "", [](const result<void>& /*unused*/) {});
+    this->keep_complete(head, revision);
+}
+
+/// Peers send only the entries that an instance lacks; the store's head has the whole tail.
+void config_follower::keep_complete(const history_head& head, std::uint64_t revision) {
+    this->head_revision = std::max(this->head_revision, revision);
+    if (head.number() == this->config.number()) {
+        this->current = head;
+    }
 }
 
 void config_follower::replace_base(const history_head& compacted) {
@@ -148,7 +156,8 @@
         log_event(log_level::error, "document_refused", {{"detail", loaded.error().detail}});
         return loaded;
     }
-    this->note_adopted(head);
+    this->current = head;
+    this->note_adopted();
     return {};
 }
 
@@ -170,13 +179,13 @@
             return applied;
         }
         last_hash = hash_of(entry);
+        this->current.tail.push_back(entry);
     }
-    this->note_adopted(head);
+    this->note_adopted();
     return {};
 }
 
-void config_follower::note_adopted(const history_head& head) {
-    this->current = head;
+void config_follower::note_adopted() {
     log_event(log_level::info, "configuration_adopted",
               {{"number", std::to_string(this->config.number().value)}});
     if (this->on_adopted) {
--- a/tests/fault_test.cpp
+++ b/tests/fault_test.cpp
@@ -139,3 +139,54 @@
     BOOST_TEST(times.at("shop").size() > 500U);
     BOOST_TEST(worst_excess(times.at("shop"), rate, burst) <= 0.0);
 }
+
+BOOST_AUTO_TEST_CASE(a_leaving_target_gets_no_new_work_after_a_few_seconds) {
+    // The list lags by 1 s, is read every second and passed on at once.
+    constexpr duration leaving_bound = seconds(4);
+    fleet_options options;
+    options.targets = 3;
+    served_fleet fleet(options);
+    caller_options given{"shop", fleet.key, "/work/x", "GET", 200, {}, false};
+    for (int i = 0; i < options.instances; ++i) {
+        given.instances.push_back(fleet.running.callers_address(i));
+    }
+    caller callers(fleet.running.events(), given, 1);
+    callers.start();
+    run_for(fleet.running.events(), seconds(1));
+    const double listed = to_seconds(boot_clock::now().time_since_epoch());
+    fleet.running.set_platform_list(
+        {{{"address", to_string(fleet.running.target_address(0))}, {"state", "leaving"}}});
+    run_for(fleet.running.events(), leaving_bound + seconds(3));
+    callers.stop();
+    run_for(fleet.running.events(), seconds(1));
+    std::size_t before = 0;
+    std::size_t late = 0;
+    for (const execution_record& item : read_executions(fleet.running.execution_log())) {
+        const bool is_leaving = item.target == "target-0";
+        before += is_leaving && item.at_s < listed ? 1 : 0;
+        late += is_leaving && item.at_s > listed + to_seconds(leaving_bound) ? 1 : 0;
+    }
+    BOOST_TEST(before > 10U);
+    BOOST_TEST(late == 0U);
+    for (const call_record& record : callers.records()) {
+        BOOST_TEST(record.status == 200);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(the_history_outlives_its_compaction_and_a_newcomer_starts_from_it) {
+    constexpr int patches = 70;
+    served_fleet fleet;
+    for (int i = 0; i < patches; ++i) {
+        fleet.running.patch({{"accounts", {{"shop", {{"burst", 100 + i}}}}}}, i % 4);
+    }
+    fleet.running.instance(3).kill();
+    fleet.running.start_instance(3);
+    run_for(fleet.running.events(), seconds(4));
+    BOOST_TEST(status_of(fleet.running, 3, fleet.key) == 200);
+    const auto history = fleet.running.operate(3, "GET", "/v1/history?after=0");
+    BOOST_TEST(history->body.at("entries").size() == patches + 2U);
+    BOOST_TEST(history->body.at("chain_problem").get<std::string>().empty());
+    const auto present = fleet.running.operate(3, "GET", "/v1/configuration");
+    BOOST_TEST(present->body.at("document").at("accounts").at("shop").at("burst") ==
+               100 + patches - 1);
+}
--- a/tools/harness/fleet.cpp
+++ b/tools/harness/fleet.cpp
@@ -231,6 +231,11 @@
                            "application/json", faults.dump()));
 }
 
+void fleet::set_platform_list(const nlohmann::json& list) const {
+    static_cast<void>(call({this->platform_address(), ""}, "PUT", "/v1/admin/instances",
+                           "application/json", list.dump()));
+}
+
 nlohmann::json fleet::platform_counts() const {
     const auto answer = call({this->platform_address(), ""}, "GET", "/v1/admin/counts", "", "");
     return answer ? answer->body : nlohmann::json();
--- a/tools/harness/fleet.h
+++ b/tools/harness/fleet.h
@@ -64,6 +64,8 @@
     /// Sets faults of the platform.
     void set_platform_faults(const nlohmann::json& faults) const;
     [[nodiscard]] nlohmann::json platform_counts() const;
+    /// Sets the platform's list: entries of "address" and "state", "live" or "leaving".
+    void set_platform_list(const nlohmann::json& list) const;
     /// Changes the behaviour of a target, or of all for "*".
     void set_target(const std::string& name, const nlohmann::json& behaviour) const;
     /// A service of all targets, for a configuration.
