--- a/tests/system_test.cpp
+++ b/tests/system_test.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 
 #include <csignal>
+#include <fstream>
 
 #include "base/digest.h"
 #include "executions.h"
@@ -137,3 +138,49 @@
         BOOST_TEST(lost == 0);
     }
 }
+
+BOOST_AUTO_TEST_CASE(sizes_are_limited_and_a_caller_that_goes_away_cancels_its_work) {
+    constexpr std::size_t allowed_header_bytes = std::size_t{30} * 1024;
+    constexpr std::size_t refused_header_bytes = std::size_t{200} * 1024;
+    constexpr std::size_t refused_body_bytes = std::size_t{5} * 1024 * 1024;
+    served_fleet fleet;
+    BOOST_TEST(
+        fleet.get("/work/long", {{"X-Long", std::string(allowed_header_bytes, 'a')}}).status ==
+        200);
+    BOOST_TEST(
+        fleet.get("/work/longer", {{"X-Long", std::string(refused_header_bytes, 'a')}}).status !=
+        200);
+    BOOST_TEST(fleet.executions_of("/work/longer") == 0U);
+
+    http_request large;
+    large.method = "POST";
+    large.uri = "/work/large";
+    large.headers = with_key(fleet.key);
+    large.body = make_body(std::string(refused_body_bytes, 'a'));
+    int status = 0;
+    send_once(fleet.running.events(), fleet.running.callers_address(0), large, seconds(5), {},
+              [&](const http_outcome& outcome) {
+                  status = outcome ? outcome->status : 0;
+                  fleet.running.events().stop();
+              });
+    fleet.running.events().run();
+    BOOST_TEST(status != 200);
+    BOOST_TEST(fleet.executions_of("/work/large") == 0U);
+
+    fleet.running.set_target("*", {{"mode", "hang"}});
+    http_request abandoned;
+    abandoned.uri = "/work/abandoned";
+    abandoned.headers = with_key(fleet.key);
+    send_once(fleet.running.events(), fleet.running.callers_address(0), abandoned,
+              milliseconds(300), {},
+              [&](const http_outcome& /*unused*/) { fleet.running.events().stop(); });
+    fleet.running.events().run();
+    run_for(fleet.running.events(), milliseconds(500));
+    std::ifstream log(fleet.running.execution_log());
+    std::size_t cancelled = 0;
+    for (std::string line; std::getline(log, line);) {
+        const bool is_cancelled = line.find("\"cancelled\"") != std::string::npos;
+        cancelled += is_cancelled && line.find("/work/abandoned") != std::string::npos ? 1 : 0;
+    }
+    BOOST_TEST(cancelled == 1U);
+}
--- a/tools/target_standin/standin_target.h
+++ b/tools/target_standin/standin_target.h
@@ -88,7 +88,12 @@
     execution_log log;
     std::mt19937_64 random;
     std::unique_ptr<http_server> server;
-    std::deque<request_ptr> waiting;
+    /// A request that waits for a slot, and when its caller stops waiting for it.
+    struct waiting_request {
+        request_ptr request;
+        time_point deadline;
+    };
+    std::deque<waiting_request> waiting;
     std::vector<std::shared_ptr<execution>> executing;
     std::vector<request_ptr> hanging;
     time_point started_at;
