--- a/libs/control/include/control/token_client.h
+++ b/libs/control/include/control/token_client.h
@@ -35,7 +35,10 @@
     token_client(loop& owner, mesh& network, loan_keeper& loans, const instance_settings& settings);
 
     /// Calls \p done, at once or later, with success or with rate_exceeded or peer_unreachable.
-    void admit(const client_account_ptr& account, time_point deadline, handler done);
+    /// \param is_wanted false once nobody waits for the request any more; it then gets no token,
+    ///     and \p done is called with caller_gone
+    void admit(const client_account_ptr& account, time_point deadline,
+               std::function<bool()> is_wanted, handler done);
     /// Answers another instance's request for tokens.
     void handle_request(const peer_info& from, const wire::token_requestT& request,
                         const client_account_ptr& account);
@@ -48,6 +51,7 @@
 private:
     struct waiter {
         time_point give_up;
+        std::function<bool()> is_wanted;
         handler done;
     };
     struct account_queue {
--- a/libs/control/src/token_client.cpp
+++ b/libs/control/src/token_client.cpp
@@ -53,7 +53,8 @@
            now - slot.share_since < settling;
 }
 
-void token_client::admit(const client_account_ptr& account, time_point deadline, handler done) {
+void token_client::admit(const client_account_ptr& account, time_point deadline,
+                         std::function<bool()> is_wanted, handler done) {
     const time_point now = boot_clock::now();
     admission_counts& count = this->counted[account->id];
     const auto waiting = this->queues.find(account->id);
@@ -76,7 +77,8 @@
         done(fail(error_kind::rate_exceeded, "the account's rate and burst are used up"));
         return;
     }
-    queue.waiters.push_back({std::min(deadline, now + patience), std::move(done)});
+    queue.waiters.push_back(
+        {std::min(deadline, now + patience), std::move(is_wanted), std::move(done)});
     this->pump(account->id);
 }
 
@@ -87,7 +89,14 @@
 }
 
 void token_client::drop_late(account_queue& queue, time_point now) {
-    while (!queue.waiters.empty() && queue.waiters.front().give_up <= now) {
+    while (!queue.waiters.empty()) {
+        if (!queue.waiters.front().is_wanted()) {
+            this->finish(queue, fail(error_kind::caller_gone, "the caller has gone"));
+            continue;
+        }
+        if (queue.waiters.front().give_up > now) {
+            return;
+        }
         ++this->counted[queue.account->id].timed_out;
         this->finish(queue, fail(error_kind::peer_unreachable, "no instance grants tokens now"));
     }
@@ -97,6 +106,7 @@
     while (!queue.waiters.empty() && this->take_local(*queue.account, now)) {
         ++this->counted[queue.account->id].local;
         this->finish(queue, {});
+        this->drop_late(queue, now);
     }
 }
 
@@ -175,6 +185,7 @@
         --tokens;
         ++this->counted[queue.account->id].remote;
         this->finish(queue, {});
+        this->drop_late(queue, now);
     }
     queue.unspent = tokens;
     if (reply.is_broker && reply.granted < max_tokens_per_grant) {
--- a/libs/entry/src/gateway.cpp
+++ b/libs/entry/src/gateway.cpp
@@ -124,12 +124,15 @@
         this->dispatch(context, std::move(*request), cancel_with_caller, std::move(done));
         return;
     }
-    this->tokens.admit(context->account, context->deadline,
+    const auto is_wanted = [context, cancel_with_caller] {
+        return !cancel_with_caller || !context->incoming->is_caller_gone();
+    };
+    this->tokens.admit(context->account, context->deadline, is_wanted,
                        [this, context, request, cancel_with_caller,
                         reply = std::move(done)](const result<void>& outcome) {
                            if (!outcome) {
                                reply(tl::unexpected(outcome.error()));
-                           } else if (!cancel_with_caller || !context->incoming->is_caller_gone()) {
+                           } else {
                                this->dispatch(context, std::move(*request), cancel_with_caller,
                                               reply);
                            }
--- a/tests/fault_test.cpp
+++ b/tests/fault_test.cpp
@@ -190,3 +190,26 @@
     BOOST_TEST(present->body.at("document").at("accounts").at("shop").at("burst") ==
                100 + patches - 1);
 }
+
+BOOST_AUTO_TEST_CASE(requests_whose_callers_have_gone_use_no_tokens) {
+    constexpr int abandoned = 30;
+    // Two tokens come in this time.
+    constexpr duration answer_bound = seconds(1);
+    served_fleet fleet;
+    // A slow account, so that abandoned requests would use up its tokens for many seconds.
+    fleet.running.patch({{"accounts", {{"shop", {{"rate_per_s", 2}, {"burst", 2}}}}}});
+    // The loss of seats changes every slot's share, after which requests wait and are not refused.
+    fleet.running.instance(3).kill();
+    run_for(fleet.running.events(), seconds(3));
+    for (int i = 0; i < abandoned; ++i) {
+        http_request request;
+        request.uri = "/work/abandoned";
+        request.headers = with_key(fleet.key);
+        send_once(fleet.running.events(), fleet.running.callers_address(0), request,
+                  milliseconds(300), {}, [](const http_outcome& /*unused*/) {});
+    }
+    run_for(fleet.running.events(), milliseconds(600));
+    const time_point asked = boot_clock::now();
+    BOOST_TEST(fleet.get("/work/wanted").status == 200);
+    BOOST_TEST(to_milliseconds(boot_clock::now() - asked) < to_milliseconds(answer_bound));
+}
--- a/tools/fleet_bench/configuration_cost.cpp
+++ b/tools/fleet_bench/configuration_cost.cpp
@@ -89,6 +89,7 @@
             key = fleet.add_key("account-7");
         }
         std::vector<double> times;
+        times.reserve(measured_patches);
         for (int round = 0; round < measured_patches; ++round) {
             times.push_back(patch_time_ms(fleet, round));
         }
