One store client that speaks the platform's protocol, in platform/

Cause: the store client spoke the protocol of our own stand-in; a second one for the users' platform would stand beside it.

--- a/tools/platform_standin/platform_service.h
+++ b/tools/platform_standin/platform_service.h
@@ -3,6 +3,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 
@@ -13,16 +14,13 @@
 #include "platform_state.h"
 
 /// \file
-/// HTTP face of the stand-in for the platform.
+/// HTTP face of the stand-in for the platform. It speaks the platform's store protocol
+/// (/kv-key, /kv-range, /kv-watch, /kv-txn, /kv-lease, /kv-keep/ID, /kv-lease-end/ID) and adds:
 ///
-///     GET    /v1/kv/KEY[?after=REVISION&wait_ms=N]   value, X-Revision header; 404 when absent
-///     PUT    /v1/kv/KEY?expect=REVISION[&lease=ID]   compare-and-swap; 409 on another revision
-///     DELETE /v1/kv/KEY?expect=REVISION
-///     POST   /v1/leases?ttl_ms=N[&renew=ID]          {"lease": ID}; 404 when it has ended
-///     GET    /v1/instances                           the lagging list of live and leaving
-///     instances PUT    /v1/admin/instances                     sets that list PUT /v1/admin/faults
-///     {"outage", "slow_ms", "lose_answers"} GET    /v1/admin/counts                        calls
-///     since the start, by kind
+///     GET /v1/instances          the lagging list of live and leaving instances
+///     PUT /v1/admin/instances    sets that list
+///     PUT /v1/admin/faults       {"outage", "slow_ms", "lose_answers", "drop_history"}
+///     GET /v1/admin/counts       calls since the start, by kind
 
 namespace knapweedknot::standin {
 
@@ -49,20 +47,22 @@
     using request_ptr = std::shared_ptr<incoming_request>;
     struct waiting_watch {
         request_ptr request;
-        std::string key;
+        std::string prefix;
         std::uint64_t after;
         timer limit;
     };
 
     void handle(const request_ptr& request);
     void handle_platform_call(const request_ptr& request);
-    void handle_key(const request_ptr& request, const std::string& key);
-    void handle_put(const request_ptr& request, const std::string& key);
-    void handle_watch(const request_ptr& request, const std::string& key);
+    void handle_get(const request_ptr& request);
+    void handle_range(const request_ptr& request);
+    void handle_watch(const request_ptr& request);
+    void handle_transaction(const request_ptr& request);
     void handle_lease(const request_ptr& request);
+    void handle_keep(const request_ptr& request, std::uint64_t lease);
     void handle_admin(const request_ptr& request);
-    void answer_value(const request_ptr& request, const std::string& key);
-    void finish_write(const request_ptr& request, int status, std::uint64_t revision);
+    /// True when there were changes, or the history is gone, and the watch was answered.
+    bool answer_watch(const request_ptr& request, const std::string& prefix, std::uint64_t after);
     void notify_watches();
 
     loop& owner;
