--- /dev/null
+++ b/libs/decide/include/decide/instance_choice.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/endpoint.h"
+#include "base/ids.h"
+
+/// \file
+/// Which instances a caller is told to use.
+///
+/// Pattern: little traffic over many instances. If every instance served a share of it, none would
+/// see enough to judge a target, keep a connection open or know how full a target is. So callers
+/// are sent to few instances, the same ones for all callers of a failure domain. All functions are
+/// pure and thread safe.
+
+namespace knapweedknot {
+
+/// An instance as the one that answers knows it.
+struct instance_candidate {
+    instance_id instance;
+    failure_domain_id failure_domain;
+    endpoint callers_address;
+    /// Takes requests and is not about to stop.
+    bool ready{false};
+    /// Time since its process started.
+    duration uptime{duration::zero()};
+};
+
+/// How many instances serve.
+struct choice_policy {
+    /// Instances that serve each failure domain.
+    std::size_t per_failure_domain{2};
+    /// A process younger than this is named only when older ones are missing.
+    duration settling_time{milliseconds(1500)};
+};
+
+/// The instances that callers in \p failure_domain should use, best first. Those of another
+/// failure domain are named only when their own one has none that is ready.
+[[nodiscard]] std::vector<instance_candidate>
+choose_instances(std::vector<instance_candidate> candidates,
+                 const failure_domain_id& failure_domain, const choice_policy& policy);
+
+} // namespace knapweedknot
--- /dev/null
+++ b/libs/fleet/include/fleet/fleet_reports.h
@@ -0,0 +1,121 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/ids.h"
+#include "event/loop.h"
+#include "peers/mesh.h"
+
+/// \file
+/// Reports between instances: who is ready, what was admitted and sent once more, and what runs at
+/// each target. Each instance sends them at short intervals; nothing waits for one.
+
+namespace knapweedknot {
+
+/// Times of the reports.
+struct report_times {
+    /// Interval between instances that serve requests.
+    duration busy_interval{milliseconds(250)};
+    /// Interval to and from instances that do not.
+    duration quiet_interval{milliseconds(1000)};
+    /// A peer that was not heard for this long is not counted on; its link is replaced.
+    duration silence_limit{milliseconds(2600)};
+};
+
+/// What an instance has running at one target.
+struct target_use {
+    int running{0};
+    double silence{0};
+    double failures{0};
+    /// How much longer the instance keeps the target out of rotation.
+    duration out{duration::zero()};
+};
+
+/// What an instance has admitted of one account since its start.
+struct account_use {
+    std::uint32_t admitted{0};
+    double tokens{0};
+};
+
+/// Requests for one service, and those sent once more, since the instance's start.
+struct service_use {
+    std::uint32_t requests{0};
+    std::uint32_t resends{0};
+};
+
+/// One instance's report. Keys are hashes of names.
+struct fleet_report {
+    bool ready{false};
+    /// True when it has served requests lately.
+    bool serving{false};
+    bool store_reachable{false};
+    duration uptime{duration::zero()};
+    config_number policy;
+    std::uint64_t targets_revision{0};
+    std::unordered_map<std::uint64_t, account_use> accounts;
+    std::unordered_map<std::uint64_t, service_use> services;
+    std::unordered_map<std::uint64_t, target_use> targets;
+    /// Broken connections by the fingerprint of the request that was on them.
+    std::unordered_map<std::uint64_t, std::uint32_t> crashes;
+};
+
+/// A peer and its newest report.
+struct reporting_peer {
+    peer_info info;
+    std::optional<fleet_report> report;
+    /// When the newest report arrived, or the link was made.
+    time_point heard;
+};
+
+/// Sends and keeps reports. Not thread safe.
+class fleet_reports {
+public:
+    fleet_reports(loop& owner, mesh& network, const report_times& times);
+
+    /// Makes the own report. Must be set before start.
+    std::function<fleet_report()> make_report;
+    /// Called with a peer's report and the one before, which is null for the first.
+    std::function<void(const reporting_peer& peer, const fleet_report* before)> on_report;
+    std::function<void(const reporting_peer& peer)> on_lost;
+
+    void start();
+    void peer_connected(const peer_info& peer);
+    void peer_disconnected(const peer_info& peer);
+    void handle(const peer_info& from, const wire::reportT& message);
+    /// Sends a report to serving peers without waiting for the interval.
+    void hurry();
+    /// Sends a report to all peers at once.
+    void tell_all();
+
+    /// Connected peers by incarnation.
+    [[nodiscard]] const std::map<incarnation_id, reporting_peer>& peers() const noexcept {
+        return this->known;
+    }
+    /// Peers whose report counts.
+    [[nodiscard]] std::size_t heard_peers() const;
+    [[nodiscard]] bool is_heard(const reporting_peer& peer, time_point now) const noexcept;
+    /// Sum over the peers of what runs at a target.
+    [[nodiscard]] target_use total_at(std::uint64_t target, time_point now) const;
+
+private:
+    void tick();
+    void send_to(bool serving_only);
+
+    loop& owner;
+    mesh& network;
+    report_times times;
+    std::map<incarnation_id, reporting_peer> known;
+    time_point last_to_all;
+    time_point last_hurried;
+    timer ticking;
+    timer hurrying;
+};
+
+} // namespace knapweedknot
--- /dev/null
+++ b/libs/fleet/src/fleet_reports.cpp
@@ -0,0 +1,201 @@
+#include "fleet/fleet_reports.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "base/log.h"
+
+namespace knapweedknot {
+
+namespace {
+
+constexpr std::uint32_t ready_flag = 1;
+constexpr std::uint32_t serving_flag = 2;
+constexpr std::uint32_t store_flag = 4;
+// Doubts travel as whole numbers of this part.
+constexpr double doubt_unit = 1.0 / 16;
+// Reports out of turn are at least this far apart.
+constexpr duration hurry_interval = milliseconds(60);
+
+template <typename Number>
+Number clamp_to(double value) {
+    constexpr double most = std::numeric_limits<Number>::max();
+    constexpr double least = std::numeric_limits<Number>::lowest();
+    return static_cast<Number>(std::clamp(std::round(value), least, most));
+}
+
+wire::reportT encode(const fleet_report& report) {
+    wire::reportT message;
+    message.flags = (report.ready ? ready_flag : 0) | (report.serving ? serving_flag : 0) |
+                    (report.store_reachable ? store_flag : 0);
+    message.uptime_ms =
+        clamp_to<std::uint32_t>(static_cast<double>(to_milliseconds(report.uptime)));
+    message.policy_number = report.policy.value;
+    message.targets_revision = report.targets_revision;
+    for (const auto& [account, use] : report.accounts) {
+        message.accounts.emplace_back(account, use.admitted, clamp_to<std::int32_t>(use.tokens));
+    }
+    for (const auto& [service, use] : report.services) {
+        message.services.emplace_back(service, use.requests, use.resends);
+    }
+    for (const auto& [target, use] : report.targets) {
+        message.targets.emplace_back(
+            target, clamp_to<std::uint16_t>(use.running),
+            clamp_to<std::uint16_t>(use.silence / doubt_unit),
+            clamp_to<std::uint16_t>(use.failures / doubt_unit),
+            clamp_to<std::uint16_t>(static_cast<double>(to_milliseconds(use.out))));
+    }
+    for (const auto& [fingerprint, deaths] : report.crashes) {
+        message.crashes.emplace_back(fingerprint, deaths, 0);
+    }
+    return message;
+}
+
+fleet_report decode(const wire::reportT& message) {
+    fleet_report report;
+    report.ready = (message.flags & ready_flag) != 0;
+    report.serving = (message.flags & serving_flag) != 0;
+    report.store_reachable = (message.flags & store_flag) != 0;
+    report.uptime = milliseconds(message.uptime_ms);
+    report.policy.value = message.policy_number;
+    report.targets_revision = message.targets_revision;
+    for (const wire::account_use& use : message.accounts) {
+        report.accounts[use.account()] = {use.admitted(), static_cast<double>(use.tokens())};
+    }
+    for (const wire::service_use& use : message.services) {
+        report.services[use.service()] = {use.requests(), use.resends()};
+    }
+    for (const wire::target_use& use : message.targets) {
+        report.targets[use.target()] = {use.running(), use.silence() * doubt_unit,
+                                        use.failures() * doubt_unit, milliseconds(use.out_ms())};
+    }
+    for (const wire::crash_note& note : message.crashes) {
+        report.crashes[note.fingerprint()] = note.deaths();
+    }
+    return report;
+}
+
+} // namespace
+
+fleet_reports::fleet_reports(loop& event_loop, mesh& peer_mesh, const report_times& intervals)
+    : owner(event_loop), network(peer_mesh), times(intervals) {}
+
+void fleet_reports::start() {
+    this->ticking = this->owner.every(this->times.busy_interval, [this] { this->tick(); });
+}
+
+void fleet_reports::peer_connected(const peer_info& peer) {
+    this->known[peer.incarnation] = {peer, std::nullopt, boot_clock::now()};
+    log_event(
+        log_level::info, "peer_connected",
+        {{"peer", peer.instance.value}, {"incarnation", std::to_string(peer.incarnation.value)}});
+    this->network.send(peer.incarnation, encode(this->make_report()));
+}
+
+void fleet_reports::peer_disconnected(const peer_info& peer) {
+    const auto found = this->known.find(peer.incarnation);
+    if (found == this->known.end()) {
+        return;
+    }
+    const reporting_peer lost = std::move(found->second);
+    this->known.erase(found);
+    log_event(log_level::warning, "peer_lost",
+              {{"peer", peer.instance.value},
+               {"silent_ms", std::to_string(to_milliseconds(boot_clock::now() - lost.heard))}});
+    if (this->on_lost) {
+        this->on_lost(lost);
+    }
+}
+
+void fleet_reports::handle(const peer_info& from, const wire::reportT& message) {
+    const auto found = this->known.find(from.incarnation);
+    if (found == this->known.end()) {
+        return;
+    }
+    reporting_peer& peer = found->second;
+    const std::optional<fleet_report> before = std::exchange(peer.report, decode(message));
+    peer.heard = boot_clock::now();
+    if (this->on_report) {
+        this->on_report(peer, before ? &*before : nullptr);
+    }
+}
+
+bool fleet_reports::is_heard(const reporting_peer& peer, time_point now) const noexcept {
+    return peer.report && now - peer.heard < this->times.silence_limit;
+}
+
+std::size_t fleet_reports::heard_peers() const {
+    const time_point now = boot_clock::now();
+    return static_cast<std::size_t>(
+        std::count_if(this->known.begin(), this->known.end(),
+                      [&](const auto& item) { return this->is_heard(item.second, now); }));
+}
+
+target_use fleet_reports::total_at(std::uint64_t target, time_point now) const {
+    target_use total;
+    for (const auto& [incarnation, peer] : this->known) {
+        if (!this->is_heard(peer, now) || !peer.report->serving) {
+            continue;
+        }
+        const auto found = peer.report->targets.find(target);
+        if (found != peer.report->targets.end()) {
+            total.running += found->second.running;
+            total.silence += found->second.silence;
+            total.failures += found->second.failures;
+            total.out = std::max(total.out, found->second.out - (now - peer.heard));
+        }
+    }
+    return total;
+}
+
+void fleet_reports::tick() {
+    const time_point now = boot_clock::now();
+    std::vector<incarnation_id> silent;
+    for (const auto& [incarnation, peer] : this->known) {
+        if (now - peer.heard > this->times.silence_limit) {
+            silent.push_back(incarnation);
+        }
+    }
+    for (const incarnation_id peer : silent) {
+        this->network.drop(peer);
+    }
+    const bool all_due = now - this->last_to_all >= this->times.quiet_interval;
+    this->send_to(!all_due);
+    if (all_due) {
+        this->last_to_all = now;
+    }
+}
+
+/// Sends the own report; a part of the peers hears only every quiet interval.
+void fleet_reports::send_to(bool serving_only) {
+    const fleet_report report = this->make_report();
+    if (serving_only && !report.serving) {
+        return;
+    }
+    const wire::reportT message = encode(report);
+    for (const auto& [incarnation, peer] : this->known) {
+        if (!serving_only || (peer.report && peer.report->serving)) {
+            this->network.send(incarnation, message);
+        }
+    }
+}
+
+void fleet_reports::hurry() {
+    const time_point now = boot_clock::now();
+    if (this->hurrying || now - this->last_hurried < hurry_interval) {
+        return;
+    }
+    this->hurrying = this->owner.after(hurry_interval, [this] {
+        this->hurrying = timer();
+        this->last_hurried = boot_clock::now();
+        this->send_to(true);
+    });
+}
+
+void fleet_reports::tell_all() {
+    this->last_to_all = boot_clock::now();
+    this->send_to(false);
+}
+
+} // namespace knapweedknot
--- /dev/null
+++ b/libs/proxy/include/proxy/account_ledger.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <unordered_map>
+
+#include "base/clock.h"
+#include "config/traffic_policy.h"
+#include "decide/shared_bucket.h"
+#include "fleet/fleet_reports.h"
+
+/// \file
+/// Admission of client accounts within their rates over all instances.
+
+namespace knapweedknot {
+
+/// Admits requests. Not thread safe.
+class account_ledger {
+public:
+    explicit account_ledger(const shared_bucket_times& times) : times(times) {}
+
+    /// What became of a request for admission.
+    struct verdict {
+        bool admitted{false};
+        /// When there will be a token, if it was not admitted.
+        duration retry_after{duration::zero()};
+        /// True when the other instances should hear of it soon.
+        bool urgent{false};
+    };
+    /// \param share part of the refill that this instance may count on
+    [[nodiscard]] verdict admit(const traffic_account& account, double share, time_point now);
+
+    /// What this instance has admitted, for its report.
+    [[nodiscard]] std::unordered_map<std::uint64_t, account_use> report(time_point now) const;
+    /// Takes what a peer has admitted since its report \p before.
+    /// \param is_younger true when the peer started after this instance
+    void note_peer(const fleet_report& report, const fleet_report* before, bool is_younger,
+                   time_point now);
+
+private:
+    struct entry {
+        shared_bucket bucket;
+        std::uint32_t admitted{0};
+        std::uint32_t reported{0};
+    };
+
+    shared_bucket_times times;
+    std::unordered_map<std::uint64_t, entry> entries;
+    /// Lowest tokens that peers report, for accounts that were not seen here yet.
+    std::unordered_map<std::uint64_t, double> peer_tokens;
+};
+
+} // namespace knapweedknot
--- /dev/null
+++ b/libs/proxy/include/proxy/edge_gateway.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+#include "config/traffic_policy.h"
+#include "decide/weighted_split.h"
+#include "event/http_server.h"
+#include "fleet/fleet_reports.h"
+#include "fleet/policy_follower.h"
+#include "fleet/target_directory.h"
+#include "proxy/account_ledger.h"
+#include "proxy/balancer.h"
+#include "proxy/edge_metrics.h"
+#include "proxy/edge_settings.h"
+#include "proxy/header_names.h"
+#include "proxy/request_preparation.h"
+#include "proxy/resend_ledger.h"
+
+/// \file
+/// The path of a request at an edge: match, authenticate, prove the policy, admit, split, balance,
+/// answer.
+
+namespace knapweedknot {
+
+/// Serves callers by the newest traffic policy. Not thread safe.
+class edge_gateway {
+public:
+    /// What the gateway works with. All must outlive it.
+    struct parts {
+        loop& owner;
+        const edge_settings& settings;
+        const header_names& headers;
+        policy_follower& policy;
+        target_directory& directory;
+        fleet_reports& reports;
+    };
+
+    explicit edge_gateway(const parts& given);
+
+    [[nodiscard]] result<void> listen();
+    /// Takes the limits and services of a policy that was adopted.
+    void take_policy();
+    void update_targets(const service_id& service);
+    /// Adds what this gateway knows to the own report.
+    void report(fleet_report& report, time_point now);
+    void handle_report(const reporting_peer& peer, const fleet_report* before);
+    void handle_lost(const reporting_peer& peer);
+
+    /// True when requests came within the last seconds.
+    [[nodiscard]] bool is_serving(time_point now) const noexcept;
+    [[nodiscard]] http_server& server() noexcept { return this->callers; }
+    [[nodiscard]] edge_metrics& measured() noexcept { return this->metrics; }
+    [[nodiscard]] std::string metrics_text() const;
+
+private:
+    using request_ptr = std::shared_ptr<incoming_request>;
+    struct running_request;
+
+    void handle(const request_ptr& incoming);
+    void handle_with_proof(const request_ptr& incoming, bool proof_was_awaited);
+    [[nodiscard]] bool needs_proof(const result<matched_request>& matched, time_point now) const;
+    void admit(const request_ptr& incoming, const matched_request& matched);
+    void start(const request_ptr& incoming, const matched_request& matched);
+    [[nodiscard]] const service_id& choose_service(const traffic_route& route);
+    [[nodiscard]] balancer& balancer_of(const service_id& service);
+    void finish(const request_ptr& incoming, const proxied_request& summary, proxy_outcome outcome);
+    void refuse(const request_ptr& incoming, const error& problem,
+                std::optional<duration> retry_after);
+    [[nodiscard]] http_answer make_refusal(const error& problem, execution outcome,
+                                           std::optional<duration> retry_after) const;
+    [[nodiscard]] bool may_overlap(const http_request& request) const;
+    [[nodiscard]] double refill_share(time_point now) const;
+
+    loop& owner;
+    const edge_settings& settings;
+    header_names headers;
+    policy_follower& policy;
+    target_directory& directory;
+    fleet_reports& reports;
+    resend_ledger resends;
+    account_ledger accounts;
+    edge_metrics metrics;
+    std::map<service_id, std::unique_ptr<balancer>> balancers;
+    struct route_split {
+        std::vector<weighted_service> parts;
+        weighted_split split;
+    };
+    std::unordered_map<route_id, route_split> splits;
+    /// When serving peers were lost, for as long as they may still admit requests.
+    std::map<incarnation_id, time_point> lost_peers;
+    time_point started;
+    std::optional<time_point> last_request;
+    http_server callers;
+};
+
+} // namespace knapweedknot
--- /dev/null
+++ b/libs/proxy/include/proxy/edge_metrics.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <tuple>
+
+#include <boost/histogram.hpp>
+
+#include "base/clock.h"
+
+/// \file
+/// Counters and latency histograms of an edge, in the usual text exposition format.
+
+namespace knapweedknot {
+
+/// Times of one kind, in buckets. Not thread safe.
+class time_histogram {
+public:
+    time_histogram();
+    void note(duration value);
+    /// Appends the buckets, sum and count of the metric \p name.
+    void write(std::string& text, const std::string& name) const;
+
+private:
+    using axis = boost::histogram::axis::variable<double>;
+    boost::histogram::histogram<std::tuple<axis>> buckets;
+    double sum_s{0};
+    std::uint64_t count{0};
+};
+
+/// What an edge measures of requests. Not thread safe.
+struct edge_metrics {
+    /// Requests by outcome: "served", or the name of an error kind.
+    std::map<std::string, std::uint64_t> requests;
+    time_histogram total_time;
+    time_histogram target_time;
+    std::uint64_t caller_gone{0};
+    std::uint64_t address_answers{0};
+    std::uint64_t log_lines_left_out{0};
+};
+
+/// Appends one counter or gauge with an optional label, for example "service=\"x\"".
+void write_metric(std::string& text, const std::string& name, const std::string& label,
+                  double value);
+
+/// Text form of \p metrics.
+[[nodiscard]] std::string to_text(const edge_metrics& metrics);
+
+} // namespace knapweedknot
--- /dev/null
+++ b/libs/proxy/src/account_ledger.cpp
@@ -0,0 +1,74 @@
+#include "proxy/account_ledger.h"
+
+#include <algorithm>
+
+#include "base/digest.h"
+
+namespace knapweedknot {
+
+namespace {
+
+// Others are told soon once this share of the burst was admitted since they last heard.
+constexpr double urgent_share = 0.1;
+
+} // namespace
+
+account_ledger::verdict account_ledger::admit(const traffic_account& account, double share,
+                                              time_point now) {
+    if (account.rate_per_s <= 0) {
+        return {true, duration::zero(), false};
+    }
+    const rate_limit limit{account.rate_per_s, account.burst};
+    const std::uint64_t id = hash64(account.id.value);
+    const auto [place, is_new] = this->entries.try_emplace(id);
+    entry& known = place->second;
+    if (is_new) {
+        known.bucket = make_shared_bucket(limit, now);
+        if (const auto told = this->peer_tokens.find(id); told != this->peer_tokens.end()) {
+            known.bucket.tokens = std::min(known.bucket.tokens, told->second);
+        }
+    }
+    advance(known.bucket, limit, share, now);
+    if (!take_token(known.bucket, this->times)) {
+        return {false, time_to_token(known.bucket, this->times), false};
+    }
+    ++known.admitted;
+    const double unreported = known.admitted - known.reported;
+    const bool urgent = unreported >= std::max(2.0, account.burst * urgent_share);
+    if (urgent) {
+        known.reported = known.admitted;
+    }
+    return {true, duration::zero(), urgent};
+}
+
+std::unordered_map<std::uint64_t, account_use> account_ledger::report(time_point /*now*/) const {
+    std::unordered_map<std::uint64_t, account_use> uses;
+    for (const auto& [id, known] : this->entries) {
+        uses[id] = {known.admitted, known.bucket.tokens};
+    }
+    return uses;
+}
+
+void account_ledger::note_peer(const fleet_report& report, const fleet_report* before,
+                               bool is_younger, time_point now) {
+    for (const auto& [id, use] : report.accounts) {
+        this->peer_tokens[id] = use.tokens;
+        const auto known = this->entries.find(id);
+        if (known == this->entries.end()) {
+            continue;
+        }
+        std::uint32_t earlier = 0;
+        if (before != nullptr) {
+            const auto told = before->accounts.find(id);
+            earlier = told == before->accounts.end() ? 0 : told->second.admitted;
+        } else if (!is_younger) {
+            // What an older peer admitted before we heard of it is not known by time.
+            earlier = use.admitted;
+        }
+        if (use.admitted > earlier) {
+            note_peer_tokens(known->second.bucket, use.admitted - earlier, this->times, now);
+        }
+    }
+}
+
+} // namespace knapweedknot
--- /dev/null
+++ b/libs/proxy/src/balancer.cpp
@@ -0,0 +1,636 @@
+#include "proxy/balancer.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "base/digest.h"
+#include "base/log.h"
+
+namespace knapweedknot {
+
+namespace {
+
+constexpr duration look_interval = milliseconds(40);
+// Work with less time left than this is not started.
+constexpr duration least_time_left = milliseconds(5);
+// A caller that was refused for want of room may find some after this time, at the earliest.
+constexpr duration least_retry_after = milliseconds(300);
+constexpr duration longest_retry_after = milliseconds(3000);
+constexpr int status_ok_first = 200;
+constexpr int status_ok_last = 299;
+constexpr int status_misdirected = 421;
+constexpr int lowest_server_error = 500;
+
+bool is_success(int status) {
+    return status >= status_ok_first && status <= status_ok_last;
+}
+
+std::string ms_text(duration value) {
+    return std::to_string(to_milliseconds(value));
+}
+
+} // namespace
+
+/// A target and what this instance has to do with it.
+struct balancer::target_slot {
+    known_target known;
+    std::uint64_t hash{0};
+    target_evidence evidence;
+    std::vector<std::unique_ptr<http_connection>> idle;
+    /// Attempts that run there.
+    std::vector<const attempt*> running;
+    /// True when the directory no longer lists it.
+    bool removed{false};
+    /// Set when another target answered at its address; its registration is out of date.
+    bool misdirected{false};
+
+    [[nodiscard]] bool takes_work(time_point now) const {
+        return !this->removed && !this->misdirected && !this->known.vanished &&
+               this->known.registration.state == target_state::ready && now >= this->known.seen;
+    }
+};
+
+/// One send of a request.
+struct balancer::attempt {
+    slot_ptr at;
+    std::unique_ptr<http_connection> connection;
+    time_point started;
+    bool reused{false};
+    const latency_model* model{nullptr};
+};
+
+/// A request and its attempts.
+struct balancer::job {
+    balancer_ticket ticket;
+    proxied_request wanted;
+    proxy_handler done;
+    std::list<attempt> attempts;
+    std::set<target_id> tried;
+    int sent{0};
+    /// True when a target may have run it.
+    bool may_have_run{false};
+    bool queued{false};
+    target_id last_target;
+    timer due;
+};
+
+balancer::balancer(service_id balanced, const balancer_services& common,
+                   const balancer_options& balancer_settings)
+    : service(std::move(balanced)), shared(common), options(balancer_settings),
+      random(static_cast<std::minstd_rand::result_type>(random_nonzero())) {
+    this->update_targets();
+}
+
+balancer::~balancer() {
+    for (auto& [ticket, work] : this->jobs) {
+        this->drop_attempts(*work);
+    }
+}
+
+std::size_t balancer::queued() const noexcept {
+    std::size_t total = 0;
+    for (const auto& [priority, queue] : this->waiting) {
+        total += queue.size();
+    }
+    return total;
+}
+
+std::pair<std::size_t, std::size_t> balancer::rotation_size(time_point now) const {
+    std::size_t registered = 0;
+    std::size_t out = 0;
+    for (const auto& [id, slot] : this->slots) {
+        registered += slot->takes_work(now) ? 1 : 0;
+        out += slot->takes_work(now) && now < slot->evidence.out_until ? 1 : 0;
+    }
+    return {registered, out};
+}
+
+void balancer::update_targets() {
+    const auto& listed = this->shared.directory.targets_of(this->service);
+    for (auto& [id, slot] : this->slots) {
+        const auto kept = listed.find(id);
+        if (kept == listed.end() || kept->second.run != slot->known.run) {
+            slot->removed = true;
+            slot->idle.clear();
+        }
+    }
+    std::erase_if(this->slots, [](const auto& item) { return item.second->removed; });
+    for (const auto& [id, known] : listed) {
+        const auto [place, is_new] = this->slots.try_emplace(id);
+        if (is_new) {
+            place->second = std::make_shared<target_slot>();
+            place->second->hash = hash64(id.value);
+        }
+        place->second->known = known;
+    }
+    this->serve_waiting();
+}
+
+latency_model& balancer::model_of(const traffic_route& route) {
+    return this->models.try_emplace(route.id, route.latency_target).first->second;
+}
+
+/// Time after which a request that may run twice is sent to a second target: when most answers
+/// would have come, but early enough for the second one to be in time.
+duration balancer::resend_delay(const traffic_route& route) {
+    constexpr double most = 0.93;
+    constexpr double many = 0.75;
+    constexpr double half = 0.5;
+    const latency_model& model = this->model_of(route);
+    const duration in_time = route.latency_target - model.quantile(many);
+    return std::min(model.quantile(most), std::max(model.quantile(half), in_time));
+}
+
+balancer_ticket balancer::start(proxied_request&& request, proxy_handler done) {
+    const time_point now = boot_clock::now();
+    auto work = std::make_shared<job>();
+    work->ticket = balancer_ticket{++this->last_ticket};
+    work->wanted = std::move(request);
+    work->done = std::move(done);
+    this->jobs[work->ticket] = work;
+    this->shared.resends.note_request(this->service, now);
+    work->due =
+        this->shared.owner.after(std::max<duration>(duration::zero(), work->wanted.due - now),
+                                 [this, work] { this->run_out(work); });
+    if (!this->looking) {
+        this->looking = this->shared.owner.every(look_interval, [this] { this->look(); });
+    }
+    const balancer_ticket ticket = work->ticket;
+    this->place(work);
+    return ticket;
+}
+
+void balancer::cancel(balancer_ticket ticket) {
+    const auto found = this->jobs.find(ticket);
+    if (found == this->jobs.end()) {
+        return;
+    }
+    const job_ptr work = found->second;
+    this->jobs.erase(found);
+    work->due = timer();
+    this->drop_attempts(*work);
+    this->serve_waiting();
+}
+
+void balancer::drop_attempts(job& work) {
+    for (attempt& made : work.attempts) {
+        std::erase(made.at->running, &made);
+        made.connection->cancel();
+    }
+    work.attempts.clear();
+}
+
+/// Sends a request that has no attempt running, lets it wait, or refuses it.
+void balancer::place(const job_ptr& work) {
+    const time_point now = boot_clock::now();
+    if (work->wanted.due - now < least_time_left) {
+        this->refuse(work, {error_kind::overloaded, "no time left to run it"}, std::nullopt);
+        return;
+    }
+    if (const slot_ptr chosen = this->choose(*work, now); chosen != nullptr) {
+        this->send(work, chosen);
+        return;
+    }
+    const bool has_targets =
+        std::any_of(this->slots.begin(), this->slots.end(), [&](const auto& s) {
+            return s.second->takes_work(now) && !work->tried.contains(s.first);
+        });
+    if (!has_targets) {
+        this->refuse(work, {error_kind::no_target, "the service has no target for it"},
+                     least_retry_after);
+        return;
+    }
+    this->wait(work);
+}
+
+target_standing balancer::standing_of(const target_slot& slot, time_point now) const {
+    const target_use peers = this->shared.reports.total_at(slot.hash, now);
+    target_standing standing;
+    standing.running = static_cast<int>(slot.running.size()) + peers.running;
+    standing.silence = peers.silence;
+    for (const attempt* made : slot.running) {
+        standing.silence -= std::log(made->model->survival(now - made->started));
+    }
+    standing.failures = failure_doubt(slot.evidence, this->options.rotation, now) + peers.failures;
+    return standing;
+}
+
+std::vector<target_candidate> balancer::candidates(const job* work, time_point now) {
+    std::vector<target_candidate> all;
+    all.reserve(this->slots.size());
+    for (const auto& [id, slot] : this->slots) {
+        target_candidate candidate;
+        candidate.evidence = &slot->evidence;
+        candidate.standing = this->standing_of(*slot, now);
+        candidate.slots = slot->known.registration.slots;
+        candidate.registered = slot->takes_work(now);
+        candidate.excluded = work != nullptr && work->tried.contains(id);
+        candidate.connected = !slot->idle.empty();
+        candidate.nearby = slot->known.registration.failure_domain == this->options.failure_domain;
+        candidate.warming_up = now - slot->known.seen < slot->known.registration.warm_up_left;
+        all.push_back(candidate);
+    }
+    return all;
+}
+
+balancer::slot_ptr balancer::choose(const job& work, time_point now) {
+    const auto all = this->candidates(&work, now);
+    const auto chosen = choose_target(all, this->options.rotation, this->random, now);
+    if (!chosen) {
+        return nullptr;
+    }
+    return std::next(this->slots.begin(), static_cast<std::ptrdiff_t>(*chosen))->second;
+}
+
+std::unique_ptr<http_connection> balancer::take_connection(target_slot& at, bool once_only) {
+    const duration limit =
+        once_only ? this->options.idle_limit_once_only : this->options.idle_limit;
+    while (!at.idle.empty()) {
+        std::unique_ptr<http_connection> newest = std::move(at.idle.back());
+        at.idle.pop_back();
+        if (newest->is_reusable() && newest->idle_time() < limit) {
+            return newest;
+        }
+    }
+    return nullptr;
+}
+
+void balancer::keep_connection(const slot_ptr& at, std::unique_ptr<http_connection> connection) {
+    if (!at->removed && connection->is_reusable() &&
+        at->idle.size() < this->options.idle_connections) {
+        at->idle.push_back(std::move(connection));
+    }
+}
+
+void balancer::send(const job_ptr& work, const slot_ptr& at) {
+    const time_point now = boot_clock::now();
+    attempt& made = work->attempts.emplace_back();
+    made.at = at;
+    made.started = now;
+    made.model = &this->model_of(*work->wanted.route);
+    made.connection = this->take_connection(*at, !work->wanted.route->idempotent);
+    made.reused = made.connection != nullptr;
+    if (made.connection == nullptr) {
+        const registered_target& where = at->known.registration;
+        made.connection = std::make_unique<http_connection>(
+            this->shared.owner, endpoint{where.ip, where.port}, this->options.limits);
+        ++this->counters.new_connections;
+    }
+    at->running.push_back(&made);
+    work->tried.insert(at->known.registration.id);
+    work->last_target = at->known.registration.id;
+    ++work->sent;
+    ++this->counters.sent;
+    this->write(work, made);
+}
+
+void balancer::write(const job_ptr& work, attempt& made) {
+    const header_names& names = this->options.headers;
+    http_request message;
+    message.method = work->wanted.message.method;
+    message.uri = work->wanted.message.uri;
+    message.headers = work->wanted.message.headers;
+    message.body = copy_body(work->wanted.message.body.get());
+    const duration left = work->wanted.due - made.started;
+    message.headers.push_back({names.time_left_ms, ms_text(left)});
+    message.headers.push_back({names.intended_target, made.at->known.registration.id.value});
+    log_event(log_level::debug, "request_sent",
+              {{"id", work->wanted.id},
+               {"target", made.at->known.registration.id.value},
+               {"attempt", std::to_string(work->sent)},
+               {"reused", made.reused ? "yes" : "no"},
+               {"left_ms", ms_text(left)}});
+    // The attempt stays where it is until it has ended.
+    made.connection->send(message, left + look_interval,
+                          [this, work, sent = &made](http_outcome outcome) {
+                              this->handle_outcome(work, *sent, std::move(outcome));
+                          });
+}
+
+void balancer::handle_outcome(const job_ptr& work, attempt& ended, http_outcome outcome) {
+    const slot_ptr at = ended.at;
+    const duration spent = boot_clock::now() - ended.started;
+    const bool reused = ended.reused;
+    std::unique_ptr<http_connection> connection = std::move(ended.connection);
+    std::erase(at->running, &ended);
+    work->attempts.remove_if([&ended](const attempt& item) { return &item == &ended; });
+    if (outcome) {
+        this->keep_connection(at, std::move(connection));
+        this->handle_answer(work, at, spent, std::move(*outcome));
+    } else {
+        this->handle_failure(work, at, outcome.error(), reused);
+    }
+    this->serve_waiting();
+}
+
+void balancer::handle_answer(const job_ptr& work, const slot_ptr& at, duration spent,
+                             http_answer answer) {
+    const time_point now = boot_clock::now();
+    const header_names& names = this->options.headers;
+    if (answer.status == status_misdirected ||
+        find_header(answer.headers, names.not_run) != nullptr) {
+        this->handle_refusal(work, at, answer);
+        return;
+    }
+    work->may_have_run = true;
+    const bool is_own = find_header(answer.headers, names.signature) != nullptr;
+    if (is_success(answer.status) && !is_own) {
+        note_failure(at->evidence, doubt_of_broken_exchange, this->options.rotation, now);
+        this->judge_target(at, now);
+        this->try_elsewhere(work, {error_kind::target_failed, "an answer without a signature"});
+        return;
+    }
+    this->shared.resends.note_survived(work->wanted.fingerprint);
+    if (answer.status >= lowest_server_error) {
+        note_failure(at->evidence, doubt_of_error_answer, this->options.rotation, now);
+        this->judge_target(at, now);
+        if (!work->attempts.empty()) {
+            // Another target still runs it and may do better.
+            return;
+        }
+        if (this->may_resend(*work, now)) {
+            this->try_elsewhere(work, {error_kind::target_failed, "error answer"});
+            return;
+        }
+    } else {
+        note_success(at->evidence, this->options.rotation, now);
+        this->model_of(*work->wanted.route).note(spent);
+    }
+    this->finish(work,
+                 proxied_answer{std::move(answer), at->known.registration.id, work->sent, spent});
+}
+
+/// A target has said that it did not run the request.
+void balancer::handle_refusal(const job_ptr& work, const slot_ptr& at, const http_answer& answer) {
+    const time_point now = boot_clock::now();
+    ++this->counters.refused_by_targets;
+    if (answer.status == status_misdirected) {
+        at->misdirected = true;
+        at->idle.clear();
+        log_event(log_level::warning, "target_misdirected",
+                  {{"id", work->wanted.id}, {"target", at->known.registration.id.value}});
+    } else {
+        note_failure(at->evidence, doubt_of_error_answer, this->options.rotation, now);
+        this->judge_target(at, now);
+    }
+    if (!work->attempts.empty()) {
+        return;
+    }
+    const bool in_budget = work->sent < work->wanted.route->max_attempts + 1 &&
+                           this->shared.resends.take(this->service, now);
+    if (in_budget) {
+        ++this->counters.resent;
+        this->place(work);
+        return;
+    }
+    this->refuse(work, {error_kind::overloaded, "the targets have no room"}, least_retry_after);
+}
+
+void balancer::handle_failure(const job_ptr& work, const slot_ptr& at, const http_failure& failure,
+                              bool reused) {
+    const time_point now = boot_clock::now();
+    ++this->counters.failed;
+    const bool unsent = failure.progress == send_progress::not_connected;
+    // Other idle connections may have died in the same way.
+    at->idle.clear();
+    log_event(log_level::info, "attempt_failed",
+              {{"id", work->wanted.id},
+               {"target", at->known.registration.id.value},
+               {"problem", std::string(answer_for(failure.problem.kind).name)},
+               {"detail", failure.problem.detail},
+               {"sent", unsent ? "no" : "yes"},
+               {"reused", reused ? "yes" : "no"}});
+    if (unsent) {
+        if (!reused) {
+            note_failure(at->evidence, doubt_of_failed_connection, this->options.rotation, now);
+        }
+        --work->sent;
+    } else {
+        work->may_have_run = true;
+        note_failure(at->evidence, doubt_of_broken_exchange, this->options.rotation, now);
+        if (!reused && failure.problem.kind != error_kind::deadline_exceeded) {
+            this->shared.resends.note_crash(work->wanted.fingerprint, now);
+        }
+    }
+    this->judge_target(at, now);
+    if (!work->attempts.empty()) {
+        return;
+    }
+    if (unsent && !work->may_have_run) {
+        if (reused) {
+            work->tried.erase(at->known.registration.id);
+        }
+        this->place(work);
+        return;
+    }
+    this->try_elsewhere(work, failure.problem);
+}
+
+/// Sends a request once more after its last attempt has failed, or gives it up.
+void balancer::try_elsewhere(const job_ptr& work, const error& problem) {
+    if (!work->attempts.empty()) {
+        return;
+    }
+    const time_point now = boot_clock::now();
+    const bool quarantined = this->shared.resends.is_quarantined(work->wanted.fingerprint, now);
+    if (!quarantined && this->may_resend(*work, now)) {
+        if (const slot_ptr next = this->choose(*work, now);
+            next != nullptr && this->shared.resends.take(this->service, now)) {
+            ++this->counters.resent;
+            this->send(work, next);
+            return;
+        }
+    }
+    this->refuse(work, problem, std::nullopt);
+}
+
+/// True when the request may go to one more target, budget aside.
+bool balancer::may_resend(const job& work, time_point now) {
+    return work.wanted.route->idempotent && work.sent < work.wanted.route->max_attempts &&
+           work.wanted.due - now > least_time_left;
+}
+
+void balancer::judge_target(const slot_ptr& slot, time_point now) {
+    const target_standing standing = this->standing_of(*slot, now);
+    if (!judge(slot->evidence, standing, this->options.rotation, now)) {
+        return;
+    }
+    ++this->counters.taken_out;
+    const auto tenths = [](double value) { return std::to_string(std::lround(value * 10) / 10.0); };
+    log_event(log_level::warning, "target_taken_out",
+              {{"service", this->service.value},
+               {"target", slot->known.registration.id.value},
+               {"running", std::to_string(standing.running)},
+               {"silence", tenths(standing.silence)},
+               {"failures", tenths(standing.failures)},
+               {"for_ms", ms_text(slot->evidence.out_until - now)}});
+}
+
+/// Looks for targets that have gone silent and for requests that should go to a second one.
+void balancer::look() {
+    const time_point now = boot_clock::now();
+    for (const auto& [id, slot] : this->slots) {
+        if (!slot->running.empty()) {
+            this->judge_target(slot, now);
+        }
+    }
+    std::vector<job_ptr> running;
+    for (const auto& [ticket, work] : this->jobs) {
+        if (work->attempts.size() == 1) {
+            running.push_back(work);
+        }
+    }
+    for (const job_ptr& work : running) {
+        this->look_at(work, now);
+    }
+    this->serve_waiting();
+    if (this->jobs.empty()) {
+        this->looking = timer();
+    }
+}
+
+void balancer::look_at(const job_ptr& work, time_point now) {
+    if (work->attempts.size() != 1 || !this->may_resend(*work, now)) {
+        return;
+    }
+    const attempt& made = work->attempts.front();
+    const duration age = now - made.started;
+    const bool suspect = now < made.at->evidence.out_until &&
+                         age > this->model_of(*work->wanted.route).quantile(0.5);
+    if (!suspect && age < this->resend_delay(*work->wanted.route)) {
+        return;
+    }
+    const slot_ptr next = this->choose(*work, now);
+    if (next == nullptr || !this->shared.resends.take(this->service, now)) {
+        return;
+    }
+    ++this->counters.resent;
+    log_event(log_level::info, "request_resent",
+              {{"id", work->wanted.id},
+               {"from", made.at->known.registration.id.value},
+               {"to", next->known.registration.id.value},
+               {"age_ms", ms_text(age)},
+               {"suspect", suspect ? "yes" : "no"}});
+    this->send(work, next);
+}
+
+/// Time until a waiting request would be sent, by what the targets usually take.
+duration balancer::expected_wait(time_point now) {
+    double capacity = 0;
+    for (const auto& [id, slot] : this->slots) {
+        capacity += slot->takes_work(now) ? slot->known.registration.slots : 0;
+    }
+    duration mean = milliseconds(500);
+    if (!this->models.empty()) {
+        mean = this->models.begin()->second.mean();
+    }
+    const double ahead = static_cast<double>(this->queued()) + 1;
+    return from_seconds(to_seconds(mean) * ahead / std::max(1.0, capacity));
+}
+
+void balancer::wait(const job_ptr& work) {
+    const time_point now = boot_clock::now();
+    const duration expected = this->expected_wait(now);
+    const duration usual = this->model_of(*work->wanted.route).quantile(0.5);
+    if (expected + usual > work->wanted.due - now) {
+        this->refuse(work, {error_kind::overloaded, "it could not be served in time"},
+                     std::clamp<duration>(expected, least_retry_after, longest_retry_after));
+        return;
+    }
+    work->queued = true;
+    this->waiting[work->wanted.priority].push(work->wanted.account, work->ticket);
+}
+
+void balancer::serve_waiting() {
+    const time_point now = boot_clock::now();
+    for (auto& [priority, queue] : this->waiting) {
+        std::size_t left = queue.size();
+        while (left-- > 0) {
+            const balancer_ticket ticket = *queue.pop();
+            const auto found = this->jobs.find(ticket);
+            // A ticket without a job was cancelled or ran out of time.
+            if (found == this->jobs.end()) {
+                continue;
+            }
+            const job_ptr work = found->second;
+            const slot_ptr chosen = this->choose(*work, now);
+            if (chosen == nullptr) {
+                queue.push(work->wanted.account, ticket);
+                return;
+            }
+            work->queued = false;
+            this->send(work, chosen);
+        }
+    }
+}
+
+/// The caller has to have its answer now.
+void balancer::run_out(const job_ptr& work) {
+    for (attempt& made : work->attempts) {
+        work->may_have_run = true;
+        note_failure(made.at->evidence, doubt_of_broken_exchange, this->options.rotation,
+                     boot_clock::now());
+    }
+    this->drop_attempts(*work);
+    if (work->may_have_run) {
+        this->refuse(work, {error_kind::deadline_exceeded, "no answer in time"}, std::nullopt);
+    } else {
+        this->refuse(work, {error_kind::overloaded, "no target was free in time"}, std::nullopt);
+    }
+}
+
+/// Ends a request without a target's answer. What is promised of it is true whatever \p problem
+/// came last: an earlier attempt may have run.
+void balancer::refuse(const job_ptr& work, const error& problem,
+                      std::optional<duration> retry_after) {
+    proxy_refusal refusal{problem, execution::not_run, retry_after, work->sent, work->last_target};
+    if (work->may_have_run) {
+        refusal.outcome = execution::may_have_run;
+        refusal.retry_after.reset();
+        if (answer_for(problem.kind).outcome == execution::not_run) {
+            refusal.problem.kind = error_kind::target_failed;
+        }
+    }
+    this->finish(work, tl::unexpected(std::move(refusal)));
+}
+
+void balancer::finish(const job_ptr& work, proxy_outcome outcome) {
+    const auto found = this->jobs.find(work->ticket);
+    if (found == this->jobs.end()) {
+        return;
+    }
+    this->jobs.erase(found);
+    work->due = timer();
+    this->drop_attempts(*work);
+    work->done(std::move(outcome));
+}
+
+void balancer::report(fleet_report& report, time_point now) {
+    for (const auto& [id, slot] : this->slots) {
+        target_use use;
+        use.running = static_cast<int>(slot->running.size());
+        for (const attempt* made : slot->running) {
+            use.silence -= std::log(made->model->survival(now - made->started));
+        }
+        use.failures = failure_doubt(slot->evidence, this->options.rotation, now);
+        use.out = std::max(duration::zero(), slot->evidence.out_until - now);
+        constexpr double negligible = 0.1;
+        if (use.running > 0 || use.failures > negligible || use.out > duration::zero()) {
+            report.targets[slot->hash] = use;
+        }
+    }
+}
+
+void balancer::follow(const fleet_report& report, time_point now) {
+    for (const auto& [id, slot] : this->slots) {
+        const auto told = report.targets.find(slot->hash);
+        if (told != report.targets.end() &&
+            follow_judgement(slot->evidence, now + told->second.out, now)) {
+            log_event(log_level::debug, "target_out_as_told",
+                      {{"service", this->service.value}, {"target", id.value}});
+        }
+    }
+}
+
+} // namespace knapweedknot
--- /dev/null
+++ b/libs/proxy/src/edge_metrics.cpp
@@ -0,0 +1,65 @@
+#include "proxy/edge_metrics.h"
+
+#include <sstream>
+#include <vector>
+
+namespace knapweedknot {
+
+namespace {
+
+const std::vector<double>& bucket_edges_s() {
+    static const std::vector<double> edges{0,   0.001, 0.005, 0.02, 0.05, 0.1, 0.2,
+                                           0.4, 0.8,   1.5,   3,    6,    12,  30};
+    return edges;
+}
+
+} // namespace
+
+time_histogram::time_histogram()
+    : buckets(boost::histogram::make_histogram(axis(bucket_edges_s()))) {}
+
+void time_histogram::note(duration value) {
+    this->buckets(to_seconds(value));
+    this->sum_s += to_seconds(value);
+    ++this->count;
+}
+
+void time_histogram::write(std::string& text, const std::string& name) const {
+    const axis& edges = this->buckets.axis();
+    double below = 0;
+    for (int i = 0; i < edges.size(); ++i) {
+        below += this->buckets.at(i);
+        std::ostringstream edge;
+        edge << edges.bin(i).upper();
+        write_metric(text, name + "_bucket", "le=\"" + edge.str() + '"', below);
+    }
+    write_metric(text, name + "_bucket", "le=\"+Inf\"", static_cast<double>(this->count));
+    write_metric(text, name + "_sum", "", this->sum_s);
+    write_metric(text, name + "_count", "", static_cast<double>(this->count));
+}
+
+void write_metric(std::string& text, const std::string& name, const std::string& label,
+                  double value) {
+    std::ostringstream line;
+    line << "knapweedknot_" << name;
+    if (!label.empty()) {
+        line << '{' << label << '}';
+    }
+    line << ' ' << value << '\n';
+    text += line.str();
+}
+
+std::string to_text(const edge_metrics& metrics) {
+    std::string text;
+    for (const auto& [outcome, count] : metrics.requests) {
+        write_metric(text, "requests_total", "outcome=\"" + outcome + '"',
+                     static_cast<double>(count));
+    }
+    metrics.total_time.write(text, "request_seconds");
+    metrics.target_time.write(text, "target_seconds");
+    write_metric(text, "callers_gone_total", "", static_cast<double>(metrics.caller_gone));
+    write_metric(text, "address_answers_total", "", static_cast<double>(metrics.address_answers));
+    return text;
+}
+
+} // namespace knapweedknot
--- /dev/null
+++ b/programs/knapweedknotd/edge_instance.cpp
@@ -0,0 +1,234 @@
+#include "edge_instance.h"
+
+#include <utility>
+
+#include "base/digest.h"
+#include "base/log.h"
+#include "decide/instance_choice.h"
+#include "platform/documents.h"
+#include "platform/edge_protocol.h"
+
+namespace knapweedknot {
+
+namespace {
+
+// How long callers may keep an answer about addresses.
+constexpr duration address_answer_lifetime = seconds(1);
+// Callers may keep an answer for this many lifetimes.
+constexpr int address_answer_reuse = 3;
+constexpr duration drain_look = milliseconds(50);
+// The process ends this long before it would be killed.
+constexpr duration kill_margin = milliseconds(400);
+// Part of the time until a withdrawn key must be dead that is kept for the request's way.
+constexpr duration proof_margin = milliseconds(400);
+
+policy_follower_options make_policy_options(const fleet_bounds& bounds) {
+    policy_follower_options options;
+    options.proof_lifetime =
+        std::max<duration>(bounds.key_withdrawal - proof_margin, bounds.key_withdrawal / 2);
+    options.proof_interval = options.proof_lifetime / 3;
+    return options;
+}
+
+peer_info describe(const edge_settings& settings) {
+    peer_info self;
+    self.instance = settings.instance;
+    self.incarnation.value = random_nonzero();
+    self.failure_domain = settings.failure_domain;
+    self.peers_address = settings.peers_address;
+    self.peers_listen = settings.peers_address;
+    self.callers_address = settings.callers_address;
+    return self;
+}
+
+void answer_text(incoming_request& request, int status, const std::string& text) {
+    http_answer answer;
+    answer.status = status;
+    answer.headers.push_back({"Content-Type", "text/plain"});
+    answer.body = make_body(text);
+    request.answer(std::move(answer));
+}
+
+} // namespace
+
+edge_instance::edge_instance(loop& event_loop, const edge_settings& given)
+    : owner(event_loop), settings(given), headers(platform::make_header_names()),
+      store(event_loop, given.store_address), self(describe(given)),
+      network(event_loop, self, this->make_mesh_handlers()),
+      reports(event_loop, network, report_times{}), registry(event_loop, store, network),
+      policy(event_loop, store, std::string(platform::policy_key), &platform::decode_policy,
+             make_policy_options(given.bounds)),
+      directory(event_loop, store, std::string(platform::targets_prefix), &platform::decode_target,
+                target_directory_options{}),
+      gateway({event_loop, settings, headers, policy, directory, reports}),
+      readiness(event_loop, {}, [this](const auto& request) { this->handle_readiness(request); }),
+      addresses(event_loop, {}, [this](const auto& request) { this->handle_directory(request); }),
+      metrics(event_loop, {}, [this](const auto& request) { this->handle_metrics(request); }),
+      started(boot_clock::now()) {
+    this->policy.on_adopted = [this] { this->gateway.take_policy(); };
+    this->directory.on_changed = [this](const service_id& service) {
+        this->gateway.update_targets(service);
+    };
+    this->reports.make_report = [this] { return this->make_report(); };
+    this->reports.on_report = [this](const reporting_peer& peer, const fleet_report* before) {
+        this->policy.note_peer_number(peer.report->policy);
+        this->gateway.handle_report(peer, before);
+    };
+    this->reports.on_lost = [this](const reporting_peer& peer) { this->gateway.handle_lost(peer); };
+}
+
+mesh_handlers edge_instance::make_mesh_handlers() {
+    return {[this](const peer_info& from, const wire::messageT& message) {
+                if (const auto* report = message.body.Asreport(); report != nullptr) {
+                    this->reports.handle(from, *report);
+                }
+            },
+            [](const peer_info& /*unused*/, const wire::heartbeat_fields& /*unused*/) {},
+            [this](const peer_info& peer) { this->reports.peer_connected(peer); },
+            [this](const peer_info& peer) { this->reports.peer_disconnected(peer); }};
+}
+
+result<void> edge_instance::start() {
+    const auto listen_for_addresses = [this]() -> result<void> {
+        return this->settings.directory_address
+                   ? this->addresses.listen(*this->settings.directory_address)
+                   : result<void>();
+    };
+    return this->network.listen()
+        .and_then([this] { return this->gateway.listen(); })
+        .and_then([this] { return this->readiness.listen(this->settings.readiness_address); })
+        .and_then([this] { return this->metrics.listen(this->settings.metrics_address); })
+        .and_then(listen_for_addresses)
+        .map([this] {
+            this->policy.start();
+            this->directory.start();
+            this->registry.start();
+            this->reports.start();
+            log_event(log_level::info, "instance_started",
+                      {{"instance", this->settings.instance.value},
+                       {"incarnation", std::to_string(this->self.incarnation.value)},
+                       {"callers", to_string(this->settings.callers_address)},
+                       {"store", to_string(this->settings.store_address)}});
+        });
+}
+
+/// Ready means: callers are served here as well as anywhere else.
+bool edge_instance::is_ready() const {
+    return !this->draining && this->policy.current() != nullptr && this->directory.is_loaded();
+}
+
+fleet_report edge_instance::make_report() {
+    const time_point now = boot_clock::now();
+    fleet_report report;
+    report.ready = this->is_ready();
+    report.store_reachable = this->policy.is_store_reachable();
+    report.uptime = now - this->started;
+    report.policy =
+        this->policy.current() == nullptr ? config_number{} : this->policy.current()->number();
+    report.targets_revision = this->directory.revision();
+    this->gateway.report(report, now);
+    return report;
+}
+
+bool edge_instance::may_be_named(const reporting_peer& peer, time_point now) const {
+    return this->reports.is_heard(peer, now) && peer.report->ready &&
+           (peer.report->store_reachable || !this->policy.is_store_reachable());
+}
+
+void edge_instance::handle_readiness(const std::shared_ptr<incoming_request>& request) {
+    if (request->path() != platform::readiness_path) {
+        answer_text(*request, 404, "no such call\n");
+        return;
+    }
+    const bool ready = this->is_ready();
+    answer_text(*request, ready ? 200 : 503, ready ? "ready\n" : "not ready\n");
+}
+
+void edge_instance::handle_directory(const std::shared_ptr<incoming_request>& request) {
+    if (request->path() != platform::directory_path) {
+        answer_text(*request, 404, "no such call\n");
+        return;
+    }
+    const time_point now = boot_clock::now();
+    std::vector<instance_candidate> candidates;
+    candidates.push_back({this->self.instance, this->self.failure_domain,
+                          this->self.callers_address, this->is_ready(), now - this->started});
+    for (const auto& [incarnation, peer] : this->reports.peers()) {
+        const bool named = this->may_be_named(peer, now);
+        candidates.push_back({peer.info.instance, peer.info.failure_domain,
+                              peer.info.callers_address, named,
+                              named ? peer.report->uptime : duration::zero()});
+    }
+    const failure_domain_id from = platform::asking_domain(request->query());
+    std::vector<endpoint> named;
+    for (const instance_candidate& chosen :
+         choose_instances(std::move(candidates), from, choice_policy{})) {
+        named.push_back(chosen.callers_address);
+    }
+    if (named.empty()) {
+        answer_text(*request, 503, "no instance is ready\n");
+        return;
+    }
+    ++this->gateway.measured().address_answers;
+    request->answer(platform::make_address_answer(named, address_answer_lifetime));
+}
+
+void edge_instance::handle_metrics(const std::shared_ptr<incoming_request>& request) {
+    answer_text(*request, 200, this->metrics_text());
+}
+
+std::string edge_instance::metrics_text() const {
+    std::string text = this->gateway.metrics_text();
+    for (const auto& [kind, count] : this->store.calls_by_kind()) {
+        const std::string label = "call=\"" + kind + '"';
+        write_metric(text, "store_calls_total", label, static_cast<double>(count.sent));
+        write_metric(text, "store_calls_failed_total", label, static_cast<double>(count.failed));
+    }
+    const auto age = this->policy.proof_age(boot_clock::now());
+    write_metric(text, "policy_proof_age_seconds", "", age ? to_seconds(*age) : -1);
+    write_metric(text, "peers_heard", "", static_cast<double>(this->reports.heard_peers()));
+    write_metric(text, "ready", "", this->is_ready() ? 1 : 0);
+    return text;
+}
+
+void edge_instance::change_settings(const edge_settings& changed) {
+    this->settings.bounds = changed.bounds;
+    this->policy.set_options(make_policy_options(changed.bounds));
+    log_event(log_level::info, "settings_reloaded", {});
+}
+
+void edge_instance::drain() {
+    if (this->draining) {
+        return;
+    }
+    this->draining = true;
+    this->drain_started = boot_clock::now();
+    log_event(log_level::info, "drain_started",
+              {{"running", std::to_string(this->gateway.server().running_requests())}});
+    this->reports.tell_all();
+    this->registry.leave();
+    // Callers that keep an answer about addresses still connect; they learn to go elsewhere.
+    this->gateway.server().close_after_answers();
+    const duration kept = std::min<duration>(address_answer_lifetime * address_answer_reuse,
+                                             this->settings.bounds.stop_grace / 2);
+    this->drain_step = this->owner.after(kept, [this] { this->close_callers(); });
+}
+
+void edge_instance::close_callers() {
+    this->gateway.server().stop_listening();
+    this->drain_watch = this->owner.every(drain_look, [this] { this->check_drained(); });
+}
+
+void edge_instance::check_drained() {
+    const duration passed = boot_clock::now() - this->drain_started;
+    http_server& callers = this->gateway.server();
+    callers.close_idle_connections();
+    const bool finished = callers.running_requests() == 0 && !callers.is_writing();
+    if (finished || passed > this->settings.bounds.stop_grace - kill_margin) {
+        log_event(log_level::info, "drain_finished",
+                  {{"running", std::to_string(callers.running_requests())}});
+        this->owner.stop();
+    }
+}
+
+} // namespace knapweedknot
--- a/programs/knapweedknotd/main.cpp
+++ b/programs/knapweedknotd/main.cpp
@@ -2,12 +2,14 @@
 /// The entry daemon.
 
 #include <csignal>
+#include <cstdlib>
 #include <fstream>
 #include <iostream>
 #include <sstream>
 
 #include <boost/program_options.hpp>
 
+#include "edge_instance.h"
 #include "instance.h"
 
 namespace options = boost::program_options;
@@ -17,14 +19,36 @@
 
 constexpr int exit_failure = 1;
 constexpr int exit_usage = 2;
+// The settings file may change without a signal.
+constexpr duration settings_look_interval = seconds(1);
 
-int serve(const instance_settings& settings) {
-    start_log("knapweedknotd", settings.lowest_log_level);
-    loop events;
-    instance served(events, settings);
+/// What the command line asks for.
+struct arguments {
+    std::string settings_path;
+    bool is_edge{false};
+    bool check_only{false};
+};
+
+int report_failure(const std::string& problem, int code) {
+    std::cerr << "knapweedknotd: " << problem << '\n';
+    return code;
+}
+
+result<std::string> read_file(const std::string& path) {
+    const std::ifstream file(path);
+    if (!file) {
+        return fail(error_kind::not_found, "cannot read " + path);
+    }
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+/// Runs \p served until it is told to stop.
+template <typename Served>
+int run(loop& events, Served& served) {
     if (const auto started = served.start(); !started) {
-        std::cerr << "knapweedknotd: " << started.error().detail << '\n';
-        return exit_failure;
+        return report_failure(started.error().detail, exit_failure);
     }
     const timer on_term = events.on_signal(SIGTERM, [&] { served.drain(); });
     const timer on_interrupt = events.on_signal(SIGINT, [&] { served.drain(); });
@@ -32,44 +56,96 @@
     return 0;
 }
 
+int serve(const instance_settings& settings) {
+    start_log("knapweedknotd", settings.lowest_log_level);
+    loop events;
+    instance served(events, settings);
+    return run(events, served);
+}
+
+/// Reads the settings again when their file has changed; a bad file changes nothing.
+void reload(const std::string& path, std::string& last_text, edge_instance& served) {
+    const auto text = read_file(path);
+    if (!text || *text == last_text) {
+        return;
+    }
+    last_text = *text;
+    if (const auto settings = parse_edge_settings(*text); settings) {
+        served.change_settings(*settings);
+    } else {
+        log_event(log_level::error, "settings_unusable", {{"problem", settings.error().detail}});
+    }
+}
+
+int serve_edge(const arguments& given, std::string text, const edge_settings& settings) {
+    start_log("knapweedknotd", settings.lowest_log_level);
+    loop events;
+    edge_instance served(events, settings);
+    const auto look = [&] { reload(given.settings_path, text, served); };
+    const timer on_hangup = events.on_signal(SIGHUP, look);
+    const timer on_look = events.every(settings_look_interval, look);
+    return run(events, served);
+}
+
+/// Parses \p text with \p parse, then runs \p serve unless only the check was asked for.
+template <typename Parse, typename Serve>
+int check_and_serve(const arguments& given, const std::string& text, Parse parse, Serve serve) {
+    const auto settings = parse(text);
+    if (!settings) {
+        return report_failure(given.settings_path + ": " + settings.error().detail, exit_usage);
+    }
+    if (given.check_only) {
+        std::cout << "settings are valid\n";
+        return 0;
+    }
+    return serve(*settings);
+}
+
+int start(const arguments& given) {
+    const auto text = read_file(given.settings_path);
+    if (!text) {
+        return report_failure(text.error().detail, exit_usage);
+    }
+    if (given.is_edge) {
+        return check_and_serve(given, *text, parse_edge_settings, [&](const edge_settings& parsed) {
+            return serve_edge(given, *text, parsed);
+        });
+    }
+    return check_and_serve(given, *text, parse_settings, serve);
+}
+
 } // namespace
 
 int main(int argc, char** argv) {
-    options::options_description known("Usage: knapweedknotd --settings FILE [--check-settings]");
+    options::options_description known(
+        "Usage: knapweedknotd --settings FILE [--check-settings]\n"
+        "       knapweedknotd --edge [--settings FILE] [--check-settings]\n"
+        "With --edge the instance follows an operator's traffic policy in the platform's store;\n"
+        "its settings file may be named by KNAPWEEDKNOT_CONFIG.");
     known.add_options()("help", "show this text")("settings", options::value<std::string>(),
                                                   "file of settings, JSON with comments")(
+        "edge", "serve by the traffic policy in the platform's store")(
         "check-settings", "check the settings, say what is wrong and exit");
     options::variables_map given;
     try {
         options::store(options::parse_command_line(argc, argv, known), given);
     } catch (const options::error& problem) {
-        std::cerr << "knapweedknotd: " << problem.what() << '\n';
-        return exit_usage;
+        return report_failure(problem.what(), exit_usage);
     }
     if (given.count("help") > 0) {
         std::cout << known;
         return 0;
     }
-    if (given.count("settings") == 0) {
-        std::cerr << "knapweedknotd: --settings FILE is required; see --help\n";
-        return exit_usage;
-    }
-    const std::string path = given["settings"].as<std::string>();
-    const std::ifstream file(path);
-    if (!file) {
-        std::cerr << "knapweedknotd: cannot read " << path << '\n';
-        return exit_usage;
-    }
-    std::ostringstream text;
-    text << file.rdbuf();
-    const auto settings = parse_settings(text.str());
-    if (!settings) {
-        std::cerr << "knapweedknotd: " << path << ": " << settings.error().detail << '\n';
-        return exit_usage;
-    }
-    if (given.count("check-settings") > 0) {
-        std::cout << "settings are valid\n";
-        return 0;
+    arguments wanted;
+    wanted.is_edge = given.count("edge") > 0;
+    wanted.check_only = given.count("check-settings") > 0;
+    const char* from_environment = std::getenv("KNAPWEEDKNOT_CONFIG");
+    if (given.count("settings") > 0) {
+        wanted.settings_path = given["settings"].as<std::string>();
+    } else if (wanted.is_edge && from_environment != nullptr) {
+        wanted.settings_path = from_environment;
+    } else {
+        return report_failure("--settings FILE is required; see --help", exit_usage);
     }
-    return serve(*settings);
+    return start(wanted);
 }
