Report little to instances that do not serve, and follow the store by need

Now an instance serves from 3 requests/s on; full reports go between serving instances only, brief ones every 1 s in the failure domain and every 3 s beyond it; quiet instances prove and watch less often.

--- a/libs/fleet/include/fleet/fleet_reports.h
+++ b/libs/fleet/include/fleet/fleet_reports.h
@@ -23,10 +23,12 @@
 struct report_times {
     /// Interval between instances that serve requests.
     duration busy_interval{milliseconds(250)};
-    /// Interval to and from instances that do not.
-    duration quiet_interval{milliseconds(1000)};
-    /// A peer that was not heard for this long is not counted on; its link is replaced.
-    duration silence_limit{milliseconds(2600)};
+    /// Interval to and from other instances of the own failure domain.
+    duration near_interval{milliseconds(1000)};
+    /// Interval to and from other instances of other failure domains, where bytes are dear.
+    duration far_interval{milliseconds(3000)};
+    /// A peer that was not heard for this many intervals is not counted on; its link is replaced.
+    double silent_intervals{2.6};
 };
 
 /// What an instance has running at one target.
@@ -56,6 +58,8 @@
     /// True when it has served requests lately.
     bool serving{false};
     bool store_reachable{false};
+    /// True when it lists what runs at the targets.
+    bool in_full{false};
     duration uptime{duration::zero()};
     config_number policy;
     std::uint64_t targets_revision{0};
@@ -79,8 +83,8 @@
 public:
     fleet_reports(loop& owner, mesh& network, const report_times& times);
 
-    /// Makes the own report. Must be set before start.
-    std::function<fleet_report()> make_report;
+    /// Makes the own report, with what runs at the targets if \p in_full. Must be set before start.
+    std::function<fleet_report(bool in_full)> make_report;
     /// Called with a peer's report and the one before, which is null for the first.
     std::function<void(const reporting_peer& peer, const fleet_report* before)> on_report;
     std::function<void(const reporting_peer& peer)> on_lost;
@@ -106,13 +110,17 @@
 
 private:
     void tick();
-    void send_to(bool serving_only);
+    void send_busy();
+    void send_quiet(bool near_ones, bool far_ones);
+    [[nodiscard]] bool is_near(const reporting_peer& peer) const;
+    [[nodiscard]] duration silence_limit(const reporting_peer& peer) const;
 
     loop& owner;
     mesh& network;
     report_times times;
     std::map<incarnation_id, reporting_peer> known;
-    time_point last_to_all;
+    time_point last_to_near;
+    time_point last_to_far;
     time_point last_hurried;
     timer ticking;
     timer hurrying;
--- a/libs/fleet/include/fleet/policy_follower.h
+++ b/libs/fleet/include/fleet/policy_follower.h
@@ -21,8 +21,10 @@
     /// A proof that is older than this does not allow a key to be honoured. Counted from before
     /// the question to the store.
     duration proof_lifetime{milliseconds(4500)};
-    /// Time between two proofs while keyed requests come.
+    /// Time between two proofs while many requests come.
     duration proof_interval{milliseconds(1500)};
+    /// The same while few come.
+    duration quiet_proof_interval{milliseconds(3200)};
     /// Longest wait of one watch.
     duration watch_wait{seconds(20)};
 };
@@ -47,7 +49,8 @@
     /// Time since the policy was last known to be the newest; nothing before the first proof.
     [[nodiscard]] std::optional<duration> proof_age(time_point now) const noexcept;
     /// Asks the store whether the policy is still the newest one, unless it was asked lately.
-    void keep_fresh(time_point now);
+    /// \param is_busy true when many requests depend on it
+    void keep_fresh(time_point now, bool is_busy);
     /// Calls \p done when the question that is under way, or a new one, has its outcome.
     void await_proof(std::function<void()> done);
     /// Another instance has adopted \p number; a greater one than ours is looked for.
--- a/libs/fleet/include/fleet/target_directory.h
+++ b/libs/fleet/include/fleet/target_directory.h
@@ -52,6 +52,8 @@
 
     /// Begins to read and watch.
     void start();
+    /// Takes other times from the next watch on.
+    void set_options(const target_directory_options& changed) noexcept { this->options = changed; }
     /// Targets of \p service by id; empty when it has none.
     [[nodiscard]] const std::map<target_id, known_target>&
     targets_of(const service_id& service) const;
--- a/libs/fleet/src/fleet_reports.cpp
+++ b/libs/fleet/src/fleet_reports.cpp
@@ -33,6 +33,7 @@
         clamp_to<std::uint32_t>(static_cast<double>(to_milliseconds(report.uptime)));
     message.policy_number = report.policy.value;
     message.targets_revision = report.targets_revision;
+    message.in_full = report.in_full;
     for (const auto& [account, use] : report.accounts) {
         message.accounts.emplace_back(account, use.admitted, clamp_to<std::int32_t>(use.tokens));
     }
@@ -60,6 +61,7 @@
     report.uptime = milliseconds(message.uptime_ms);
     report.policy.value = message.policy_number;
     report.targets_revision = message.targets_revision;
+    report.in_full = message.in_full;
     for (const wire::account_use& use : message.accounts) {
         report.accounts[use.account()] = {use.admitted(), static_cast<double>(use.tokens())};
     }
@@ -90,7 +92,7 @@
     log_event(
         log_level::info, "peer_connected",
         {{"peer", peer.instance.value}, {"incarnation", std::to_string(peer.incarnation.value)}});
-    this->network.send(peer.incarnation, encode(this->make_report()));
+    this->network.send(peer.incarnation, encode(this->make_report(false)));
 }
 
 void fleet_reports::peer_disconnected(const peer_info& peer) {
@@ -115,6 +117,14 @@
     }
     reporting_peer& peer = found->second;
     const std::optional<fleet_report> before = std::exchange(peer.report, decode(message));
+    if (before) {
+        // Counts that did not change lately are left out.
+        peer.report->accounts.insert(before->accounts.begin(), before->accounts.end());
+        peer.report->services.insert(before->services.begin(), before->services.end());
+    }
+    if (before && !message.in_full) {
+        peer.report->targets = before->targets;
+    }
     peer.heard = boot_clock::now();
     if (this->on_report) {
         this->on_report(peer, before ? &*before : nullptr);
@@ -122,7 +132,17 @@
 }
 
 bool fleet_reports::is_heard(const reporting_peer& peer, time_point now) const noexcept {
-    return peer.report && now - peer.heard < this->times.silence_limit;
+    return peer.report && now - peer.heard < this->silence_limit(peer);
+}
+
+bool fleet_reports::is_near(const reporting_peer& peer) const {
+    return peer.info.failure_domain == this->network.self().failure_domain;
+}
+
+duration fleet_reports::silence_limit(const reporting_peer& peer) const {
+    const duration interval =
+        this->is_near(peer) ? this->times.near_interval : this->times.far_interval;
+    return from_seconds(to_seconds(interval) * this->times.silent_intervals);
 }
 
 std::size_t fleet_reports::heard_peers() const {
@@ -153,34 +173,47 @@
     const time_point now = boot_clock::now();
     std::vector<incarnation_id> silent;
     for (const auto& [incarnation, peer] : this->known) {
-        if (now - peer.heard > this->times.silence_limit) {
+        if (now - peer.heard > this->silence_limit(peer)) {
             silent.push_back(incarnation);
         }
     }
     for (const incarnation_id peer : silent) {
         this->network.drop(peer);
     }
-    const bool all_due = now - this->last_to_all >= this->times.quiet_interval;
-    this->send_to(!all_due);
-    if (all_due) {
-        this->last_to_all = now;
+    const bool near_due = now - this->last_to_near >= this->times.near_interval;
+    const bool far_due = now - this->last_to_far >= this->times.far_interval;
+    this->send_busy();
+    if (near_due || far_due) {
+        this->send_quiet(near_due, far_due);
     }
 }
 
-/// Sends the own report; a part of the peers hears only every quiet interval.
-void fleet_reports::send_to(bool serving_only) {
-    const fleet_report report = this->make_report();
-    if (serving_only && !report.serving) {
+/// Tells the serving peers in full, if this instance serves too.
+void fleet_reports::send_busy() {
+    const fleet_report report = this->make_report(true);
+    if (!report.serving) {
         return;
     }
     const wire::reportT message = encode(report);
     for (const auto& [incarnation, peer] : this->known) {
-        if (!serving_only || (peer.report && peer.report->serving)) {
+        if (peer.report && peer.report->serving) {
             this->network.send(incarnation, message);
         }
     }
 }
 
+void fleet_reports::send_quiet(bool near_ones, bool far_ones) {
+    const wire::reportT message = encode(this->make_report(false));
+    for (const auto& [incarnation, peer] : this->known) {
+        if (this->is_near(peer) ? near_ones : far_ones) {
+            this->network.send(incarnation, message);
+        }
+    }
+    const time_point now = boot_clock::now();
+    this->last_to_near = near_ones ? now : this->last_to_near;
+    this->last_to_far = far_ones ? now : this->last_to_far;
+}
+
 void fleet_reports::hurry() {
     const time_point now = boot_clock::now();
     if (this->hurrying || now - this->last_hurried < hurry_interval) {
@@ -189,13 +222,12 @@
     this->hurrying = this->owner.after(hurry_interval, [this] {
         this->hurrying = timer();
         this->last_hurried = boot_clock::now();
-        this->send_to(true);
+        this->send_busy();
     });
 }
 
 void fleet_reports::tell_all() {
-    this->last_to_all = boot_clock::now();
-    this->send_to(false);
+    this->send_quiet(true, true);
 }
 
 } // namespace knapweedknot
--- a/libs/fleet/src/policy_follower.cpp
+++ b/libs/fleet/src/policy_follower.cpp
@@ -32,9 +32,10 @@
     return this->proved_at ? std::optional(now - *this->proved_at) : std::nullopt;
 }
 
-void policy_follower::keep_fresh(time_point now) {
-    if (!this->asking &&
-        (!this->proved_at || now - this->asked_at >= this->options.proof_interval)) {
+void policy_follower::keep_fresh(time_point now, bool is_busy) {
+    const duration interval =
+        is_busy ? this->options.proof_interval : this->options.quiet_proof_interval;
+    if (!this->asking && (!this->proved_at || now - this->asked_at >= interval)) {
         this->ask();
     }
 }
--- a/libs/proxy/include/proxy/account_ledger.h
+++ b/libs/proxy/include/proxy/account_ledger.h
@@ -30,7 +30,7 @@
     /// \param share part of the refill that this instance may count on
     [[nodiscard]] verdict admit(const traffic_account& account, double share, time_point now);
 
-    /// What this instance has admitted, for its report.
+    /// What this instance has admitted of accounts that it served lately, for its report.
     [[nodiscard]] std::unordered_map<std::uint64_t, account_use> report(time_point now) const;
     /// Takes what a peer has admitted since its report \p before.
     /// \param is_younger true when the peer started after this instance
@@ -42,6 +42,7 @@
         shared_bucket bucket;
         std::uint32_t admitted{0};
         std::uint32_t reported{0};
+        time_point last_admitted;
     };
 
     shared_bucket_times times;
--- a/libs/proxy/include/proxy/edge_gateway.h
+++ b/libs/proxy/include/proxy/edge_gateway.h
@@ -46,12 +46,12 @@
     /// Takes the limits and services of a policy that was adopted.
     void take_policy();
     void update_targets(const service_id& service);
-    /// Adds what this gateway knows to the own report.
+    /// Adds what this gateway knows to the own report; what runs at the targets if it is in full.
     void report(fleet_report& report, time_point now);
     void handle_report(const reporting_peer& peer, const fleet_report* before);
     void handle_lost(const reporting_peer& peer);
 
-    /// True when requests came within the last seconds.
+    /// True when callers lately sent requests at more than a trickle.
     [[nodiscard]] bool is_serving(time_point now) const noexcept;
     [[nodiscard]] http_server& server() noexcept { return this->callers; }
     [[nodiscard]] edge_metrics& measured() noexcept { return this->metrics; }
@@ -74,6 +74,7 @@
     [[nodiscard]] http_answer make_refusal(const error& problem, execution outcome,
                                            std::optional<duration> retry_after) const;
     [[nodiscard]] bool may_overlap(const http_request& request) const;
+    void note_request(time_point now);
     [[nodiscard]] double refill_share(time_point now) const;
 
     loop& owner;
@@ -94,7 +95,10 @@
     /// When serving peers were lost, for as long as they may still admit requests.
     std::map<incarnation_id, time_point> lost_peers;
     time_point started;
-    std::optional<time_point> last_request;
+    /// Requests per second, averaged over the last seconds, at rate_since.
+    double request_rate{0};
+    time_point rate_since;
+    std::optional<time_point> last_busy;
     http_server callers;
 };
 
--- a/libs/proxy/src/account_ledger.cpp
+++ b/libs/proxy/src/account_ledger.cpp
@@ -10,6 +10,8 @@
 
 // Others are told soon once this share of the burst was admitted since they last heard.
 constexpr double urgent_share = 0.1;
+// Counts are reported for this long after their last change, so that a lost report is made up for.
+constexpr duration reporting_time = seconds(7);
 
 } // namespace
 
@@ -33,6 +35,7 @@
         return {false, time_to_token(known.bucket, this->times), false};
     }
     ++known.admitted;
+    known.last_admitted = now;
     const double unreported = known.admitted - known.reported;
     const bool urgent = unreported >= std::max(2.0, account.burst * urgent_share);
     if (urgent) {
@@ -41,10 +44,12 @@
     return {true, duration::zero(), urgent};
 }
 
-std::unordered_map<std::uint64_t, account_use> account_ledger::report(time_point /*now*/) const {
+std::unordered_map<std::uint64_t, account_use> account_ledger::report(time_point now) const {
     std::unordered_map<std::uint64_t, account_use> uses;
     for (const auto& [id, known] : this->entries) {
-        uses[id] = {known.admitted, known.bucket.tokens};
+        if (known.admitted > 0 && now - known.last_admitted < reporting_time) {
+            uses[id] = {known.admitted, known.bucket.tokens};
+        }
     }
     return uses;
 }
--- a/libs/proxy/src/edge_gateway.cpp
+++ b/libs/proxy/src/edge_gateway.cpp
@@ -1,6 +1,7 @@
 #include "proxy/edge_gateway.h"
 
 #include <algorithm>
+#include <cmath>
 #include <cstdio>
 #include <utility>
 
@@ -11,7 +12,11 @@
 
 namespace {
 
-// An instance counts as serving for this long after its last request.
+// An instance counts as serving from this rate on, in requests per second. Below it there is not
+// enough to tell others of.
+constexpr double serving_rate = 3;
+constexpr duration rate_window = seconds(2);
+// It goes on counting as serving for this long.
 constexpr duration serving_time = seconds(4);
 // Time after which a caller may come again when the instance is not ready or out of touch.
 constexpr duration unready_retry_after = milliseconds(500);
@@ -64,7 +69,17 @@
 }
 
 bool edge_gateway::is_serving(time_point now) const noexcept {
-    return this->last_request && now - *this->last_request < serving_time;
+    return this->last_busy && now - *this->last_busy < serving_time;
+}
+
+void edge_gateway::note_request(time_point now) {
+    const double passed = to_seconds(now - this->rate_since);
+    const double window = to_seconds(rate_window);
+    this->request_rate = this->request_rate * std::exp(-passed / window) + 1 / window;
+    this->rate_since = now;
+    if (this->request_rate >= serving_rate) {
+        this->last_busy = now;
+    }
 }
 
 void edge_gateway::take_policy() {
@@ -91,7 +106,7 @@
 }
 
 void edge_gateway::handle(const request_ptr& incoming) {
-    this->last_request = boot_clock::now();
+    this->note_request(boot_clock::now());
     if (this->policy.current() == nullptr || !this->directory.is_loaded()) {
         this->refuse(incoming, {error_kind::configuration_stale, "no policy is known yet"},
                      unready_retry_after);
@@ -126,7 +141,7 @@
         });
         return;
     }
-    this->policy.keep_fresh(now);
+    this->policy.keep_fresh(now, this->is_serving(now));
     if (!matched) {
         this->refuse(incoming, matched.error(), std::nullopt);
         return;
@@ -298,8 +313,10 @@
     report.serving = this->is_serving(now);
     report.accounts = this->accounts.report(now);
     this->resends.report(report, now);
-    for (const auto& [service, balanced] : this->balancers) {
-        balanced->report(report, now);
+    if (report.in_full) {
+        for (const auto& [service, balanced] : this->balancers) {
+            balanced->report(report, now);
+        }
     }
 }
 
--- a/programs/knapweedknotd/edge_instance.cpp
+++ b/programs/knapweedknotd/edge_instance.cpp
@@ -16,6 +16,7 @@
 constexpr duration address_answer_lifetime = seconds(1);
 // Callers may keep an answer for this many lifetimes.
 constexpr int address_answer_reuse = 3;
+constexpr duration pace_interval = seconds(1);
 constexpr duration drain_look = milliseconds(50);
 // The process ends this long before it would be killed.
 constexpr duration kill_margin = milliseconds(400);
@@ -27,6 +28,17 @@
     options.proof_lifetime =
         std::max<duration>(bounds.key_withdrawal - proof_margin, bounds.key_withdrawal / 2);
     options.proof_interval = options.proof_lifetime / 3;
+    options.quiet_proof_interval = options.proof_lifetime * 7 / 10;
+    return options;
+}
+
+/// How closely the targets are followed. An instance with little to do gathers more changes in a
+/// call and finds lost watches later.
+target_directory_options make_directory_options(bool is_serving, const fleet_bounds& bounds) {
+    target_directory_options options;
+    options.vanished_grace = bounds.target_drain * 3 / 4;
+    options.gather_time = is_serving ? milliseconds(300) : bounds.target_drain / 2;
+    options.watch_wait = is_serving ? seconds(4) : seconds(18);
     return options;
 }
 
@@ -59,7 +71,7 @@
       policy(event_loop, store, std::string(platform::policy_key), &platform::decode_policy,
              make_policy_options(given.bounds)),
       directory(event_loop, store, std::string(platform::targets_prefix), &platform::decode_target,
-                target_directory_options{}),
+                make_directory_options(false, given.bounds)),
       gateway({event_loop, settings, headers, policy, directory, reports}),
       readiness(event_loop, {}, [this](const auto& request) { this->handle_readiness(request); }),
       addresses(event_loop, {}, [this](const auto& request) { this->handle_directory(request); }),
@@ -69,7 +81,7 @@
     this->directory.on_changed = [this](const service_id& service) {
         this->gateway.update_targets(service);
     };
-    this->reports.make_report = [this] { return this->make_report(); };
+    this->reports.make_report = [this](bool in_full) { return this->make_report(in_full); };
     this->reports.on_report = [this](const reporting_peer& peer, const fleet_report* before) {
         this->policy.note_peer_number(peer.report->policy);
         this->gateway.handle_report(peer, before);
@@ -104,6 +116,7 @@
             this->directory.start();
             this->registry.start();
             this->reports.start();
+            this->pace_watch = this->owner.every(pace_interval, [this] { this->adjust_pace(); });
             log_event(log_level::info, "instance_started",
                       {{"instance", this->settings.instance.value},
                        {"incarnation", std::to_string(this->self.incarnation.value)},
@@ -117,9 +130,15 @@
     return !this->draining && this->policy.current() != nullptr && this->directory.is_loaded();
 }
 
-fleet_report edge_instance::make_report() {
+void edge_instance::adjust_pace() {
+    const bool is_serving = this->gateway.is_serving(boot_clock::now());
+    this->directory.set_options(make_directory_options(is_serving, this->settings.bounds));
+}
+
+fleet_report edge_instance::make_report(bool in_full) {
     const time_point now = boot_clock::now();
     fleet_report report;
+    report.in_full = in_full;
     report.ready = this->is_ready();
     report.store_reachable = this->policy.is_store_reachable();
     report.uptime = now - this->started;
--- a/programs/knapweedknotd/edge_instance.h
+++ b/programs/knapweedknotd/edge_instance.h
@@ -33,7 +33,8 @@
 
 private:
     [[nodiscard]] mesh_handlers make_mesh_handlers();
-    [[nodiscard]] fleet_report make_report();
+    [[nodiscard]] fleet_report make_report(bool in_full);
+    void adjust_pace();
     [[nodiscard]] bool is_ready() const;
     [[nodiscard]] bool may_be_named(const reporting_peer& peer, time_point now) const;
     void handle_readiness(const std::shared_ptr<incoming_request>& request);
@@ -60,6 +61,7 @@
     time_point started;
     time_point drain_started;
     bool draining{false};
+    timer pace_watch;
     timer drain_step;
     timer drain_watch;
 };
