Choose targets by load and by the probability that they have gone silent

Ruled out: reports that are not heard (a trial line showed five serving peers with full reports 30 to 230 ms old). The cost of a target is now its load plus the probability that it would not answer, from silence, failures and the time since its last good answer; a lost request that cannot be repeated weighs three times. Times out start at 4 s. A target that has joined gets its first request soon.

--- a/libs/decide/include/decide/target_rotation.h
+++ b/libs/decide/include/decide/target_rotation.h
@@ -29,8 +29,8 @@
     /// Doubt from failures above which a target is taken out.
     double failure_limit{4.0};
     /// First time out of rotation; doubled for each repeat up to the longest.
-    duration time_out{milliseconds(1500)};
-    duration longest_time_out{milliseconds(8000)};
+    duration time_out{milliseconds(4000)};
+    duration longest_time_out{milliseconds(12000)};
     /// Time without a failure after which earlier times out are forgotten.
     duration good_conduct{milliseconds(15000)};
     /// Half-life of the doubt from failures.
@@ -56,6 +56,10 @@
     time_point last_out;
     /// True from the end of a time out until the first good answer: one request at a time.
     bool on_trial{false};
+    /// When it last gave a good answer; the epoch before the first.
+    time_point last_success;
+    /// False until it was given its first request.
+    bool was_used{false};
 };
 
 /// Adds \p doubt from a failure.
@@ -105,11 +109,19 @@
 [[nodiscard]] std::vector<std::size_t> in_rotation(const std::vector<target_candidate>& candidates,
                                                    const rotation_policy& policy, time_point now);
 
+/// Probability that \p candidate would not answer a request now. Grows with what runs there for
+/// longer than usual, with failures, and with the time since its last good answer.
+[[nodiscard]] double risk_of(const target_candidate& candidate, time_point now);
+
+/// What it means for a request not to be answered.
+enum class loss { repeatable, final };
+
 /// Position of the candidate in rotation that should get the next request: one with a free slot
-/// and the least load, with small preferences for an open connection and for its failure domain.
-/// Nothing when none has a free slot.
+/// and the least cost of load and risk, with small preferences for an open connection and for its
+/// failure domain. Nothing when none has a free slot.
+/// \param if_lost whether the request can be sent once more if it is not answered
 [[nodiscard]] std::optional<std::size_t>
 choose_target(const std::vector<target_candidate>& candidates, const rotation_policy& policy,
-              std::minstd_rand& random, time_point now);
+              loss if_lost, std::minstd_rand& random, time_point now);
 
 } // namespace knapweedknot
--- a/libs/decide/src/target_rotation.cpp
+++ b/libs/decide/src/target_rotation.cpp
@@ -11,8 +11,20 @@
 // Preferences of the choice, in parts of a target's capacity.
 constexpr double worth_of_connection = 0.12;
 constexpr double worth_of_nearness = 0.08;
-constexpr double cost_of_warm_up = 0.35;
-constexpr double cost_of_doubt = 0.15;
+constexpr double cost_of_warm_up = 0.25;
+// What a request that is not answered costs, in parts of a target's capacity.
+constexpr double cost_of_repeatable_loss = 1.0;
+constexpr double cost_of_final_loss = 3.0;
+// A target that has joined gets its first request soon, so that it is known.
+constexpr double worth_of_first_use = 0.4;
+// Probability that a target has turned bad when nothing has been heard of it for long, and how
+// fast it grows after a good answer.
+constexpr double risk_unheard = 0.06;
+constexpr double risk_just_heard = 0.01;
+constexpr double risk_on_trial = 0.4;
+constexpr duration risk_growth = milliseconds(3000);
+// What a request that runs at a healthy target adds to the silence by itself, on average.
+constexpr double usual_silence = 0.7;
 // Keeps instances that see the same loads from choosing the same target.
 constexpr double random_spread = 0.1;
 
@@ -31,13 +43,16 @@
     return candidate.standing.running < limit;
 }
 
-double cost_of(const target_candidate& candidate, double spread) {
+double cost_of(const target_candidate& candidate, loss if_lost, time_point now) {
     const double load =
         static_cast<double>(candidate.standing.running) / static_cast<double>(candidate.slots);
-    return load + cost_of_doubt * std::min(doubt_of(candidate), 10.0) -
+    const bool is_new = !candidate.evidence->was_used && !candidate.warming_up;
+    const double cost_of_loss =
+        if_lost == loss::final ? cost_of_final_loss : cost_of_repeatable_loss;
+    return load + cost_of_loss * risk_of(candidate, now) -
            (candidate.connected ? worth_of_connection : 0) -
-           (candidate.nearby ? worth_of_nearness : 0) +
-           (candidate.warming_up ? cost_of_warm_up : 0) + spread;
+           (candidate.nearby ? worth_of_nearness : 0) - (is_new ? worth_of_first_use : 0) +
+           (candidate.warming_up ? cost_of_warm_up : 0);
 }
 
 } // namespace
@@ -57,6 +72,7 @@
 void note_success(target_evidence& target, const rotation_policy& policy, time_point now) noexcept {
     target.failures = failure_doubt(target, policy, now) * doubt_left_after_success;
     target.failures_at = now;
+    target.last_success = now;
     target.on_trial = false;
 }
 
@@ -114,9 +130,23 @@
     return rotation;
 }
 
+double risk_of(const target_candidate& candidate, time_point now) {
+    const target_evidence& evidence = *candidate.evidence;
+    const double unheard =
+        1 - std::exp(-to_seconds(now - evidence.last_success) / to_seconds(risk_growth));
+    const double before = evidence.on_trial
+                              ? risk_on_trial
+                              : risk_just_heard + (risk_unheard - risk_just_heard) * unheard;
+    const target_standing& standing = candidate.standing;
+    const double evidence_against =
+        standing.silence - usual_silence * standing.running + standing.failures;
+    const double odds = before / (1 - before) * std::exp(std::clamp(evidence_against, -3.0, 12.0));
+    return odds / (1 + odds);
+}
+
 std::optional<std::size_t> choose_target(const std::vector<target_candidate>& candidates,
-                                         const rotation_policy& policy, std::minstd_rand& random,
-                                         time_point now) {
+                                         const rotation_policy& policy, loss if_lost,
+                                         std::minstd_rand& random, time_point now) {
     std::uniform_real_distribution<double> spread(0, random_spread);
     std::optional<std::size_t> best;
     double least = 0;
@@ -125,7 +155,7 @@
         if (candidate.excluded || !has_room(candidate, now)) {
             continue;
         }
-        const double cost = cost_of(candidate, spread(random));
+        const double cost = cost_of(candidate, if_lost, now) + spread(random);
         if (!best || cost < least) {
             best = place;
             least = cost;
--- a/libs/proxy/src/balancer.cpp
+++ b/libs/proxy/src/balancer.cpp
@@ -236,7 +236,11 @@
 
 balancer::slot_ptr balancer::choose(const job& work, time_point now) {
     const auto all = this->candidates(&work, now);
-    const auto chosen = choose_target(all, this->options.rotation, this->random, now);
+    const bool repeatable =
+        work.wanted.route->idempotent && work.sent + 1 < work.wanted.route->max_attempts;
+    const auto chosen =
+        choose_target(all, this->options.rotation, repeatable ? loss::repeatable : loss::final,
+                      this->random, now);
     if (!chosen) {
         return nullptr;
     }
@@ -278,6 +282,7 @@
         ++this->counters.new_connections;
     }
     at->running.push_back(&made);
+    at->evidence.was_used = true;
     work->tried.insert(at->known.registration.id);
     work->last_target = at->known.registration.id;
     ++work->sent;
--- a/libs/proxy/src/edge_gateway.cpp
+++ b/libs/proxy/src/edge_gateway.cpp
@@ -171,7 +171,9 @@
             this->reports.hurry();
         }
         if (!verdict.admitted) {
-            this->refuse(incoming, {error_kind::rate_exceeded, "the account is over its rate"},
+            this->refuse(incoming,
+                         {error_kind::rate_exceeded,
+                          "account " + matched.account->id.value + " is over its rate"},
                          verdict.retry_after);
             return;
         }
