Let requests wait a little for their account's next token

Now a request whose token comes within 0.7 s, and a quarter of its latency target, waits for it; the bound is unchanged, since the token is taken first. Ruled out: the reserve for other instances (it shifts the level of the bucket once, not its rate).

--- a/libs/decide/include/decide/shared_bucket.h
+++ b/libs/decide/include/decide/shared_bucket.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <optional>
+
 #include "base/clock.h"
 #include "decide/broker_slot.h"
 
@@ -45,6 +47,13 @@
 /// \pre the bucket was advanced to now
 [[nodiscard]] bool take_token(shared_bucket& bucket, const shared_bucket_times& times) noexcept;
 
+/// Takes a token that will be there within \p longest_wait. Returns the time after which it may be
+/// spent; nothing when it would take longer.
+/// \pre the bucket was advanced to now
+[[nodiscard]] std::optional<duration> take_future_token(shared_bucket& bucket,
+                                                        const shared_bucket_times& times,
+                                                        duration longest_wait) noexcept;
+
 /// Time until a token can be taken, if nobody takes one before.
 [[nodiscard]] duration time_to_token(const shared_bucket& bucket,
                                      const shared_bucket_times& times) noexcept;
--- a/libs/decide/src/shared_bucket.cpp
+++ b/libs/decide/src/shared_bucket.cpp
@@ -48,6 +48,19 @@
     return true;
 }
 
+std::optional<duration> take_future_token(shared_bucket& bucket, const shared_bucket_times& times,
+                                          duration longest_wait) noexcept {
+    if (take_token(bucket, times)) {
+        return duration::zero();
+    }
+    const duration wait = time_to_token(bucket, times);
+    if (wait > longest_wait) {
+        return std::nullopt;
+    }
+    bucket.tokens -= 1;
+    return wait;
+}
+
 duration time_to_token(const shared_bucket& bucket, const shared_bucket_times& times) noexcept {
     const double missing = 1 + reserve_of(bucket, times) - bucket.tokens;
     if (missing <= 0) {
--- a/libs/proxy/include/proxy/account_ledger.h
+++ b/libs/proxy/include/proxy/account_ledger.h
@@ -22,13 +22,19 @@
     /// What became of a request for admission.
     struct verdict {
         bool admitted{false};
+        /// Time after which an admitted request may be sent.
+        duration wait{duration::zero()};
         /// When there will be a token, if it was not admitted.
         duration retry_after{duration::zero()};
         /// True when the other instances should hear of it soon.
         bool urgent{false};
+        /// Tokens that were left, as this instance believes.
+        double tokens{0};
     };
     /// \param share part of the refill that this instance may count on
-    [[nodiscard]] verdict admit(const traffic_account& account, double share, time_point now);
+    /// \param longest_wait how long the request may wait for its token
+    [[nodiscard]] verdict admit(const traffic_account& account, double share, duration longest_wait,
+                                time_point now);
 
     /// What this instance has admitted of accounts that it served lately, for its report.
     [[nodiscard]] std::unordered_map<std::uint64_t, account_use> report(time_point now) const;
--- a/libs/proxy/include/proxy/edge_gateway.h
+++ b/libs/proxy/include/proxy/edge_gateway.h
@@ -66,6 +66,7 @@
     [[nodiscard]] bool needs_proof(const result<matched_request>& matched, time_point now) const;
     void admit(const request_ptr& incoming, const matched_request& matched);
     void start(const request_ptr& incoming, const matched_request& matched);
+    void start_later(const request_ptr& incoming, const matched_request& matched, duration wait);
     [[nodiscard]] const service_id& choose_service(const traffic_route& route);
     [[nodiscard]] balancer& balancer_of(const service_id& service);
     void finish(const request_ptr& incoming, const proxied_request& summary, proxy_outcome outcome);
@@ -94,6 +95,9 @@
     std::unordered_map<route_id, route_split> splits;
     /// When serving peers were lost, for as long as they may still admit requests.
     std::map<incarnation_id, time_point> lost_peers;
+    /// Requests that wait for a token, by number.
+    std::unordered_map<std::uint64_t, timer> delayed;
+    std::uint64_t last_delayed{0};
     time_point started;
     /// Requests per second, averaged over the last seconds, at rate_since.
     double request_rate{0};
--- a/libs/proxy/src/account_ledger.cpp
+++ b/libs/proxy/src/account_ledger.cpp
@@ -16,9 +16,11 @@
 } // namespace
 
 account_ledger::verdict account_ledger::admit(const traffic_account& account, double share,
-                                              time_point now) {
+                                              duration longest_wait, time_point now) {
+    verdict given;
     if (account.rate_per_s <= 0) {
-        return {true, duration::zero(), false};
+        given.admitted = true;
+        return given;
     }
     const rate_limit limit{account.rate_per_s, account.burst};
     const std::uint64_t id = hash64(account.id.value);
@@ -31,17 +33,22 @@
         }
     }
     advance(known.bucket, limit, share, now);
-    if (!take_token(known.bucket, this->times)) {
-        return {false, time_to_token(known.bucket, this->times), false};
+    const auto wait = take_future_token(known.bucket, this->times, longest_wait);
+    given.tokens = known.bucket.tokens;
+    if (!wait) {
+        given.retry_after = time_to_token(known.bucket, this->times);
+        return given;
     }
+    given.admitted = true;
+    given.wait = *wait;
     ++known.admitted;
     known.last_admitted = now;
     const double unreported = known.admitted - known.reported;
-    const bool urgent = unreported >= std::max(2.0, account.burst * urgent_share);
-    if (urgent) {
+    if (unreported >= std::max(2.0, account.burst * urgent_share)) {
+        given.urgent = true;
         known.reported = known.admitted;
     }
-    return {true, duration::zero(), urgent};
+    return given;
 }
 
 std::unordered_map<std::uint64_t, account_use> account_ledger::report(time_point now) const {
--- a/libs/proxy/src/edge_gateway.cpp
+++ b/libs/proxy/src/edge_gateway.cpp
@@ -18,6 +18,7 @@
 constexpr duration rate_window = seconds(2);
 // It goes on counting as serving for this long.
 constexpr duration serving_time = seconds(4);
+constexpr duration longest_wait_for_token = milliseconds(700);
 // Time after which a caller may come again when the instance is not ready or out of touch.
 constexpr duration unready_retry_after = milliseconds(500);
 
@@ -38,10 +39,19 @@
     return policy;
 }
 
-std::string seconds_text(duration value) {
+/// How long a request may wait for its account's next token. A short wait serves the caller better
+/// than a refusal; a long one would take up the time that the target needs.
+duration longest_token_wait(const traffic_route& route) {
+    constexpr int parts_of_latency_target = 4;
+    return std::min<duration>(longest_wait_for_token,
+                              route.latency_target / parts_of_latency_target);
+}
+
+/// \p value with two digits behind the point.
+std::string number_text(double value) {
     constexpr std::size_t longest = 32;
     std::string text(longest, '\0');
-    const int size = std::snprintf(text.data(), text.size(), "%.2f", to_seconds(value));
+    const int size = std::snprintf(text.data(), text.size(), "%.2f", value);
     text.resize(static_cast<std::size_t>(size));
     return text;
 }
@@ -164,21 +174,43 @@
 }
 
 void edge_gateway::admit(const request_ptr& incoming, const matched_request& matched) {
-    if (matched.account != nullptr) {
-        const time_point now = boot_clock::now();
-        const auto verdict = this->accounts.admit(*matched.account, this->refill_share(now), now);
-        if (verdict.urgent) {
-            this->reports.hurry();
-        }
-        if (!verdict.admitted) {
-            this->refuse(incoming,
-                         {error_kind::rate_exceeded,
-                          "account " + matched.account->id.value + " is over its rate"},
-                         verdict.retry_after);
-            return;
-        }
+    if (matched.account == nullptr) {
+        this->start(incoming, matched);
+        return;
+    }
+    const time_point now = boot_clock::now();
+    const auto verdict = this->accounts.admit(*matched.account, this->refill_share(now),
+                                              longest_token_wait(*matched.route), now);
+    if (verdict.urgent) {
+        this->reports.hurry();
     }
-    this->start(incoming, matched);
+    if (!verdict.admitted) {
+        this->refuse(incoming,
+                     {error_kind::rate_exceeded,
+                      "account=" + matched.account->id.value +
+                          " rate_per_s=" + number_text(matched.account->rate_per_s) +
+                          " burst=" + number_text(matched.account->burst) +
+                          " tokens=" + number_text(verdict.tokens)},
+                     verdict.retry_after);
+        return;
+    }
+    if (verdict.wait == duration::zero()) {
+        this->start(incoming, matched);
+        return;
+    }
+    this->start_later(incoming, matched, verdict.wait);
+}
+
+/// Starts a request when its token has come.
+void edge_gateway::start_later(const request_ptr& incoming, const matched_request& matched,
+                               duration wait) {
+    const std::uint64_t id = ++this->last_delayed;
+    this->delayed[id] = this->owner.after(wait, [this, id, incoming, matched] {
+        this->delayed.erase(id);
+        if (!incoming->is_caller_gone()) {
+            this->start(incoming, matched);
+        }
+    });
 }
 
 const service_id& edge_gateway::choose_service(const traffic_route& route) {
@@ -305,7 +337,8 @@
     answer.headers.push_back({"Knapweedknot-Error", std::string(answer_for(problem.kind).name)});
     answer.headers.push_back({"Knapweedknot-Outcome", std::string(to_string(outcome))});
     if (retry_after) {
-        answer.headers.push_back({this->headers.retry_after, seconds_text(*retry_after)});
+        answer.headers.push_back(
+            {this->headers.retry_after, number_text(to_seconds(*retry_after))});
     }
     answer.body = make_body(problem.detail + '\n');
     return answer;
