Hold the announcing instance and each announcement by itself; bounded log on standard output

Open announcements are now kept by patch, those of the instance itself with them, in decide/freshness, where the double case is tested.

Logs go to standard output as the users ask, through an appender that never waits for its reader, with a budget by second and kind; what is left out is counted and said. Tests: a pipe that nobody reads, the budget.

--- a/libs/base/include/base/log.h
+++ b/libs/base/include/base/log.h
@@ -5,7 +5,8 @@
 #include <string_view>
 
 /// \file
-/// Structured logging: one line of key=value pairs for each event, on standard error.
+/// Structured logging: one line of key=value pairs for each event, on standard output. The volume
+/// is bounded (base/log_budget.h), and logging never waits for whoever reads it.
 
 namespace knapweedknot {
 
--- a/libs/base/src/log.cpp
+++ b/libs/base/src/log.cpp
@@ -1,11 +1,17 @@
 #include "base/log.h"
 
+#include <mutex>
+
+#include <unistd.h>
+
 #include <log4cxx/basicconfigurator.h>
-#include <log4cxx/consoleappender.h>
 #include <log4cxx/logger.h>
 #include <log4cxx/logmanager.h>
 #include <log4cxx/patternlayout.h>
 
+#include "base/log_budget.h"
+#include "nonblocking_appender.h"
+
 namespace knapweedknot {
 
 namespace {
@@ -29,14 +35,26 @@
     return log4cxx::Level::getInfo();
 }
 
+/// Counts the line against the budget, and says what the second before left out.
+bool is_in_budget(std::string_view event) {
+    static std::mutex guard;
+    static log_budget budget;
+    const std::scoped_lock lock(guard);
+    for (const auto& [kind, count] : begin_second(budget, boot_clock::now())) {
+        logger()->forcedLog(log4cxx::Level::getWarn(),
+                            "event=lines_left_out kind=" + kind + " count=" + std::to_string(count),
+                            LOG4CXX_LOCATION);
+    }
+    return take_line(budget, event, log_limits{});
+}
+
 } // namespace
 
 void start_log(std::string_view program, log_level lowest) {
     const std::string pattern =
         "time=%d{yyyy-MM-ddTHH:mm:ss.SSSZ} level=%p program=" + std::string(program) + " %m%n";
     auto layout = std::make_shared<log4cxx::PatternLayout>(pattern);
-    auto appender = std::make_shared<log4cxx::ConsoleAppender>(
-        layout, log4cxx::ConsoleAppender::getSystemErr());
+    auto appender = std::make_shared<detail::nonblocking_appender>(layout, STDOUT_FILENO);
     logger()->removeAllAppenders();
     logger()->addAppender(appender);
     logger()->setLevel(to_log4cxx(lowest));
@@ -44,7 +62,7 @@
 
 void log_event(log_level level, std::string_view event, std::initializer_list<log_field> fields) {
     const log4cxx::LevelPtr mapped = to_log4cxx(level);
-    if (!logger()->isEnabledFor(mapped)) {
+    if (!logger()->isEnabledFor(mapped) || !is_in_budget(event)) {
         return;
     }
     std::string line = "event=" + std::string(event);
--- a/libs/base/tests/base_test.cpp
+++ b/libs/base/tests/base_test.cpp
@@ -1,9 +1,15 @@
 #define BOOST_TEST_MODULE base
 #include <boost/test/unit_test.hpp>
 
+#include <array>
+
+#include <unistd.h>
+
+#include "base/base64.h"
 #include "base/digest.h"
 #include "base/error.h"
 #include "base/log.h"
+#include "base/log_budget.h"
 #include "base/settings_reader.h"
 
 using namespace knapweedknot;
@@ -39,3 +45,50 @@
     }
     BOOST_TEST((answer_for(error_kind::target_failed).outcome == execution::may_have_run));
 }
+
+BOOST_AUTO_TEST_CASE(base64_is_read_back_and_malformed_text_is_refused) {
+    for (const std::string& data : {std::string(), std::string("a"), std::string("ab"),
+                                    std::string("abc"), std::string("\0\xff\n", 3)}) {
+        BOOST_TEST(decode_base64(encode_base64(data)).value() == data);
+    }
+    BOOST_TEST(encode_base64("node-1") == "bm9kZS0x");
+    BOOST_TEST(!decode_base64("abc").has_value());
+    BOOST_TEST(!decode_base64("a*==").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(a_log_beyond_its_budget_leaves_lines_out_and_says_so) {
+    const log_limits limits{3, 5};
+    log_budget budget;
+    const time_point start = boot_clock::now();
+    BOOST_TEST(begin_second(budget, start).empty());
+    int written = 0;
+    for (int i = 0; i < 10; ++i) {
+        written += take_line(budget, "first", limits) ? 1 : 0;
+        written += take_line(budget, "second", limits) ? 1 : 0;
+    }
+    BOOST_TEST(written == 5);
+    BOOST_TEST(begin_second(budget, start + milliseconds(500)).empty());
+    const left_out_lines left_out = begin_second(budget, start + seconds(1));
+    BOOST_TEST(left_out.at("first") + left_out.at("second") == 15U);
+    BOOST_TEST(take_line(budget, "first", limits));
+}
+
+BOOST_AUTO_TEST_CASE(a_log_that_nobody_reads_stops_nothing) {
+    std::array<int, 2> pipe_ends{};
+    BOOST_REQUIRE(pipe(pipe_ends.data()) == 0);
+    const int kept_output = dup(STDOUT_FILENO);
+    dup2(pipe_ends[1], STDOUT_FILENO);
+    start_log("test", log_level::info);
+    const time_point start = boot_clock::now();
+    constexpr int lines = 5000;
+    for (int i = 0; i < lines; ++i) {
+        log_event(log_level::info, "kind_" + std::to_string(i % 50),
+                  {{"text", std::string(200, 'x')}});
+    }
+    const duration spent = boot_clock::now() - start;
+    dup2(kept_output, STDOUT_FILENO);
+    BOOST_TEST((spent < seconds(3)));
+    for (const int end : {kept_output, pipe_ends[0], pipe_ends[1]}) {
+        close(end);
+    }
+}
--- a/libs/control/include/control/acceptance.h
+++ b/libs/control/include/control/acceptance.h
@@ -46,7 +46,7 @@
     /// Whether keyed routes may be served.
     [[nodiscard]] bool is_fresh();
     /// Whether an announced number's outcome is still open here.
-    [[nodiscard]] bool is_pending() const noexcept { return this->pending.has_value(); }
+    [[nodiscard]] bool is_pending() const noexcept { return !this->open.empty(); }
 
 private:
     struct announced {
@@ -73,8 +73,8 @@
     config_follower& follower;
     configuration& config;
     std::optional<announced> current;
-    std::optional<pending_number> pending;
-    std::string pending_patch_id;
+    /// Announcements of others and of this instance whose outcome is not known here.
+    open_announcements open;
     struct force_waiter {
         config_number number;
         time_point limit;
--- a/libs/control/src/acceptance.cpp
+++ b/libs/control/src/acceptance.cpp
@@ -29,6 +29,8 @@
     this->current->patch_id = patch_id;
     this->current->done = std::move(done);
     this->current->acknowledged.insert(this->network.self().incarnation);
+    // The write may take effect without an answer, so this instance is held like the others.
+    note_announcement(this->open, patch_id, number, boot_clock::now());
     this->current->limit = this->owner.after(announce_limit, [this] {
         const handler reply = std::move(this->current->done);
         this->withdraw(this->current->number, this->current->patch_id);
@@ -58,6 +60,7 @@
 }
 
 void acceptance::withdraw(config_number number, const std::string& patch_id) {
+    this->open.erase(patch_id);
     wire::withdrawT message;
     message.config_number = number.value;
     message.patch_id = patch_id;
@@ -125,9 +128,7 @@
     } else if (const auto* ack = message.body.Asannounce_ack(); ack != nullptr) {
         this->handle_ack(from, *ack);
     } else if (const auto* withdrawn = message.body.Aswithdraw(); withdrawn != nullptr) {
-        if (this->pending && this->pending_patch_id == withdrawn->patch_id) {
-            this->pending.reset();
-        }
+        this->open.erase(withdrawn->patch_id);
     } else if (const auto* request = message.body.Asentries_request(); request != nullptr) {
         this->send_head(from.incarnation, request->after);
     } else if (const auto* reply = message.body.Asentries_reply(); reply != nullptr) {
@@ -141,12 +142,7 @@
 void acceptance::handle_announce(const peer_info& from, const wire::announceT& message) {
     const config_number number{message.config_number};
     if (number > this->config.number()) {
-        // An earlier open announcement keeps its time: vouching must end no later for it.
-        const time_point since = this->pending ? this->pending->acknowledged : boot_clock::now();
-        const config_number newest =
-            this->pending ? std::max(this->pending->number, number) : number;
-        this->pending = pending_number{newest, since};
-        this->pending_patch_id = message.patch_id;
+        note_announcement(this->open, message.patch_id, number, boot_clock::now());
     }
     wire::announce_ackT ack;
     ack.config_number = message.config_number;
@@ -183,13 +179,11 @@
 }
 
 void acceptance::settle_pending() {
-    if (this->pending && this->pending->number <= this->config.number()) {
-        this->pending.reset();
-    }
+    settle_announcements(this->open, this->config.number());
 }
 
 bool acceptance::vouches() const {
-    return still_vouches(this->pending, this->config.number(), this->loans.freshness(),
+    return still_vouches(this->open, this->config.number(), this->loans.freshness(),
                          boot_clock::now());
 }
 
@@ -222,10 +216,8 @@
         this->reading = true;
         this->follower.refresh([this, now](const result<void>& outcome) {
             this->reading = false;
-            const bool write_is_over =
-                this->pending && now - this->pending->acknowledged >= pending_limit;
-            if (outcome && write_is_over) {
-                this->pending.reset();
+            if (outcome) {
+                expire_announcements(this->open, now - pending_limit);
             }
             this->settle_pending();
         });
--- a/libs/decide/include/decide/freshness.h
+++ b/libs/decide/include/decide/freshness.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <map>
 #include <optional>
+#include <string>
 #include <vector>
 
 #include "base/clock.h"
@@ -48,9 +50,22 @@
     time_point acknowledged;
 };
 
-/// Whether an instance with \p pending still vouches for \p adopted.
-[[nodiscard]] bool still_vouches(const std::optional<pending_number>& pending,
-                                 config_number adopted, const freshness_times& times,
-                                 time_point now);
+/// The announced numbers, by patch, whose outcome an instance does not know. The announcing
+/// instance keeps its own ones here too: its write may take effect without its hearing of it.
+using open_announcements = std::map<std::string, pending_number>;
+
+/// Notes that the write of \p number by the patch \p patch_id was acknowledged at \p now. A patch
+/// that is announced again keeps its time.
+void note_announcement(open_announcements& open, const std::string& patch_id, config_number number,
+                       time_point now);
+/// Forgets announcements that \p adopted settles.
+void settle_announcements(open_announcements& open, config_number adopted);
+/// Forgets announcements whose write can no longer take effect, because they were acknowledged
+/// before \p write_limit.
+void expire_announcements(open_announcements& open, time_point write_limit);
+
+/// Whether an instance with \p open announcements still vouches for \p adopted.
+[[nodiscard]] bool still_vouches(const open_announcements& open, config_number adopted,
+                                 const freshness_times& times, time_point now);
 
 } // namespace knapweedknot
--- a/libs/decide/tests/freshness_test.cpp
+++ b/libs/decide/tests/freshness_test.cpp
@@ -40,8 +40,31 @@
 }
 
 BOOST_AUTO_TEST_CASE(an_acknowledgement_ends_the_vouching_after_the_grace) {
-    const pending_number pending{config_number{8}, start};
-    BOOST_TEST(still_vouches(pending, config_number{7}, times, start + milliseconds(999)));
-    BOOST_TEST(!still_vouches(pending, config_number{7}, times, start + milliseconds(1000)));
-    BOOST_TEST(still_vouches(pending, config_number{8}, times, start + seconds(9)));
+    open_announcements open;
+    note_announcement(open, "a", config_number{8}, start);
+    BOOST_TEST(still_vouches(open, config_number{7}, times, start + milliseconds(999)));
+    BOOST_TEST(!still_vouches(open, config_number{7}, times, start + milliseconds(1000)));
+    BOOST_TEST(still_vouches(open, config_number{8}, times, start + seconds(9)));
+}
+
+BOOST_AUTO_TEST_CASE(withdrawing_one_announcement_leaves_the_hold_of_another) {
+    open_announcements open;
+    note_announcement(open, "a", config_number{8}, start);
+    note_announcement(open, "b", config_number{8}, start + milliseconds(500));
+    open.erase("b");
+    BOOST_TEST(!still_vouches(open, config_number{7}, times, start + milliseconds(1000)));
+    open.erase("a");
+    BOOST_TEST(still_vouches(open, config_number{7}, times, start + milliseconds(1000)));
+}
+
+BOOST_AUTO_TEST_CASE(an_announcement_ends_when_it_is_adopted_or_can_no_longer_be_written) {
+    open_announcements open;
+    note_announcement(open, "a", config_number{8}, start);
+    note_announcement(open, "b", config_number{9}, start + seconds(1));
+    settle_announcements(open, config_number{8});
+    BOOST_TEST(open.size() == 1U);
+    expire_announcements(open, start);
+    BOOST_TEST(open.size() == 1U);
+    expire_announcements(open, start + seconds(1));
+    BOOST_TEST(open.empty());
 }
