--- a/libs/decide/src/target_rotation.cpp
+++ b/libs/decide/src/target_rotation.cpp
@@ -9,8 +9,8 @@
 namespace {
 
 // Preferences of the choice, in parts of a target's capacity.
-constexpr double worth_of_connection = 0.12;
-constexpr double worth_of_nearness = 0.08;
+constexpr double worth_of_connection = 0.25;
+constexpr double worth_of_nearness = 0.25;
 constexpr double cost_of_warm_up = 0.25;
 // What a request that is not answered costs, in parts of a target's capacity.
 constexpr double cost_of_repeatable_loss = 1.0;
--- a/libs/proxy/include/proxy/balancer.h
+++ b/libs/proxy/include/proxy/balancer.h
@@ -35,7 +35,7 @@
     /// An idle connection is not used again after this time.
     duration idle_limit{milliseconds(9000)};
     /// The same for requests that must not run twice: they lose more by a closed connection.
-    duration idle_limit_once_only{milliseconds(4000)};
+    duration idle_limit_once_only{milliseconds(8000)};
     /// Idle connections kept for each target.
     std::size_t idle_connections{3};
 };
