Deliver what is ready at the end of a stop; system tests of the edge

Ruled out: the stop itself (the instance waited for its whole grace time). From five sixths of the grace time on, when an own answer may take the place of a silent target's, what still runs is given up and the answers behind it go out. Test a_graceful_stop_delivers_what_is_ready_behind_a_silent_target failed (no byte received), passes. The other tests of edge_test play the path with real processes, the store's stand-in and targets of the test.

Also: work at targets is told to serving instances by those that do not serve, and serving ones tell everybody what they know; how many instances serve a failure domain follows from the traffic.

--- a/libs/decide/include/decide/instance_choice.h
+++ b/libs/decide/include/decide/instance_choice.h
@@ -26,12 +26,14 @@
     bool ready{false};
     /// Time since its process started.
     duration uptime{duration::zero()};
+    /// Requests per second that it has lately received.
+    double request_rate{0};
 };
 
 /// How many instances serve.
 struct choice_policy {
-    /// Instances that serve each failure domain.
-    std::size_t per_failure_domain{2};
+    /// Requests per second that one instance should serve; beyond it another one is named.
+    double rate_per_instance{50};
     /// A process younger than this is named only when older ones are missing.
     duration settling_time{milliseconds(1500)};
 };
--- a/libs/decide/src/instance_choice.cpp
+++ b/libs/decide/src/instance_choice.cpp
@@ -1,6 +1,7 @@
 #include "decide/instance_choice.h"
 
 #include <algorithm>
+#include <cmath>
 #include <tuple>
 
 #include "base/digest.h"
@@ -26,12 +27,19 @@
               [&](const instance_candidate& a, const instance_candidate& b) {
                   return rank_of(a, failure_domain, policy) < rank_of(b, failure_domain, policy);
               });
-    const auto local = std::count_if(candidates.begin(), candidates.end(), [&](const auto& item) {
-        return item.failure_domain == failure_domain;
-    });
-    std::size_t named = policy.per_failure_domain;
+    std::size_t local = 0;
+    double local_rate = 0;
+    for (const instance_candidate& item : candidates) {
+        if (item.failure_domain == failure_domain) {
+            ++local;
+            local_rate += item.request_rate;
+        }
+    }
+    // As many as the traffic needs.
+    auto named = std::max<std::size_t>(
+        1, static_cast<std::size_t>(std::ceil(local_rate / policy.rate_per_instance)));
     if (local > 0) {
-        named = std::min(named, static_cast<std::size_t>(local));
+        named = std::min(named, local);
     }
     if (candidates.size() > named) {
         candidates.resize(named);
--- a/libs/event/tests/event_test.cpp
+++ b/libs/event/tests/event_test.cpp
@@ -5,50 +5,18 @@
 #include <deque>
 #include <optional>
 
-#include <arpa/inet.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
 #include "event/http_client.h"
 #include "event/http_server.h"
+#include "raw_socket.h"
 
 using namespace knapweedknot;
+using harness::raw_socket;
 
 namespace {
 
 const endpoint server_address{"127.0.0.1", 18970};
 constexpr duration patience = seconds(5);
 
-/// A blocking TCP connection that sends and receives raw bytes.
-struct raw_socket {
-    int fd{socket(AF_INET, SOCK_STREAM, 0)};
-
-    ~raw_socket() { this->close(); }
-    void close() {
-        if (this->fd >= 0) {
-            ::close(this->fd);
-        }
-        this->fd = -1;
-    }
-    void connect(const endpoint& address) {
-        sockaddr_in name{};
-        name.sin_family = AF_INET;
-        name.sin_port = htons(address.port);
-        inet_pton(AF_INET, address.ip.c_str(), &name.sin_addr);
-        BOOST_REQUIRE(::connect(this->fd, reinterpret_cast<sockaddr*>(&name), sizeof name) == 0);
-    }
-    void send(std::string_view text) {
-        BOOST_REQUIRE(::send(this->fd, text.data(), text.size(), 0) ==
-                      static_cast<ssize_t>(text.size()));
-    }
-    std::string read_available() {
-        std::string text(65536, '\0');
-        const ssize_t size = recv(this->fd, text.data(), text.size(), MSG_DONTWAIT);
-        text.resize(size > 0 ? static_cast<std::size_t>(size) : 0);
-        return text;
-    }
-};
-
 /// A server whose requests wait in a queue until the test answers them.
 struct queue_server {
     loop events;
--- a/libs/fleet/include/fleet/fleet_reports.h
+++ b/libs/fleet/include/fleet/fleet_reports.h
@@ -27,6 +27,8 @@
     duration near_interval{milliseconds(1000)};
     /// Interval to and from other instances of other failure domains, where bytes are dear.
     duration far_interval{milliseconds(3000)};
+    /// What a peer has running counts for this long after its report.
+    duration running_lifetime{milliseconds(1200)};
     /// A peer that was not heard for this many intervals is not counted on; its link is replaced.
     double silent_intervals{2.6};
 };
@@ -57,6 +59,8 @@
     bool ready{false};
     /// True when it has served requests lately.
     bool serving{false};
+    /// Requests per second that it has lately received.
+    double request_rate{0};
     bool store_reachable{false};
     /// True when it lists what runs at the targets.
     bool in_full{false};
@@ -122,6 +126,8 @@
     time_point last_to_near;
     time_point last_to_far;
     time_point last_hurried;
+    /// True when the last report to serving peers told of something that runs.
+    bool told_of_work{false};
     timer ticking;
     timer hurrying;
 };
--- a/libs/fleet/src/fleet_reports.cpp
+++ b/libs/fleet/src/fleet_reports.cpp
@@ -31,6 +31,7 @@
                     (report.store_reachable ? store_flag : 0);
     message.uptime_ms =
         clamp_to<std::uint32_t>(static_cast<double>(to_milliseconds(report.uptime)));
+    message.request_rate = static_cast<float>(report.request_rate);
     message.policy_number = report.policy.value;
     message.targets_revision = report.targets_revision;
     message.in_full = report.in_full;
@@ -59,6 +60,7 @@
     report.serving = (message.flags & serving_flag) != 0;
     report.store_reachable = (message.flags & store_flag) != 0;
     report.uptime = milliseconds(message.uptime_ms);
+    report.request_rate = message.request_rate;
     report.policy.value = message.policy_number;
     report.targets_revision = message.targets_revision;
     report.in_full = message.in_full;
@@ -155,16 +157,19 @@
 target_use fleet_reports::total_at(std::uint64_t target, time_point now) const {
     target_use total;
     for (const auto& [incarnation, peer] : this->known) {
-        if (!this->is_heard(peer, now) || !peer.report->serving) {
+        if (!this->is_heard(peer, now)) {
             continue;
         }
         const auto found = peer.report->targets.find(target);
-        if (found != peer.report->targets.end()) {
+        if (found == peer.report->targets.end()) {
+            continue;
+        }
+        if (now - peer.heard < this->times.running_lifetime) {
             total.running += found->second.running;
             total.silence += found->second.silence;
-            total.failures += found->second.failures;
-            total.out = std::max(total.out, found->second.out - (now - peer.heard));
         }
+        total.failures += found->second.failures;
+        total.out = std::max(total.out, found->second.out - (now - peer.heard));
     }
     return total;
 }
@@ -188,10 +193,12 @@
     }
 }
 
-/// Tells the serving peers in full, if this instance serves too.
+/// Tells the serving peers in full: if this instance serves too, or has something running.
 void fleet_reports::send_busy() {
     const fleet_report report = this->make_report(true);
-    if (!report.serving) {
+    const bool has_news = report.serving || !report.targets.empty() || this->told_of_work;
+    this->told_of_work = !report.targets.empty();
+    if (!has_news) {
         return;
     }
     const wire::reportT message = encode(report);
@@ -203,7 +210,13 @@
 }
 
 void fleet_reports::send_quiet(bool near_ones, bool far_ones) {
-    const wire::reportT message = encode(this->make_report(false));
+    fleet_report report = this->make_report(true);
+    if (!report.serving) {
+        // Only an instance that serves knows enough of the targets to tell everybody.
+        report.in_full = false;
+        report.targets.clear();
+    }
+    const wire::reportT message = encode(report);
     for (const auto& [incarnation, peer] : this->known) {
         if (this->is_near(peer) ? near_ones : far_ones) {
             this->network.send(incarnation, message);
--- a/libs/fleet/tests/reports_test.cpp
+++ b/libs/fleet/tests/reports_test.cpp
@@ -96,6 +96,6 @@
     const fleet_report& heard = *first.reports.peers().begin()->second.report;
     BOOST_TEST(heard.accounts.at(account_hash).admitted == 17U);
     BOOST_TEST(heard.accounts.at(account_hash).tokens == -4);
-    second.own.serving = false;
+    second.own.targets.clear();
     BOOST_TEST(run_until(events, [&] { return total().running == 0; }));
 }
--- a/libs/proxy/include/proxy/balancer.h
+++ b/libs/proxy/include/proxy/balancer.h
@@ -73,6 +73,8 @@
     balancer_ticket start(proxied_request&& request, proxy_handler done);
     /// Cancels a request whose caller has gone; its handler is not called.
     void cancel(balancer_ticket ticket);
+    /// Ends every request without a target's answer.
+    void give_up_all();
     /// Takes the directory's newest targets.
     void update_targets();
     /// Adds what runs at the targets to the own report.
--- a/libs/proxy/include/proxy/edge_gateway.h
+++ b/libs/proxy/include/proxy/edge_gateway.h
@@ -46,6 +46,8 @@
     /// Takes the limits and services of a policy that was adopted.
     void take_policy();
     void update_targets(const service_id& service);
+    /// Ends every request that has no answer yet, so that answers behind it can be delivered.
+    void give_up_all();
     /// Adds what this gateway knows to the own report; what runs at the targets if it is in full.
     void report(fleet_report& report, time_point now);
     void handle_report(const reporting_peer& peer, const fleet_report* before);
@@ -53,6 +55,8 @@
 
     /// True when callers lately sent requests at more than a trickle.
     [[nodiscard]] bool is_serving(time_point now) const noexcept;
+    /// Requests per second, averaged over the last seconds.
+    [[nodiscard]] double request_rate_at(time_point now) const;
     [[nodiscard]] http_server& server() noexcept { return this->callers; }
     [[nodiscard]] edge_metrics& measured() noexcept { return this->metrics; }
     [[nodiscard]] std::string metrics_text() const;
--- a/libs/proxy/src/balancer.cpp
+++ b/libs/proxy/src/balancer.cpp
@@ -585,6 +585,13 @@
     }
 }
 
+void balancer::give_up_all() {
+    const std::map<balancer_ticket, job_ptr> running = this->jobs;
+    for (const auto& [ticket, work] : running) {
+        this->run_out(work);
+    }
+}
+
 /// Ends a request without a target's answer. What is promised of it is true whatever \p problem
 /// came last: an earlier attempt may have run.
 void balancer::refuse(const job_ptr& work, const error& problem,
--- a/libs/proxy/src/edge_gateway.cpp
+++ b/libs/proxy/src/edge_gateway.cpp
@@ -82,10 +82,13 @@
     return this->last_busy && now - *this->last_busy < serving_time;
 }
 
-void edge_gateway::note_request(time_point now) {
+double edge_gateway::request_rate_at(time_point now) const {
     const double passed = to_seconds(now - this->rate_since);
-    const double window = to_seconds(rate_window);
-    this->request_rate = this->request_rate * std::exp(-passed / window) + 1 / window;
+    return this->request_rate * std::exp(-passed / to_seconds(rate_window));
+}
+
+void edge_gateway::note_request(time_point now) {
+    this->request_rate = this->request_rate_at(now) + 1 / to_seconds(rate_window);
     this->rate_since = now;
     if (this->request_rate >= serving_rate) {
         this->last_busy = now;
@@ -102,6 +105,12 @@
     }
 }
 
+void edge_gateway::give_up_all() {
+    for (const auto& [service, balanced] : this->balancers) {
+        balanced->give_up_all();
+    }
+}
+
 /// Only requests that may run twice overlap: those behind a closed connection are sent again.
 bool edge_gateway::may_overlap(const http_request& request) const {
     if (this->policy.current() == nullptr) {
@@ -346,6 +355,7 @@
 
 void edge_gateway::report(fleet_report& report, time_point now) {
     report.serving = this->is_serving(now);
+    report.request_rate = this->request_rate_at(now);
     report.accounts = this->accounts.report(now);
     this->resends.report(report, now);
     if (report.in_full) {
--- a/programs/knapweedknotd/edge_instance.cpp
+++ b/programs/knapweedknotd/edge_instance.cpp
@@ -18,6 +18,9 @@
 constexpr int address_answer_reuse = 3;
 constexpr duration pace_interval = seconds(1);
 constexpr duration drain_look = milliseconds(50);
+// A request whose target is silent until this part of the grace time has passed is given up, so
+// that the answers behind it on its connection are delivered.
+constexpr double give_up_part = 5.0 / 6;
 // The process ends this long before it would be killed.
 constexpr duration kill_margin = milliseconds(400);
 // Part of the time until a withdrawn key must be dead that is kept for the request's way.
@@ -171,12 +174,14 @@
     const time_point now = boot_clock::now();
     std::vector<instance_candidate> candidates;
     candidates.push_back({this->self.instance, this->self.failure_domain,
-                          this->self.callers_address, this->is_ready(), now - this->started});
+                          this->self.callers_address, this->is_ready(), now - this->started,
+                          this->gateway.request_rate_at(now)});
     for (const auto& [incarnation, peer] : this->reports.peers()) {
         const bool named = this->may_be_named(peer, now);
         candidates.push_back({peer.info.instance, peer.info.failure_domain,
                               peer.info.callers_address, named,
-                              named ? peer.report->uptime : duration::zero()});
+                              named ? peer.report->uptime : duration::zero(),
+                              named ? peer.report->request_rate : 0});
     }
     const failure_domain_id from = platform::asking_domain(request->query());
     std::vector<endpoint> named;
@@ -242,6 +247,10 @@
     const duration passed = boot_clock::now() - this->drain_started;
     http_server& callers = this->gateway.server();
     callers.close_idle_connections();
+    if (passed >
+        from_seconds(to_seconds(this->settings.bounds.stop_grace) * give_up_part) + drain_look) {
+        this->gateway.give_up_all();
+    }
     const bool finished = callers.running_requests() == 0 && !callers.is_writing();
     if (finished || passed > this->settings.bounds.stop_grace - kill_margin) {
         log_event(log_level::info, "drain_finished",
--- /dev/null
+++ b/tests/edge_fixture.h
@@ -0,0 +1,308 @@
+#pragma once
+
+#include <deque>
+#include <filesystem>
+#include <fstream>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+
+#include "event/http_client.h"
+#include "event/http_server.h"
+#include "platform/store_client.h"
+#include "platform_service.h"
+#include "process.h"
+
+/// \file
+/// Edges as processes of their own, before a store and targets that live in the test's process.
+
+namespace knapweedknot::harness {
+
+/// What a caller received. Status zero means that there was no answer.
+struct edge_answer {
+    int status{0};
+    http_headers headers;
+    std::string body;
+
+    [[nodiscard]] std::string header(std::string_view name) const {
+        const std::string* value = find_header(this->headers, name);
+        return value == nullptr ? "" : *value;
+    }
+};
+
+/// A target that the test controls. Not thread safe.
+class test_target {
+public:
+    using request_ptr = std::shared_ptr<incoming_request>;
+
+    test_target(loop& owner, std::string name, const endpoint& where)
+        : id(std::move(name)), address(where),
+          server(owner, {}, [this](const request_ptr& request) { this->handle(request); }) {
+        BOOST_REQUIRE(this->server.listen(this->address).has_value());
+    }
+
+    /// Answers \p request as a target that ran it.
+    void answer(incoming_request& request, int status = 200, const std::string& body = "done") {
+        http_answer answer;
+        answer.status = status;
+        answer.headers = {{"X-Request-Id", std::string(request.header("X-Request-Id"))},
+                          {"X-Response-Signature", "signed-by-" + this->id}};
+        answer.body = make_body(body);
+        request.answer(std::move(answer));
+    }
+    /// Answers that it did not run \p request.
+    static void refuse(incoming_request& request, int status) {
+        http_answer answer;
+        answer.status = status;
+        answer.headers = {{"X-Request-Id", std::string(request.header("X-Request-Id"))},
+                          {"X-Not-Executed", "1"}};
+        request.answer(std::move(answer));
+    }
+
+    std::string id;
+    endpoint address;
+    /// What to do with a request; by default it is answered at once.
+    std::function<void(const request_ptr&)> behaviour;
+    /// Requests that reached it, by URI.
+    std::map<std::string, int> arrivals;
+    request_ptr last;
+    /// Keeps requests that have no answer.
+    std::vector<request_ptr> held;
+
+private:
+    void handle(const request_ptr& request) {
+        ++this->arrivals[request->uri()];
+        this->last = request;
+        if (this->behaviour) {
+            this->behaviour(request);
+        } else {
+            this->answer(*request);
+        }
+    }
+
+    http_server server;
+};
+
+/// A store, targets and edges. Each test uses a network 127.N of its own.
+class edge_fleet {
+public:
+    explicit edge_fleet(int network, int edges = 1)
+        : base("127." + std::to_string(network) + "."), store_address{base + "0.1", 7000},
+          store(this->events, duration::zero(), 1), writer(this->events, store_address),
+          edge_count(edges) {
+        this->folder = (std::filesystem::temp_directory_path() /
+                        ("knapweedknot-edge-" + std::to_string(network)))
+                           .string();
+        std::filesystem::remove_all(this->folder);
+        std::filesystem::create_directories(this->folder);
+        BOOST_REQUIRE(this->store.listen(this->store_address).has_value());
+    }
+
+    loop events;
+    std::string base;
+    std::string folder;
+    endpoint store_address;
+    standin::platform_service store;
+    store_client writer;
+    std::map<std::string, std::unique_ptr<test_target>> targets;
+    std::map<int, process> daemons;
+    /// Bounds in the settings of edges.
+    nlohmann::json bounds = {{"key_withdrawal_ms", 2000}};
+    int edge_count;
+
+    template <typename Condition>
+    bool run_until(Condition condition, duration limit = seconds(8)) {
+        const time_point end = boot_clock::now() + limit;
+        const timer poll = this->events.every(milliseconds(2), [&] {
+            if (condition() || boot_clock::now() > end) {
+                this->events.stop();
+            }
+        });
+        this->events.run();
+        return condition();
+    }
+    void run_for(duration time) {
+        this->run_until([] { return false; }, time);
+    }
+    void write(const std::string& key, const std::string& data) {
+        bool written = false;
+        this->writer.put(key, data, [&](const auto& outcome) { written = outcome.has_value(); });
+        BOOST_REQUIRE(this->run_until([&] { return written; }));
+    }
+    void set_outage(const std::string& kind) { this->store.faults().outage = kind; }
+
+    test_target& add_target(const std::string& id, const std::string& state = "ready") {
+        const endpoint where{this->base + "2." + std::to_string(10 + this->targets.size()), 9000};
+        auto target = std::make_unique<test_target>(this->events, id, where);
+        test_target& added = *target;
+        this->targets[id] = std::move(target);
+        this->register_target(added, state);
+        return added;
+    }
+    void register_target(const test_target& target, const std::string& state) {
+        const nlohmann::json entry = {{"service", "svc"},
+                                      {"address", to_string(target.address)},
+                                      {"zone", "zone"},
+                                      {"version", "v1"},
+                                      {"slots", 4},
+                                      {"state", state},
+                                      {"warmup-left-ms", 0},
+                                      {"sequence", 1},
+                                      {"born", 1'700'000'000'000}};
+        this->write("servers/" + target.id, entry.dump());
+    }
+
+    /// Routes /safe/, /once/ and /open/, and one account with a key.
+    [[nodiscard]] static nlohmann::json usual_policy(const std::string& version) {
+        const auto route = [](const std::string& name, const std::string& kind, bool open) {
+            return nlohmann::json{{"resource-kind", "routes"},
+                                  {"metadata", {{"name", name}}},
+                                  {"spec",
+                                   {{"hostname", "h.example"},
+                                    {"prefix", "/" + name + "/"},
+                                    {"kind", kind},
+                                    {"timeout-ms", 3000},
+                                    {"target-latency-ms", 400},
+                                    {"priority", 1},
+                                    {"service", "svc"},
+                                    {"max-attempts", 2},
+                                    {"public", open}}}};
+        };
+        return {
+            {"version", version},
+            {"resources",
+             {route("safe", "safe", false),
+              route("once", "unsafe", false),
+              route("open", "safe", true),
+              {{"resource-kind", "services"},
+               {"metadata", {{"name", "svc"}}},
+               {"spec", {{"health-path", "/health"}, {"max-connections", 100}}}},
+              {{"resource-kind", "tenants"},
+               {"metadata", {{"name", "shop"}}},
+               {"spec", {{"api-keys", {"key-1", "key-2"}}, {"rate-per-s", 200}, {"burst", 100}}}},
+              {{"resource-kind", "limits"},
+               {"metadata", nlohmann::json::object()},
+               {"spec",
+                {{"max-header-bytes", 4096},
+                 {"max-body-bytes", 100'000},
+                 {"header-timeout-ms", 1000},
+                 {"idle-timeout-ms", 10'000}}}}}}};
+    }
+
+    [[nodiscard]] endpoint edge_address(int number, std::uint16_t port) const {
+        return {this->base + "1." + std::to_string(10 + number), port};
+    }
+    [[nodiscard]] endpoint callers(int number) const { return this->edge_address(number, 8080); }
+
+    void start_edge(int number) {
+        nlohmann::json settings = {
+            {"instance", "edge-" + std::to_string(number)},
+            {"failure_domain", "zone"},
+            {"callers_address", to_string(this->callers(number))},
+            {"readiness_address", to_string(this->edge_address(number, 8081))},
+            {"directory_address", to_string(this->edge_address(number, 8082))},
+            {"peers_address", to_string(this->edge_address(number, 8083))},
+            {"metrics_address", to_string(this->edge_address(number, 8084))},
+            {"store_address", to_string(this->store_address)},
+            {"log_level", "debug"},
+            {"bounds", this->bounds}};
+        const std::string path = this->folder + "/edge-" + std::to_string(number);
+        std::ofstream(path + ".json") << settings.dump();
+        this->daemons.insert_or_assign(
+            number, process({std::string(KNAPWEEDKNOT_BUILD_DIR) + "/programs/knapweedknotd",
+                             "--edge", "--settings", path + ".json"},
+                            path + ".log"));
+    }
+    /// Starts all edges and waits until they are ready.
+    void start() {
+        for (int number = 0; number < this->edge_count; ++number) {
+            this->start_edge(number);
+        }
+        for (int number = 0; number < this->edge_count; ++number) {
+            BOOST_REQUIRE(this->wait_ready(number));
+        }
+    }
+    bool wait_ready(int number, int status = 200) {
+        const time_point end = boot_clock::now() + seconds(8);
+        while (boot_clock::now() < end) {
+            if (this->get(this->edge_address(number, 8081), "/readiness").status == status) {
+                return true;
+            }
+            this->run_for(milliseconds(20));
+        }
+        return false;
+    }
+
+    /// Sends a request and gives its answer, which is filled in while the loop runs.
+    std::shared_ptr<std::optional<edge_answer>> send(const endpoint& address,
+                                                     http_request request) {
+        auto received = std::make_shared<std::optional<edge_answer>>();
+        if (find_header(request.headers, "X-Request-Id") == nullptr) {
+            request.headers.push_back({"X-Request-Id", "id-" + std::to_string(++this->last_id)});
+        }
+        send_once(this->events, address, request, seconds(10), {},
+                  [received](http_outcome outcome) {
+                      received->emplace();
+                      if (outcome) {
+                          **received = {outcome->status, std::move(outcome->headers),
+                                        body_text(outcome->body.get())};
+                      }
+                  });
+        return received;
+    }
+    edge_answer fetch(const endpoint& address, http_request request) {
+        const auto received = this->send(address, std::move(request));
+        this->run_until([&] { return received->has_value(); }, seconds(12));
+        return received->value_or(edge_answer{});
+    }
+    edge_answer get(const endpoint& address, const std::string& uri, const std::string& key = "") {
+        return this->fetch(address, make_request("GET", uri, key));
+    }
+    [[nodiscard]] static http_request
+    make_request(const std::string& method, const std::string& uri, const std::string& key = "") {
+        http_request request;
+        request.method = method;
+        request.uri = uri;
+        request.headers = {{"Host", "h.example"}};
+        if (!key.empty()) {
+            request.headers.push_back({"X-Key", key});
+        }
+        return request;
+    }
+    /// Sends GET requests until one is answered with \p status; false after some seconds.
+    bool becomes(const std::string& uri, const std::string& key, int status) {
+        const time_point end = boot_clock::now() + seconds(8);
+        while (boot_clock::now() < end) {
+            if (this->get(this->callers(0), uri, key).status == status) {
+                return true;
+            }
+            this->run_for(milliseconds(50));
+        }
+        return false;
+    }
+    [[nodiscard]] int total_arrivals(const std::string& uri) const {
+        int total = 0;
+        for (const auto& [id, target] : this->targets) {
+            const auto found = target->arrivals.find(uri);
+            total += found == target->arrivals.end() ? 0 : found->second;
+        }
+        return total;
+    }
+    [[nodiscard]] std::string log_of(int number) const {
+        const std::ifstream file(this->folder + "/edge-" + std::to_string(number) + ".log");
+        std::ostringstream text;
+        text << file.rdbuf();
+        return text.str();
+    }
+
+private:
+    int last_id{0};
+};
+
+} // namespace knapweedknot::harness
--- /dev/null
+++ b/tests/edge_test.cpp
@@ -0,0 +1,256 @@
+#define BOOST_TEST_MODULE edge
+#include <boost/test/unit_test.hpp>
+
+#include <csignal>
+
+#include "edge_fixture.h"
+#include "raw_socket.h"
+
+using namespace knapweedknot;
+using namespace knapweedknot::harness;
+
+/// \file
+/// The path on the users' platform, with edges as processes.
+
+namespace {
+
+/// Holds every request without an answer.
+void hang(test_target& target) {
+    target.behaviour = [&target](const auto& request) { target.held.push_back(request); };
+}
+
+/// Closes the connection of every request without an answer.
+void break_off(test_target& target) {
+    target.behaviour = [&target](const auto& /*request*/) { target.last.reset(); };
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(a_request_is_translated_and_its_answer_passed_on) {
+    edge_fleet fleet(61);
+    fleet.write("op/config", edge_fleet::usual_policy("00000002").dump());
+    test_target& target = fleet.add_target("i-1");
+    fleet.start();
+
+    const edge_answer named =
+        fleet.get(fleet.edge_address(0, 8082), "/resolve?name=h.example&region=r&zone=zone");
+    BOOST_TEST(named.status == 200);
+    const auto listed = nlohmann::json::parse(named.body);
+    BOOST_TEST(listed["addresses"][0] == to_string(fleet.callers(0)));
+    BOOST_TEST(listed["ttl-s"].get<double>() > 0);
+
+    http_request request = edge_fleet::make_request("POST", "/once/a/b?c=d", "key-1");
+    request.headers.push_back({"X-Tenant", "someone-else"});
+    request.headers.push_back({"X-Deadline-Ms", "2000"});
+    request.headers.push_back({"X-Custom", "kept"});
+    request.body = make_body("content");
+    const edge_answer answer = fleet.fetch(fleet.callers(0), std::move(request));
+    BOOST_TEST(answer.status == 200);
+    BOOST_TEST(answer.body == "done");
+    BOOST_TEST(answer.header("X-Response-Signature") == "signed-by-i-1");
+    BOOST_REQUIRE(target.last != nullptr);
+    BOOST_TEST(target.last->uri() == "/once/a/b?c=d");
+    BOOST_TEST(body_text(target.last->body()) == "content");
+    BOOST_TEST(target.last->header("Host") == "h.example");
+    BOOST_TEST(target.last->header("X-Tenant") == "shop");
+    BOOST_TEST(target.last->header("X-Custom") == "kept");
+    BOOST_TEST(target.last->header("X-Target-Instance") == "i-1");
+    BOOST_TEST(target.last->header("X-Key").empty());
+    const int left = std::stoi(std::string(target.last->header("X-Deadline-Ms")));
+    BOOST_TEST(left > 1500);
+    BOOST_TEST(left <= 2000);
+
+    BOOST_TEST(fleet.get(fleet.callers(0), "/safe/1").status == 401);
+    BOOST_TEST(fleet.get(fleet.callers(0), "/safe/1", "no-such-key").status == 401);
+    BOOST_TEST(fleet.get(fleet.callers(0), "/nowhere/1", "key-1").status == 404);
+    BOOST_TEST(fleet.get(fleet.callers(0), "/open/1").status == 200);
+    BOOST_TEST(target.last->header("X-Tenant").empty());
+    BOOST_TEST(fleet.get(fleet.callers(0), "/open/2", "key-1").status == 200);
+    BOOST_TEST(target.last->header("X-Tenant") == "shop");
+    BOOST_TEST(fleet.log_of(0).find("key-1") == std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(nothing_is_denied_before_the_first_policy_is_known) {
+    edge_fleet fleet(62);
+    fleet.start_edge(0);
+    BOOST_REQUIRE(fleet.wait_ready(0, 503));
+    const edge_answer early = fleet.get(fleet.callers(0), "/safe/1", "key-1");
+    BOOST_TEST(early.status == 503);
+    BOOST_TEST(!early.header("Retry-After").empty());
+    fleet.add_target("i-1");
+    fleet.write("op/config", edge_fleet::usual_policy("00000002").dump());
+    BOOST_REQUIRE(fleet.wait_ready(0));
+    BOOST_TEST(fleet.becomes("/safe/1", "key-1", 200));
+}
+
+BOOST_AUTO_TEST_CASE(a_withdrawn_key_stops_also_when_the_store_goes_away_with_it) {
+    edge_fleet fleet(63);
+    fleet.write("op/config", edge_fleet::usual_policy("00000002").dump());
+    fleet.add_target("i-1");
+    fleet.start();
+    BOOST_TEST(fleet.get(fleet.callers(0), "/safe/1", "key-2").status == 200);
+
+    nlohmann::json without = edge_fleet::usual_policy("00000009");
+    without["resources"][4]["spec"]["api-keys"] = {"key-1"};
+    fleet.write("op/config", without.dump());
+    BOOST_TEST(fleet.becomes("/safe/2", "key-2", 401));
+    BOOST_TEST(fleet.get(fleet.callers(0), "/safe/3", "key-1").status == 200);
+
+    fleet.set_outage("refuse");
+    fleet.run_for(milliseconds(2000));
+    const edge_answer unproved = fleet.get(fleet.callers(0), "/safe/4", "key-1");
+    BOOST_TEST(unproved.status == 503);
+    BOOST_TEST(fleet.total_arrivals("/safe/4") == 0);
+    BOOST_TEST(fleet.get(fleet.callers(0), "/open/1").status == 200);
+    fleet.set_outage("none");
+    BOOST_TEST(fleet.becomes("/safe/5", "key-1", 200));
+}
+
+BOOST_AUTO_TEST_CASE(work_that_must_not_be_repeated_is_sent_once_unless_it_did_not_run) {
+    edge_fleet fleet(64);
+    fleet.write("op/config", edge_fleet::usual_policy("00000002").dump());
+    test_target& first = fleet.add_target("i-1");
+    test_target& second = fleet.add_target("i-2");
+    fleet.start();
+    break_off(first);
+    break_off(second);
+    const edge_answer broken =
+        fleet.fetch(fleet.callers(0), edge_fleet::make_request("POST", "/once/1", "key-1"));
+    BOOST_TEST(broken.status == 502);
+    BOOST_TEST(broken.header("Knapweedknot-Outcome") == "may_have_run");
+    BOOST_TEST(fleet.total_arrivals("/once/1") == 1);
+
+    const auto refuse = [](const auto& request) { test_target::refuse(*request, 503); };
+    first.behaviour = refuse;
+    second.behaviour = refuse;
+    const edge_answer refused =
+        fleet.fetch(fleet.callers(0), edge_fleet::make_request("POST", "/once/2", "key-1"));
+    BOOST_TEST(refused.status == 503);
+    BOOST_TEST(refused.header("Knapweedknot-Outcome") == "not_run");
+    BOOST_TEST(fleet.total_arrivals("/once/2") == 2);
+}
+
+BOOST_AUTO_TEST_CASE(a_silent_target_is_made_up_for_by_another) {
+    edge_fleet fleet(65);
+    fleet.write("op/config", edge_fleet::usual_policy("00000002").dump());
+    test_target& first = fleet.add_target("i-1");
+    test_target& second = fleet.add_target("i-2");
+    fleet.start();
+    bool hung = false;
+    const auto hang_first_arrival = [&](test_target& target) {
+        target.behaviour = [&hung, &target](const auto& request) {
+            if (!hung) {
+                hung = true;
+                target.held.push_back(request);
+            } else {
+                target.answer(*request);
+            }
+        };
+    };
+    hang_first_arrival(first);
+    hang_first_arrival(second);
+    const time_point start = boot_clock::now();
+    BOOST_TEST(fleet.get(fleet.callers(0), "/safe/1", "key-1").status == 200);
+    BOOST_TEST((boot_clock::now() - start < milliseconds(1500)));
+    BOOST_TEST(fleet.total_arrivals("/safe/1") == 2);
+}
+
+BOOST_AUTO_TEST_CASE(work_for_a_caller_that_has_gone_is_cancelled) {
+    edge_fleet fleet(66);
+    fleet.write("op/config", edge_fleet::usual_policy("00000002").dump());
+    test_target& target = fleet.add_target("i-1");
+    fleet.start();
+    hang(target);
+    bool cancelled = false;
+    target.behaviour = [&](const auto& request) {
+        target.held.push_back(request);
+        request->on_caller_gone([&] { cancelled = true; });
+    };
+    raw_socket caller;
+    caller.connect(fleet.callers(0));
+    caller.send("POST /once/1 HTTP/1.1\r\nHost: h.example\r\nX-Key: key-1\r\nX-Request-Id: r1\r\n"
+                "Content-Length: 0\r\n\r\n");
+    BOOST_REQUIRE(fleet.run_until([&] { return !target.held.empty(); }));
+    caller.close();
+    BOOST_TEST(fleet.run_until([&] { return cancelled; }, milliseconds(500)));
+}
+
+BOOST_AUTO_TEST_CASE(a_leaving_target_and_one_at_a_reused_address_get_no_work) {
+    edge_fleet fleet(67);
+    fleet.write("op/config", edge_fleet::usual_policy("00000002").dump());
+    test_target& first = fleet.add_target("i-1");
+    test_target& second = fleet.add_target("i-2");
+    fleet.start();
+    fleet.register_target(first, "draining");
+    fleet.run_for(milliseconds(1500));
+    for (int i = 0; i < 20; ++i) {
+        BOOST_TEST(fleet.get(fleet.callers(0), "/safe/a", "key-1").status == 200);
+    }
+    BOOST_TEST(first.arrivals["/safe/a"] == 0);
+    fleet.register_target(first, "ready");
+    fleet.run_for(milliseconds(1500));
+    second.behaviour = [](const auto& request) { test_target::refuse(*request, 421); };
+    for (int i = 0; i < 20; ++i) {
+        BOOST_TEST(fleet.get(fleet.callers(0), "/safe/b", "key-1").status == 200);
+    }
+    BOOST_TEST(second.arrivals["/safe/b"] <= 1);
+}
+
+BOOST_AUTO_TEST_CASE(the_rate_of_an_account_holds_over_two_edges) {
+    edge_fleet fleet(68, 2);
+    nlohmann::json policy = edge_fleet::usual_policy("00000002");
+    policy["resources"][4]["spec"]["rate-per-s"] = 20;
+    policy["resources"][4]["spec"]["burst"] = 10;
+    fleet.write("op/config", policy.dump());
+    fleet.add_target("i-1");
+    fleet.start();
+    fleet.run_for(milliseconds(1500));
+    const time_point start = boot_clock::now();
+    std::vector<std::shared_ptr<std::optional<edge_answer>>> answers;
+    const timer pump = fleet.events.every(milliseconds(10), [&] {
+        const int edge = static_cast<int>(answers.size() % 2);
+        answers.push_back(
+            fleet.send(fleet.callers(edge), edge_fleet::make_request("GET", "/safe/q", "key-1")));
+    });
+    fleet.run_for(seconds(4));
+    const double spent_s = to_seconds(boot_clock::now() - start);
+    const int ran = fleet.total_arrivals("/safe/q");
+    // The users' own rule for a window: a tenth and 20 requests over rate and burst.
+    BOOST_TEST(ran <= (20 * spent_s + 10) * 1.1 + 20);
+    BOOST_TEST(ran >= 20 * spent_s * 0.7);
+}
+
+BOOST_AUTO_TEST_CASE(a_graceful_stop_delivers_what_is_ready_behind_a_silent_target) {
+    edge_fleet fleet(69);
+    fleet.bounds["stop_grace_s"] = 3;
+    nlohmann::json policy = edge_fleet::usual_policy("00000002");
+    policy["resources"][0]["spec"]["timeout-ms"] = 20'000;
+    policy["resources"][0]["spec"]["max-attempts"] = 1;
+    fleet.write("op/config", policy.dump());
+    test_target& target = fleet.add_target("i-1");
+    fleet.start();
+    target.behaviour = [&](const auto& request) {
+        if (request->uri() == "/safe/silent") {
+            target.held.push_back(request);
+        } else {
+            target.answer(*request, 200, "answer to " + request->uri());
+        }
+    };
+    raw_socket caller;
+    caller.connect(fleet.callers(0));
+    caller.send("GET /safe/silent HTTP/1.1\r\nHost: h.example\r\nX-Key: key-1\r\n"
+                "X-Request-Id: r1\r\n\r\n"
+                "GET /safe/ready HTTP/1.1\r\nHost: h.example\r\nX-Key: key-1\r\n"
+                "X-Request-Id: r2\r\n\r\n");
+    BOOST_REQUIRE(fleet.run_until([&] { return fleet.total_arrivals("/safe/ready") == 1; }));
+    fleet.daemons.at(0).signal(SIGTERM);
+    BOOST_TEST(fleet.wait_ready(0, 503));
+    std::string received;
+    fleet.run_until([&] {
+        received += caller.read_available();
+        return fleet.daemons.at(0).has_ended();
+    });
+    received += caller.read_available();
+    BOOST_TEST(received.find("HTTP/1.1 504") != std::string::npos);
+    BOOST_TEST(received.find("answer to /safe/ready") != std::string::npos);
+}
--- /dev/null
+++ b/tests/raw_socket.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include <boost/test/unit_test.hpp>
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "base/endpoint.h"
+
+/// \file
+/// Raw bytes over TCP for tests.
+
+namespace knapweedknot::harness {
+
+/// A blocking TCP connection that sends and receives raw bytes.
+struct raw_socket {
+    int fd{socket(AF_INET, SOCK_STREAM, 0)};
+
+    ~raw_socket() { this->close(); }
+    void close() {
+        if (this->fd >= 0) {
+            ::close(this->fd);
+        }
+        this->fd = -1;
+    }
+    void connect(const endpoint& address) const {
+        sockaddr_in name{};
+        name.sin_family = AF_INET;
+        name.sin_port = htons(address.port);
+        inet_pton(AF_INET, address.ip.c_str(), &name.sin_addr);
+        BOOST_REQUIRE(::connect(this->fd, reinterpret_cast<sockaddr*>(&name), sizeof name) == 0);
+    }
+    void send(std::string_view text) const {
+        BOOST_REQUIRE(::send(this->fd, text.data(), text.size(), 0) ==
+                      static_cast<ssize_t>(text.size()));
+    }
+    [[nodiscard]] std::string read_available() const {
+        std::string text(65536, '\0');
+        const ssize_t size = recv(this->fd, text.data(), text.size(), MSG_DONTWAIT);
+        text.resize(size > 0 ? static_cast<std::size_t>(size) : 0);
+        return text;
+    }
+};
+
+} // namespace knapweedknot::harness
