--- a/libs/decide/include/decide/target_rotation.h
+++ b/libs/decide/include/decide/target_rotation.h
@@ -58,8 +58,8 @@
     bool on_trial{false};
     /// When it last gave a good answer; the epoch before the first.
     time_point last_success;
-    /// False until it was given its first request.
-    bool was_used{false};
+    /// When this instance last gave it a request; the epoch before the first.
+    time_point last_used;
 };
 
 /// Adds \p doubt from a failure.
--- a/libs/decide/src/target_rotation.cpp
+++ b/libs/decide/src/target_rotation.cpp
@@ -15,8 +15,10 @@
 // What a request that is not answered costs, in parts of a target's capacity.
 constexpr double cost_of_repeatable_loss = 1.0;
 constexpr double cost_of_final_loss = 3.0;
-// A target that has joined gets its first request soon, so that it is known.
-constexpr double worth_of_first_use = 0.4;
+// A target that has had no request for a while gets one soon: it stays known, one that has joined
+// becomes known, and little traffic still reaches the floor of targets.
+constexpr double worth_of_long_rest = 0.8;
+constexpr duration long_rest = milliseconds(1500);
 // Probability that a target has turned bad when nothing has been heard of it for long, and how
 // fast it grows after a good answer.
 constexpr double risk_unheard = 0.06;
@@ -46,12 +48,13 @@
 double cost_of(const target_candidate& candidate, loss if_lost, time_point now) {
     const double load =
         static_cast<double>(candidate.standing.running) / static_cast<double>(candidate.slots);
-    const bool is_new = !candidate.evidence->was_used && !candidate.warming_up;
+    const double rest =
+        std::min(1.0, to_seconds(now - candidate.evidence->last_used) / to_seconds(long_rest));
     const double cost_of_loss =
         if_lost == loss::final ? cost_of_final_loss : cost_of_repeatable_loss;
     return load + cost_of_loss * risk_of(candidate, now) -
            (candidate.connected ? worth_of_connection : 0) -
-           (candidate.nearby ? worth_of_nearness : 0) - (is_new ? worth_of_first_use : 0) +
+           (candidate.nearby ? worth_of_nearness : 0) - worth_of_long_rest * rest +
            (candidate.warming_up ? cost_of_warm_up : 0);
 }
 
--- /dev/null
+++ b/libs/decide/tests/traffic_test.cpp
@@ -0,0 +1,147 @@
+#include <boost/test/unit_test.hpp>
+
+#include <deque>
+#include <random>
+#include <vector>
+
+#include "decide/instance_choice.h"
+#include "decide/shared_bucket.h"
+#include "decide/weighted_split.h"
+
+using namespace knapweedknot;
+
+namespace {
+
+const time_point start{std::chrono::hours(1)};
+
+instance_candidate candidate(const std::string& name, const std::string& domain, double rate = 0,
+                             bool ready = true, duration uptime = seconds(60)) {
+    instance_candidate made;
+    made.instance.value = name;
+    made.failure_domain.value = domain;
+    made.ready = ready;
+    made.uptime = uptime;
+    made.request_rate = rate;
+    return made;
+}
+
+/// Greatest number of \p times in any window of \p length.
+std::size_t busiest_window(const std::vector<time_point>& times, duration length) {
+    std::size_t most = 0;
+    std::size_t first = 0;
+    for (std::size_t last = 0; last < times.size(); ++last) {
+        while (times[last] - times[first] >= length) {
+            ++first;
+        }
+        most = std::max(most, last - first + 1);
+    }
+    return most;
+}
+
+/// Admissions of several instances that hear of each other after a delay.
+std::vector<time_point> admit_on_copies(std::size_t copies, const rate_limit& limit,
+                                        double requests_per_s, unsigned seed) {
+    struct report {
+        time_point arrives;
+        std::size_t from;
+    };
+    const shared_bucket_times times;
+    std::vector<shared_bucket> buckets(copies, make_shared_bucket(limit, start));
+    std::deque<report> reports;
+    std::vector<time_point> admitted;
+    std::minstd_rand random(seed);
+    std::uniform_int_distribution<std::size_t> draw(0, copies - 1);
+    const auto step = from_seconds(1 / requests_per_s);
+    for (time_point now = start; now < start + seconds(30); now += step) {
+        while (!reports.empty() && reports.front().arrives <= now) {
+            for (std::size_t i = 0; i < copies; ++i) {
+                if (i != reports.front().from) {
+                    note_peer_tokens(buckets[i], 1, times, now);
+                }
+            }
+            reports.pop_front();
+        }
+        const std::size_t chosen = draw(random);
+        advance(buckets[chosen], limit, 1, now);
+        if (take_token(buckets[chosen], times)) {
+            admitted.push_back(now);
+            reports.push_back({now + times.report_delay, chosen});
+        }
+    }
+    return admitted;
+}
+
+} // namespace
+
+// Pattern: one account sends many times its rate to several instances at once.
+BOOST_AUTO_TEST_CASE(copies_of_a_bucket_admit_the_rate_together) {
+    const rate_limit limit{30, 30};
+    for (unsigned seed = 1; seed <= 20; ++seed) {
+        const auto admitted = admit_on_copies(6, limit, 240, seed);
+        constexpr double window_s = 5;
+        const double bound = limit.rate_per_s * window_s + limit.burst;
+        // The users' rule for any 5 s: a tenth and 20 requests over rate and burst.
+        BOOST_TEST(busiest_window(admitted, from_seconds(window_s)) <= bound * 1.1 + 20);
+        BOOST_TEST(admitted.size() >= 30 * limit.rate_per_s * 0.95);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(an_account_within_its_rate_is_never_refused_by_copies) {
+    const auto admitted = admit_on_copies(6, {30, 30}, 20, 3);
+    BOOST_TEST(admitted.size() == 600U);
+}
+
+BOOST_AUTO_TEST_CASE(a_token_to_come_is_taken_once) {
+    shared_bucket bucket = make_shared_bucket({10, 2}, start);
+    const shared_bucket_times times;
+    BOOST_TEST(take_token(bucket, times));
+    BOOST_TEST(take_token(bucket, times));
+    BOOST_TEST(!take_token(bucket, times));
+    const auto first = take_future_token(bucket, times, milliseconds(250));
+    const auto second = take_future_token(bucket, times, milliseconds(250));
+    BOOST_REQUIRE(first.has_value());
+    BOOST_REQUIRE(second.has_value());
+    BOOST_TEST((*first == milliseconds(100)));
+    BOOST_TEST((*second == milliseconds(200)));
+    BOOST_TEST(!take_future_token(bucket, times, milliseconds(250)).has_value());
+    advance(bucket, {10, 2}, 1, start + milliseconds(200));
+    BOOST_TEST(!take_token(bucket, times));
+    advance(bucket, {10, 2}, 1, start + milliseconds(300));
+    BOOST_TEST(take_token(bucket, times));
+}
+
+BOOST_AUTO_TEST_CASE(a_split_keeps_its_weights_at_every_point) {
+    weighted_split split = make_weighted_split({90, 10});
+    std::vector<int> counts(2, 0);
+    for (int i = 1; i <= 1000; ++i) {
+        ++counts[next_part(split)];
+        BOOST_TEST(std::abs(counts[1] - i * 0.1) < 1.0);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(callers_are_sent_to_few_instances_of_their_own_domain) {
+    const std::vector<instance_candidate> all{candidate("a1", "a"), candidate("a2", "a"),
+                                              candidate("b1", "b"), candidate("b2", "b", 0, false)};
+    const auto for_a = choose_instances(all, failure_domain_id{"a"}, {});
+    BOOST_REQUIRE(for_a.size() == 1U);
+    BOOST_TEST(for_a.front().failure_domain.value == "a");
+    const auto again = choose_instances(all, failure_domain_id{"a"}, {});
+    BOOST_TEST(again.front().instance.value == for_a.front().instance.value);
+    BOOST_TEST(choose_instances(all, failure_domain_id{"c"}, {}).size() == 1U);
+    BOOST_TEST(
+        choose_instances({candidate("b2", "b", 0, false)}, failure_domain_id{"b"}, {}).empty());
+}
+
+BOOST_AUTO_TEST_CASE(more_traffic_is_served_by_more_instances) {
+    const std::vector<instance_candidate> all{candidate("a1", "a", 80), candidate("a2", "a", 60),
+                                              candidate("a3", "a"), candidate("a4", "a"),
+                                              candidate("b1", "b", 500)};
+    BOOST_TEST(choose_instances(all, failure_domain_id{"a"}, {}).size() == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(a_process_that_has_just_started_is_named_last) {
+    const std::vector<instance_candidate> all{candidate("a1", "a", 0, true, milliseconds(100)),
+                                              candidate("a2", "a"),
+                                              candidate("a3", "a", 0, true, milliseconds(100))};
+    BOOST_TEST(choose_instances(all, failure_domain_id{"a"}, {}).front().instance.value == "a2");
+}
--- a/libs/fleet/include/fleet/fleet_reports.h
+++ b/libs/fleet/include/fleet/fleet_reports.h
@@ -126,8 +126,6 @@
     time_point last_to_near;
     time_point last_to_far;
     time_point last_hurried;
-    /// True when the last report to serving peers told of something that runs.
-    bool told_of_work{false};
     timer ticking;
     timer hurrying;
 };
--- a/libs/fleet/src/fleet_reports.cpp
+++ b/libs/fleet/src/fleet_reports.cpp
@@ -157,7 +157,7 @@
 target_use fleet_reports::total_at(std::uint64_t target, time_point now) const {
     target_use total;
     for (const auto& [incarnation, peer] : this->known) {
-        if (!this->is_heard(peer, now)) {
+        if (!this->is_heard(peer, now) || !peer.report->serving) {
             continue;
         }
         const auto found = peer.report->targets.find(target);
@@ -193,12 +193,10 @@
     }
 }
 
-/// Tells the serving peers in full: if this instance serves too, or has something running.
+/// Tells the serving peers in full, if this instance serves too.
 void fleet_reports::send_busy() {
     const fleet_report report = this->make_report(true);
-    const bool has_news = report.serving || !report.targets.empty() || this->told_of_work;
-    this->told_of_work = !report.targets.empty();
-    if (!has_news) {
+    if (!report.serving) {
         return;
     }
     const wire::reportT message = encode(report);
@@ -210,13 +208,7 @@
 }
 
 void fleet_reports::send_quiet(bool near_ones, bool far_ones) {
-    fleet_report report = this->make_report(true);
-    if (!report.serving) {
-        // Only an instance that serves knows enough of the targets to tell everybody.
-        report.in_full = false;
-        report.targets.clear();
-    }
-    const wire::reportT message = encode(report);
+    const wire::reportT message = encode(this->make_report(false));
     for (const auto& [incarnation, peer] : this->known) {
         if (this->is_near(peer) ? near_ones : far_ones) {
             this->network.send(incarnation, message);
--- a/libs/proxy/src/balancer.cpp
+++ b/libs/proxy/src/balancer.cpp
@@ -282,7 +282,7 @@
         ++this->counters.new_connections;
     }
     at->running.push_back(&made);
-    at->evidence.was_used = true;
+    at->evidence.last_used = now;
     work->tried.insert(at->known.registration.id);
     work->last_target = at->known.registration.id;
     ++work->sent;
