--- a/tools/check_models.sh
+++ b/tools/check_models.sh
@@ -44,5 +44,9 @@
 for rule in NO_ANNOUNCE NO_GRACE_END ADOPT_ANY; do
     expect fails acceptance "-D$rule"
 done
+expect holds proof
+for rule in PROOF_FROM_ANSWER NO_LIFETIME; do
+    expect fails proof "-D$rule"
+done
 echo "$passed passed, $failed failed"
 [ "$failed" -eq 0 ]
