--- a/libs/event/src/caller_session.cpp
+++ b/libs/event/src/caller_session.cpp
@@ -205,7 +205,7 @@
         "HTTP/1.1 " + std::to_string(answer.status) + ' ' + reason_phrase(answer.status) + "\r\n";
     for (const auto& [name, value] : answer.headers) {
         if (!equal_ignoring_case(name, "Connection")) {
-            head += name + ": " + value + "\r\n";
+            head.append(name).append(": ").append(value).append("\r\n");
         }
     }
     if (closes) {
--- a/libs/event/src/http_client.cpp
+++ b/libs/event/src/http_client.cpp
@@ -128,14 +128,14 @@
     evbuffer* output = bufferevent_get_output(this->stream.get());
     std::string head = request.method + ' ' + request.uri + " HTTP/1.1\r\n";
     for (const auto& [name, value] : request.headers) {
-        head += name + ": " + value + "\r\n";
+        head.append(name).append(": ").append(value).append("\r\n");
     }
     if (find_header(request.headers, "Host") == nullptr) {
-        head += "Host: " + to_string(this->address) + "\r\n";
+        head.append("Host: ").append(to_string(this->address)).append("\r\n");
     }
     const std::size_t body_bytes = body_size(request.body.get());
     if (has_length(request.method, body_bytes)) {
-        head += "Content-Length: " + std::to_string(body_bytes) + "\r\n";
+        head.append("Content-Length: ").append(std::to_string(body_bytes)).append("\r\n");
     }
     head += "\r\n";
     evbuffer_add(output, head.data(), head.size());
--- a/libs/proxy/include/proxy/account_ledger.h
+++ b/libs/proxy/include/proxy/account_ledger.h
@@ -17,7 +17,9 @@
 /// Admits requests. Not thread safe.
 class account_ledger {
 public:
-    explicit account_ledger(const shared_bucket_times& times) : times(times) {}
+    /// \param started when this process began to admit
+    account_ledger(const shared_bucket_times& times, time_point started)
+        : times(times), started(started) {}
 
     /// What became of a request for admission.
     struct verdict {
@@ -51,7 +53,11 @@
         time_point last_admitted;
     };
 
+    [[nodiscard]] shared_bucket make_bucket(std::uint64_t account, const rate_limit& limit,
+                                            time_point now) const;
+
     shared_bucket_times times;
+    time_point started;
     std::unordered_map<std::uint64_t, entry> entries;
     /// Lowest tokens that peers report, for accounts that were not seen here yet.
     std::unordered_map<std::uint64_t, double> peer_tokens;
--- a/libs/proxy/src/account_ledger.cpp
+++ b/libs/proxy/src/account_ledger.cpp
@@ -10,11 +10,29 @@
 
 // Others are told soon once this share of the burst was admitted since they last heard.
 constexpr double urgent_share = 0.1;
+// For this long after a start, what others and the process before admitted may still count.
+constexpr duration unknown_history = seconds(5);
+// Part of the burst that a young process begins with.
+constexpr double first_share = 0.15;
 // Counts are reported for this long after their last change, so that a lost report is made up for.
 constexpr duration reporting_time = seconds(7);
 
 } // namespace
 
+/// The bucket of an account that was not seen here yet. What was admitted before this process
+/// started is not known at first, so a young process begins with little.
+shared_bucket account_ledger::make_bucket(std::uint64_t account, const rate_limit& limit,
+                                          time_point now) const {
+    shared_bucket bucket = make_shared_bucket(limit, now);
+    if (const auto told = this->peer_tokens.find(account); told != this->peer_tokens.end()) {
+        bucket.tokens = std::min(bucket.tokens, told->second);
+    }
+    if (now - this->started < unknown_history) {
+        bucket.tokens = std::min(bucket.tokens, std::max(1.0, limit.burst * first_share));
+    }
+    return bucket;
+}
+
 account_ledger::verdict account_ledger::admit(const traffic_account& account, double share,
                                               duration longest_wait, time_point now) {
     verdict given;
@@ -27,10 +45,7 @@
     const auto [place, is_new] = this->entries.try_emplace(id);
     entry& known = place->second;
     if (is_new) {
-        known.bucket = make_shared_bucket(limit, now);
-        if (const auto told = this->peer_tokens.find(id); told != this->peer_tokens.end()) {
-            known.bucket.tokens = std::min(known.bucket.tokens, told->second);
-        }
+        known.bucket = this->make_bucket(id, limit, now);
     }
     advance(known.bucket, limit, share, now);
     const auto wait = take_future_token(known.bucket, this->times, longest_wait);
--- a/libs/proxy/src/edge_gateway.cpp
+++ b/libs/proxy/src/edge_gateway.cpp
@@ -61,8 +61,8 @@
 edge_gateway::edge_gateway(const parts& given)
     : owner(given.owner), settings(given.settings), headers(given.headers), policy(given.policy),
       directory(given.directory), reports(given.reports),
-      resends(make_resend_policy(given.settings.bounds)), accounts(shared_bucket_times{}),
-      started(boot_clock::now()),
+      resends(make_resend_policy(given.settings.bounds)),
+      accounts(shared_bucket_times{}, boot_clock::now()), started(boot_clock::now()),
       callers(given.owner, server_limits(request_limits{}),
               [this](const request_ptr& incoming) { this->handle(incoming); }) {
     this->callers.make_refusal = [this](const error& problem) {
