--- a/libs/fleet/include/fleet/target_directory.h
+++ b/libs/fleet/include/fleet/target_directory.h
@@ -57,10 +57,6 @@
     /// Targets of \p service by id; empty when it has none.
     [[nodiscard]] const std::map<target_id, known_target>&
     targets_of(const service_id& service) const;
-    [[nodiscard]] const std::map<service_id, std::map<target_id, known_target>>&
-    all() const noexcept {
-        return this->by_service;
-    }
     /// True after the first complete reading.
     [[nodiscard]] bool is_loaded() const noexcept { return this->loaded; }
     /// Revision of the store up to which registrations are known.
--- a/libs/proxy/include/proxy/edge_metrics.h
+++ b/libs/proxy/include/proxy/edge_metrics.h
@@ -37,7 +37,6 @@
     time_histogram target_time;
     std::uint64_t caller_gone{0};
     std::uint64_t address_answers{0};
-    std::uint64_t log_lines_left_out{0};
 };
 
 /// Appends one counter or gauge with an optional label, for example "service=\"x\"".
--- a/libs/proxy/include/proxy/edge_settings.h
+++ b/libs/proxy/include/proxy/edge_settings.h
@@ -49,7 +49,6 @@
     /// Where other instances connect.
     endpoint peers_address;
     endpoint store_address;
-    std::size_t memory_bytes{std::size_t{256} * 1024 * 1024};
     log_level lowest_log_level{log_level::info};
     fleet_bounds bounds;
 };
--- a/libs/proxy/src/balancer.cpp
+++ b/libs/proxy/src/balancer.cpp
@@ -70,7 +70,6 @@
     int sent{0};
     /// True when a target may have run it.
     bool may_have_run{false};
-    bool queued{false};
     target_id last_target;
     timer due;
 };
@@ -543,7 +542,6 @@
                      std::clamp<duration>(expected, least_retry_after, longest_retry_after));
         return;
     }
-    work->queued = true;
     this->waiting[work->wanted.priority].push(work->wanted.account, work->ticket);
 }
 
@@ -564,7 +562,6 @@
                 queue.push(work->wanted.account, ticket);
                 return;
             }
-            work->queued = false;
             this->send(work, chosen);
         }
     }
--- a/libs/proxy/src/edge_settings.cpp
+++ b/libs/proxy/src/edge_settings.cpp
@@ -10,7 +10,6 @@
 namespace {
 
 constexpr long long longest_time_ms = 3'600'000;
-constexpr long long bytes_per_megabyte = 1024 * 1024;
 
 endpoint read_endpoint(settings_reader& reader, std::string_view name) {
     const auto parsed = parse_endpoint(reader.required_text(name));
@@ -72,11 +71,6 @@
     settings.metrics_address = read_endpoint(reader, "metrics_address");
     settings.peers_address = read_endpoint(reader, "peers_address");
     settings.store_address = read_endpoint(reader, "store_address");
-    constexpr long long default_megabytes = 256;
-    constexpr long long most_megabytes = 1'000'000;
-    settings.memory_bytes = static_cast<std::size_t>(
-        reader.integer("memory_mb", default_megabytes, 1, most_megabytes, "MB") *
-        bytes_per_megabyte);
     settings.lowest_log_level = parse_log_level(reader.text("log_level", "info"));
     settings.bounds = read_bounds(reader.object("bounds"), problems);
     reader.reject_unknown_fields();
--- a/programs/knapweedknotd/edge_instance.cpp
+++ b/programs/knapweedknotd/edge_instance.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 // How long callers may keep an answer about addresses.
-constexpr duration address_answer_lifetime = seconds(1);
+constexpr duration address_answer_lifetime = milliseconds(1000);
 // Callers may keep an answer for this many lifetimes.
 constexpr int address_answer_reuse = 3;
 constexpr duration pace_interval = seconds(1);
@@ -124,6 +124,7 @@
                       {{"instance", this->settings.instance.value},
                        {"incarnation", std::to_string(this->self.incarnation.value)},
                        {"callers", to_string(this->settings.callers_address)},
+                       {"metrics", to_string(this->settings.metrics_address)},
                        {"store", to_string(this->settings.store_address)}});
         });
 }
@@ -194,7 +195,8 @@
         return;
     }
     ++this->gateway.measured().address_answers;
-    request->answer(platform::make_address_answer(named, address_answer_lifetime));
+    request->answer(platform::make_address_answer(
+        named, std::min(address_answer_lifetime, this->settings.bounds.address_lifetime)));
 }
 
 void edge_instance::handle_metrics(const std::shared_ptr<incoming_request>& request) {
--- a/tests/edge_fixture.h
+++ b/tests/edge_fixture.h
@@ -15,6 +15,7 @@
 
 #include "event/http_client.h"
 #include "event/http_server.h"
+#include "fetched.h"
 #include "platform/store_client.h"
 #include "platform_service.h"
 #include "process.h"
@@ -24,18 +25,6 @@
 
 namespace knapweedknot::harness {
 
-/// What a caller received. Status zero means that there was no answer.
-struct edge_answer {
-    int status{0};
-    http_headers headers;
-    std::string body;
-
-    [[nodiscard]] std::string header(std::string_view name) const {
-        const std::string* value = find_header(this->headers, name);
-        return value == nullptr ? "" : *value;
-    }
-};
-
 /// A target that the test controls. Not thread safe.
 class test_target {
 public:
@@ -240,9 +229,8 @@
     }
 
     /// Sends a request and gives its answer, which is filled in while the loop runs.
-    std::shared_ptr<std::optional<edge_answer>> send(const endpoint& address,
-                                                     http_request request) {
-        auto received = std::make_shared<std::optional<edge_answer>>();
+    std::shared_ptr<std::optional<fetched>> send(const endpoint& address, http_request request) {
+        auto received = std::make_shared<std::optional<fetched>>();
         if (find_header(request.headers, "X-Request-Id") == nullptr) {
             request.headers.push_back({"X-Request-Id", "id-" + std::to_string(++this->last_id)});
         }
@@ -256,12 +244,12 @@
                   });
         return received;
     }
-    edge_answer fetch(const endpoint& address, http_request request) {
+    fetched fetch(const endpoint& address, http_request request) {
         const auto received = this->send(address, std::move(request));
         this->run_until([&] { return received->has_value(); }, seconds(12));
-        return received->value_or(edge_answer{});
+        return received->value_or(fetched{});
     }
-    edge_answer get(const endpoint& address, const std::string& uri, const std::string& key = "") {
+    fetched get(const endpoint& address, const std::string& uri, const std::string& key = "") {
         return this->fetch(address, make_request("GET", uri, key));
     }
     [[nodiscard]] static http_request
--- a/tests/edge_test.cpp
+++ b/tests/edge_test.cpp
@@ -32,7 +32,7 @@
     test_target& target = fleet.add_target("i-1");
     fleet.start();
 
-    const edge_answer named =
+    const fetched named =
         fleet.get(fleet.edge_address(0, 8082), "/resolve?name=h.example&region=r&zone=zone");
     BOOST_TEST(named.status == 200);
     const auto listed = nlohmann::json::parse(named.body);
@@ -44,7 +44,7 @@
     request.headers.push_back({"X-Deadline-Ms", "2000"});
     request.headers.push_back({"X-Custom", "kept"});
     request.body = make_body("content");
-    const edge_answer answer = fleet.fetch(fleet.callers(0), std::move(request));
+    const fetched answer = fleet.fetch(fleet.callers(0), std::move(request));
     BOOST_TEST(answer.status == 200);
     BOOST_TEST(answer.body == "done");
     BOOST_TEST(answer.header("X-Response-Signature") == "signed-by-i-1");
@@ -74,7 +74,7 @@
     edge_fleet fleet(62);
     fleet.start_edge(0);
     BOOST_REQUIRE(fleet.wait_ready(0, 503));
-    const edge_answer early = fleet.get(fleet.callers(0), "/safe/1", "key-1");
+    const fetched early = fleet.get(fleet.callers(0), "/safe/1", "key-1");
     BOOST_TEST(early.status == 503);
     BOOST_TEST(!early.header("Retry-After").empty());
     fleet.add_target("i-1");
@@ -98,7 +98,7 @@
 
     fleet.set_outage("refuse");
     fleet.run_for(milliseconds(2000));
-    const edge_answer unproved = fleet.get(fleet.callers(0), "/safe/4", "key-1");
+    const fetched unproved = fleet.get(fleet.callers(0), "/safe/4", "key-1");
     BOOST_TEST(unproved.status == 503);
     BOOST_TEST(fleet.total_arrivals("/safe/4") == 0);
     BOOST_TEST(fleet.get(fleet.callers(0), "/open/1").status == 200);
@@ -114,7 +114,7 @@
     fleet.start();
     break_off(first);
     break_off(second);
-    const edge_answer broken =
+    const fetched broken =
         fleet.fetch(fleet.callers(0), edge_fleet::make_request("POST", "/once/1", "key-1"));
     BOOST_TEST(broken.status == 502);
     BOOST_TEST(broken.header("Knapweedknot-Outcome") == "may_have_run");
@@ -123,7 +123,7 @@
     const auto refuse = [](const auto& request) { test_target::refuse(*request, 503); };
     first.behaviour = refuse;
     second.behaviour = refuse;
-    const edge_answer refused =
+    const fetched refused =
         fleet.fetch(fleet.callers(0), edge_fleet::make_request("POST", "/once/2", "key-1"));
     BOOST_TEST(refused.status == 503);
     BOOST_TEST(refused.header("Knapweedknot-Outcome") == "not_run");
@@ -206,7 +206,7 @@
     fleet.start();
     fleet.run_for(milliseconds(1500));
     const time_point start = boot_clock::now();
-    std::vector<std::shared_ptr<std::optional<edge_answer>>> answers;
+    std::vector<std::shared_ptr<std::optional<fetched>>> answers;
     const timer pump = fleet.events.every(milliseconds(10), [&] {
         const int edge = static_cast<int>(answers.size() % 2);
         answers.push_back(
--- a/tests/fetch.h
+++ b/tests/fetch.h
@@ -6,6 +6,7 @@
 #include "event/http_client.h"
 #include "event/loop.h"
 #include "executions.h"
+#include "fetched.h"
 #include "fleet.h"
 
 /// \file
@@ -13,18 +14,6 @@
 
 namespace knapweedknot::harness {
 
-/// What a caller received. Status zero means that there was no answer.
-struct fetched {
-    int status{0};
-    http_headers headers;
-    std::string body;
-
-    [[nodiscard]] std::string header(std::string_view name) const {
-        const std::string* value = find_header(this->headers, name);
-        return value == nullptr ? "" : *value;
-    }
-};
-
 /// Sends one request on a connection of its own.
 inline fetched fetch(fleet& running, const endpoint& address, const std::string& method,
                      const std::string& uri, const http_headers& headers) {
