--- a/libs/event/src/http_parser.cpp
+++ b/libs/event/src/http_parser.cpp
@@ -18,7 +18,7 @@
 
 constexpr int lowest_final_status = 200;
 // Bytes that a parser is given at once.
-constexpr ev_ssize_t piece_bytes = 64 * 1024;
+constexpr ev_ssize_t piece_bytes = ev_ssize_t{64} * 1024;
 
 enum class input_problem { none, malformed, header_limit, body_limit };
 
