Refuse at once while the store is known to be away

Cause: with the proof of the policy lapsed and the store silent, every keyed request waited 1.2 s for a question whose answer was not to be expected. Test a_request_is_refused_at_once_while_the_store_is_known_to_be_silent failed, passes. The question is still asked, so service resumes with the store.

--- a/libs/proxy/src/edge_gateway.cpp
+++ b/libs/proxy/src/edge_gateway.cpp
@@ -148,9 +148,12 @@
     const time_point now = boot_clock::now();
     const auto matched = match_request(*incoming, *this->policy.current(), this->headers);
     if (this->needs_proof(matched, now)) {
-        if (proof_was_awaited) {
+        // While the store is known to be away, nobody waits for the answer to the next question.
+        const bool is_hopeless = !this->policy.is_store_reachable();
+        if (proof_was_awaited || is_hopeless) {
             this->refuse(incoming, {error_kind::configuration_stale, "the store does not answer"},
                          unready_retry_after);
+            this->policy.keep_fresh(now, true);
             return;
         }
         this->policy.await_proof([this, incoming] {
--- a/tests/edge_test.cpp
+++ b/tests/edge_test.cpp
@@ -106,6 +106,21 @@
     BOOST_TEST(fleet.becomes("/safe/5", "key-1", 200));
 }
 
+BOOST_AUTO_TEST_CASE(a_request_is_refused_at_once_while_the_store_is_known_to_be_silent) {
+    edge_fleet fleet(70);
+    fleet.write("op/config", edge_fleet::usual_policy("00000002").dump());
+    fleet.add_target("i-1");
+    fleet.start();
+    fleet.set_outage("hang");
+    fleet.run_for(milliseconds(2000));
+    BOOST_TEST(fleet.get(fleet.callers(0), "/safe/1", "key-1").status == 503);
+    const time_point start = boot_clock::now();
+    BOOST_TEST(fleet.get(fleet.callers(0), "/safe/2", "key-1").status == 503);
+    BOOST_TEST((boot_clock::now() - start < milliseconds(300)));
+    fleet.set_outage("none");
+    BOOST_TEST(fleet.becomes("/safe/3", "key-1", 200));
+}
+
 BOOST_AUTO_TEST_CASE(work_that_must_not_be_repeated_is_sent_once_unless_it_did_not_run) {
     edge_fleet fleet(64);
     fleet.write("op/config", edge_fleet::usual_policy("00000002").dump());
