--- a/libs/fleet/include/fleet/target_directory.h
+++ b/libs/fleet/include/fleet/target_directory.h
@@ -67,7 +67,7 @@
 
 private:
     void read_all();
-    void read_page(const std::string& after, std::shared_ptr<std::vector<store_item>> items,
+    void read_page(const std::string& after, const std::shared_ptr<std::vector<store_item>>& items,
                    std::optional<std::uint64_t> first_revision);
     void replace_all(const std::vector<store_item>& items);
     void watch();
--- a/libs/fleet/src/target_directory.cpp
+++ b/libs/fleet/src/target_directory.cpp
@@ -57,7 +57,7 @@
 }
 
 void target_directory::read_page(const std::string& after,
-                                 std::shared_ptr<std::vector<store_item>> items,
+                                 const std::shared_ptr<std::vector<store_item>>& items,
                                  std::optional<std::uint64_t> first_revision) {
     this->store.list(
         this->prefix, after, read_mode::linearizable,
--- a/libs/proxy/src/balancer.cpp
+++ b/libs/proxy/src/balancer.cpp
@@ -26,6 +26,13 @@
     return status >= status_ok_first && status <= status_ok_last;
 }
 
+/// \p value with one digit behind the point.
+std::string tenths_text(double value) {
+    constexpr long parts = 10;
+    const long tenths = std::lround(value * parts);
+    return std::to_string(tenths / parts) + '.' + std::to_string(tenths % parts);
+}
+
 std::string ms_text(duration value) {
     return std::to_string(to_milliseconds(value));
 }
@@ -461,13 +468,12 @@
         return;
     }
     ++this->counters.taken_out;
-    const auto tenths = [](double value) { return std::to_string(std::lround(value * 10) / 10.0); };
     log_event(log_level::warning, "target_taken_out",
               {{"service", this->service.value},
                {"target", slot->known.registration.id.value},
                {"running", std::to_string(standing.running)},
-               {"silence", tenths(standing.silence)},
-               {"failures", tenths(standing.failures)},
+               {"silence", tenths_text(standing.silence)},
+               {"failures", tenths_text(standing.failures)},
                {"for_ms", ms_text(slot->evidence.out_until - now)}});
 }
 
