--- a/libs/decide/include/decide/target_rotation.h
+++ b/libs/decide/include/decide/target_rotation.h
@@ -30,7 +30,7 @@
     double failure_limit{4.0};
     /// First time out of rotation; doubled for each repeat up to the longest.
     duration time_out{milliseconds(4000)};
-    duration longest_time_out{milliseconds(12000)};
+    duration longest_time_out{milliseconds(8000)};
     /// Time without a failure after which earlier times out are forgotten.
     duration good_conduct{milliseconds(15000)};
     /// Half-life of the doubt from failures.
--- a/libs/decide/src/target_rotation.cpp
+++ b/libs/decide/src/target_rotation.cpp
@@ -19,6 +19,8 @@
 // becomes known, and little traffic still reaches the floor of targets.
 constexpr double worth_of_long_rest = 0.8;
 constexpr duration long_rest = milliseconds(1500);
+// The rest of a target on trial counts up to this many times as much, to outweigh its risk.
+constexpr double longest_rest_on_trial = 3;
 // Probability that a target has turned bad when nothing has been heard of it for long, and how
 // fast it grows after a good answer.
 constexpr double risk_unheard = 0.06;
@@ -48,8 +50,9 @@
 double cost_of(const target_candidate& candidate, loss if_lost, time_point now) {
     const double load =
         static_cast<double>(candidate.standing.running) / static_cast<double>(candidate.slots);
+    const double limit = candidate.evidence->on_trial ? longest_rest_on_trial : 1;
     const double rest =
-        std::min(1.0, to_seconds(now - candidate.evidence->last_used) / to_seconds(long_rest));
+        std::min(limit, to_seconds(now - candidate.evidence->last_used) / to_seconds(long_rest));
     const double cost_of_loss =
         if_lost == loss::final ? cost_of_final_loss : cost_of_repeatable_loss;
     return load + cost_of_loss * risk_of(candidate, now) -
