--- a/libs/entry/src/filters.cpp
+++ b/libs/entry/src/filters.cpp
@@ -30,10 +30,6 @@
     return equal_ignoring_case(name.substr(0, product_header_prefix.size()), product_header_prefix);
 }
 
-std::string_view host_without_port(std::string_view host) {
-    return host.substr(0, host.find(':'));
-}
-
 } // namespace
 
 result<void> read_key(request_context& context) {
--- a/libs/event/include/event/uri.h
+++ b/libs/event/include/event/uri.h
@@ -17,4 +17,10 @@
 /// Value of the parameter \p name in \p query, decoded; empty when there is none.
 [[nodiscard]] std::string query_parameter(std::string_view query, const std::string& name);
 
+/// \p host, the value of a Host header, without its port.
+[[nodiscard]] std::string_view host_without_port(std::string_view host) noexcept;
+
+/// The path of \p uri, without query and fragment, not decoded.
+[[nodiscard]] std::string_view path_of(std::string_view uri) noexcept;
+
 } // namespace knapweedknot
--- a/libs/event/src/http_server.cpp
+++ b/libs/event/src/http_server.cpp
@@ -50,8 +50,7 @@
 }
 
 std::string_view incoming_request::path() const noexcept {
-    const std::string_view whole(this->message.uri);
-    return whole.substr(0, whole.find_first_of("?#"));
+    return path_of(this->message.uri);
 }
 
 std::string_view incoming_request::query() const noexcept {
--- a/libs/event/src/uri.cpp
+++ b/libs/event/src/uri.cpp
@@ -28,6 +28,14 @@
     return decoded == nullptr ? text : std::string(decoded.get(), size);
 }
 
+std::string_view host_without_port(std::string_view host) noexcept {
+    return host.substr(0, host.find(':'));
+}
+
+std::string_view path_of(std::string_view uri) noexcept {
+    return uri.substr(0, uri.find_first_of("?#"));
+}
+
 std::string query_parameter(std::string_view query, const std::string& name) {
     evkeyvalq values{};
     if (evhttp_parse_query_str(std::string(query).c_str(), &values) != 0) {
--- a/libs/proxy/src/edge_gateway.cpp
+++ b/libs/proxy/src/edge_gateway.cpp
@@ -7,6 +7,7 @@
 
 #include "base/digest.h"
 #include "base/log.h"
+#include "event/uri.h"
 
 namespace knapweedknot {
 
@@ -117,10 +118,8 @@
         return false;
     }
     const std::string* host = find_header(request.headers, "Host");
-    const std::string_view uri(request.uri);
     const auto route = this->policy.current()->find_route(
-        host == nullptr ? std::string_view() : std::string_view(*host).substr(0, host->find(':')),
-        uri.substr(0, uri.find_first_of("?#")));
+        host == nullptr ? std::string_view() : host_without_port(*host), path_of(request.uri));
     return route != nullptr && route->idempotent;
 }
 
--- a/libs/proxy/src/request_preparation.cpp
+++ b/libs/proxy/src/request_preparation.cpp
@@ -4,15 +4,12 @@
 
 #include "base/digest.h"
 #include "event/hop_by_hop.h"
+#include "event/uri.h"
 
 namespace knapweedknot {
 
 namespace {
 
-std::string_view host_without_port(std::string_view host) {
-    return host.substr(0, host.find(':'));
-}
-
 /// True for headers of the caller that the proxy replaces or keeps to itself.
 bool is_own_header(std::string_view name, const header_names& names) {
     return equal_ignoring_case(name, names.key) || equal_ignoring_case(name, names.account) ||
--- a/programs/knapweedknotd/edge_instance.cpp
+++ b/programs/knapweedknotd/edge_instance.cpp
@@ -5,6 +5,7 @@
 #include "base/digest.h"
 #include "base/log.h"
 #include "decide/instance_choice.h"
+#include "entry/answers.h"
 #include "platform/documents.h"
 #include "platform/edge_protocol.h"
 
@@ -56,13 +57,8 @@
     return self;
 }
 
-void answer_text(incoming_request& request, int status, const std::string& text) {
-    http_answer answer;
-    answer.status = status;
-    answer.headers.push_back({"Content-Type", "text/plain"});
-    answer.body = make_body(text);
-    request.answer(std::move(answer));
-}
+/// Content type of the answers to operators and to the platform.
+constexpr const char* plain_text = "text/plain";
 
 } // namespace
 
@@ -160,16 +156,16 @@
 
 void edge_instance::handle_readiness(const std::shared_ptr<incoming_request>& request) {
     if (request->path() != platform::readiness_path) {
-        answer_text(*request, 404, "no such call\n");
+        answer_text(*request, 404, "no such call\n", plain_text);
         return;
     }
     const bool ready = this->is_ready();
-    answer_text(*request, ready ? 200 : 503, ready ? "ready\n" : "not ready\n");
+    answer_text(*request, ready ? 200 : 503, ready ? "ready\n" : "not ready\n", plain_text);
 }
 
 void edge_instance::handle_directory(const std::shared_ptr<incoming_request>& request) {
     if (request->path() != platform::directory_path) {
-        answer_text(*request, 404, "no such call\n");
+        answer_text(*request, 404, "no such call\n", plain_text);
         return;
     }
     const time_point now = boot_clock::now();
@@ -191,7 +187,7 @@
         named.push_back(chosen.callers_address);
     }
     if (named.empty()) {
-        answer_text(*request, 503, "no instance is ready\n");
+        answer_text(*request, 503, "no instance is ready\n", plain_text);
         return;
     }
     ++this->gateway.measured().address_answers;
@@ -200,7 +196,7 @@
 }
 
 void edge_instance::handle_metrics(const std::shared_ptr<incoming_request>& request) {
-    answer_text(*request, 200, this->metrics_text());
+    answer_text(*request, 200, this->metrics_text(), plain_text);
 }
 
 std::string edge_instance::metrics_text() const {
