--- a/libs/entry/src/operator_service.cpp
+++ b/libs/entry/src/operator_service.cpp
@@ -289,7 +289,7 @@
                  {"services", this->describe_services()},
                  {"accounts", this->describe_accounts()},
                  {"store_calls", this->parts.store.calls()},
-                 {"peer_bytes_sent", this->parts.network.bytes_sent()},
+                 {"peer_bytes_sent", this->parts.network.traffic().sent},
                  {"peer_datagrams_sent", this->parts.network.datagrams_sent()}});
 }
 
@@ -300,7 +300,7 @@
     measured.set_gauge("configuration_fresh", this->parts.votes.is_fresh() ? 1 : 0);
     measured.set_gauge("seats_held", this->parts.loans.own_voting_seats(boot_clock::now()));
     measured.set_gauge("store_calls", static_cast<double>(this->parts.store.calls()));
-    measured.set_gauge("peer_bytes_sent", static_cast<double>(this->parts.network.bytes_sent()));
+    measured.set_gauge("peer_bytes_sent", static_cast<double>(this->parts.network.traffic().sent));
     measured.set_gauge("requests_running",
                        static_cast<double>(this->parts.front.server().running_requests()));
     for (const auto& [id, dispatcher] : this->parts.front.dispatchers()) {
--- a/libs/event/include/event/http_server.h
+++ b/libs/event/include/event/http_server.h
@@ -116,6 +116,8 @@
     [[nodiscard]] std::size_t running_requests() const noexcept { return this->running; }
     /// Open connections of callers.
     [[nodiscard]] std::size_t open_connections() const noexcept { return this->sessions.size(); }
+    /// Bytes of answers that wait in this process for room on their connections.
+    [[nodiscard]] std::size_t bytes_queued() const;
     /// True while the answer to some request has not been written to its connection.
     [[nodiscard]] bool is_writing() const;
 
--- a/libs/event/src/caller_session.cpp
+++ b/libs/event/src/caller_session.cpp
@@ -270,8 +270,8 @@
     }
 }
 
-bool caller_session::is_writing() const {
-    return evbuffer_get_length(bufferevent_get_output(this->stream.get())) > 0;
+std::size_t caller_session::bytes_queued() const {
+    return evbuffer_get_length(bufferevent_get_output(this->stream.get()));
 }
 
 bool caller_session::is_idle() const {
--- a/libs/event/src/caller_session.h
+++ b/libs/event/src/caller_session.h
@@ -31,7 +31,8 @@
     void close();
     /// True when no request has begun and every answer was written.
     [[nodiscard]] bool is_idle() const;
-    [[nodiscard]] bool is_writing() const;
+    [[nodiscard]] std::size_t bytes_queued() const;
+    [[nodiscard]] bool is_writing() const { return this->bytes_queued() > 0; }
 
     [[nodiscard]] const std::string& caller_ip() const noexcept { return this->ip; }
     /// Where the server holds this session.
--- a/libs/event/src/http_server.cpp
+++ b/libs/event/src/http_server.cpp
@@ -1,6 +1,7 @@
 #include "event/http_server.h"
 
 #include <array>
+#include <numeric>
 #include <utility>
 #include <vector>
 
@@ -139,13 +140,14 @@
     }
 }
 
+std::size_t http_server::bytes_queued() const {
+    return std::accumulate(
+        this->sessions.begin(), this->sessions.end(), std::size_t{0},
+        [](std::size_t sum, const auto& session) { return sum + session->bytes_queued(); });
+}
+
 bool http_server::is_writing() const {
-    for (const auto& session : this->sessions) {
-        if (session->is_writing()) {
-            return true;
-        }
-    }
-    return false;
+    return this->bytes_queued() > 0;
 }
 
 } // namespace knapweedknot
--- a/libs/fleet/include/fleet/fleet_reports.h
+++ b/libs/fleet/include/fleet/fleet_reports.h
@@ -107,6 +107,12 @@
     time_point heard;
 };
 
+/// Reports of one kind that were sent, over all peers.
+struct sent_reports {
+    std::uint64_t count{0};
+    std::uint64_t bytes{0};
+};
+
 /// Sends and keeps reports. Not thread safe.
 class fleet_reports {
 public:
@@ -131,6 +137,9 @@
     [[nodiscard]] const std::map<incarnation_id, reporting_peer>& peers() const noexcept {
         return this->known;
     }
+    [[nodiscard]] const std::map<report_kind, sent_reports>& sent() const noexcept {
+        return this->sent_by_kind;
+    }
     /// Peers whose report counts.
     [[nodiscard]] std::size_t heard_peers() const;
     [[nodiscard]] bool is_heard(const reporting_peer& peer, time_point now) const noexcept;
@@ -143,6 +152,7 @@
     void tick();
     void send_busy();
     void send_quiet(bool near_ones, bool far_ones);
+    void send(incarnation_id to, report_kind kind, const std::string& frame);
     void remember(const reporting_peer& lost);
     [[nodiscard]] std::optional<fleet_report> recall(incarnation_id peer);
     [[nodiscard]] bool is_near(const reporting_peer& peer) const;
@@ -154,6 +164,7 @@
     std::map<incarnation_id, reporting_peer> known;
     /// Last reports of peers that were lost: when they are back, only what is new counts.
     std::map<incarnation_id, reporting_peer> lost_peers;
+    std::map<report_kind, sent_reports> sent_by_kind;
     time_point last_to_near;
     time_point last_to_far;
     time_point last_hurried;
--- a/libs/fleet/include/fleet/target_directory.h
+++ b/libs/fleet/include/fleet/target_directory.h
@@ -62,6 +62,9 @@
     /// Revision of the store up to which registrations are known.
     [[nodiscard]] std::uint64_t revision() const noexcept { return this->known_revision; }
 
+    /// Time since the store last told all changes so far; nothing before the first reading.
+    [[nodiscard]] std::optional<duration> age(time_point now) const noexcept;
+
     /// Called for a service whose targets changed.
     std::function<void(const service_id&)> on_changed;
 
@@ -89,6 +92,7 @@
     std::uint64_t known_revision{0};
     std::uint64_t last_run{0};
     bool loaded{false};
+    std::optional<time_point> heard;
     timer next;
     timer sweep;
 };
--- a/libs/fleet/src/fleet_reports.cpp
+++ b/libs/fleet/src/fleet_reports.cpp
@@ -96,7 +96,16 @@
     log_event(
         log_level::info, "peer_connected",
         {{"peer", peer.instance.value}, {"incarnation", std::to_string(peer.incarnation.value)}});
-    this->network.send(peer.incarnation, encode(this->make_report(report_kind::introduction)));
+    this->send(peer.incarnation, report_kind::introduction,
+               encode_frame(encode(this->make_report(report_kind::introduction))));
+}
+
+void fleet_reports::send(incarnation_id to, report_kind kind, const std::string& frame) {
+    if (this->network.send_frame(to, frame)) {
+        sent_reports& counted = this->sent_by_kind[kind];
+        ++counted.count;
+        counted.bytes += frame.size();
+    }
 }
 
 void fleet_reports::peer_disconnected(const peer_info& peer) {
@@ -251,19 +260,19 @@
         this->serving_since = boot_clock::now();
         this->tell_all();
     }
-    const wire::reportT message = encode(report);
+    const std::string frame = encode_frame(encode(report));
     for (const auto& [incarnation, peer] : this->known) {
         if (peer.report && peer.report->serving) {
-            this->network.send(incarnation, message);
+            this->send(incarnation, report_kind::full, frame);
         }
     }
 }
 
 void fleet_reports::send_quiet(bool near_ones, bool far_ones) {
-    const wire::reportT message = encode(this->make_report(report_kind::brief));
+    const std::string frame = encode_frame(encode(this->make_report(report_kind::brief)));
     for (const auto& [incarnation, peer] : this->known) {
         if (this->is_near(peer) ? near_ones : far_ones) {
-            this->network.send(incarnation, message);
+            this->send(incarnation, report_kind::brief, frame);
         }
     }
     const time_point now = boot_clock::now();
--- a/libs/fleet/src/policy_follower.cpp
+++ b/libs/fleet/src/policy_follower.cpp
@@ -135,8 +135,10 @@
         return;
     }
     this->policy = std::make_shared<const traffic_policy>(std::move(*parts));
+    const auto age = this->proof_age(boot_clock::now());
     log_event(log_level::info, "policy_adopted",
               {{"number", std::to_string(this->policy->number().value)},
+               {"last_proof_age_ms", std::to_string(age ? to_milliseconds(*age) : -1)},
                {"revision", std::to_string(this->revision)},
                {"routes", std::to_string(this->policy->route_count())},
                {"accounts", std::to_string(this->policy->accounts().size())}});
--- a/libs/fleet/src/target_directory.cpp
+++ b/libs/fleet/src/target_directory.cpp
@@ -48,6 +48,10 @@
     return found == this->by_service.end() ? none : found->second;
 }
 
+std::optional<duration> target_directory::age(time_point now) const noexcept {
+    return this->heard ? std::optional(now - *this->heard) : std::nullopt;
+}
+
 void target_directory::again(duration delay, void (target_directory::*step)()) {
     this->next = this->owner.after(delay, [this, step] { (this->*step)(); });
 }
@@ -76,6 +80,7 @@
             this->replace_all(*items);
             this->known_revision = revision;
             this->loaded = true;
+            this->heard = boot_clock::now();
             this->watch();
         });
 }
@@ -117,6 +122,7 @@
                 this->apply(item);
             }
             this->known_revision = std::max(this->known_revision, changes->store_revision);
+            this->heard = boot_clock::now();
             this->again(changes->items.empty() ? duration::zero() : this->options.gather_time,
                         &target_directory::watch);
         });
--- a/libs/peers/include/peers/mesh.h
+++ b/libs/peers/include/peers/mesh.h
@@ -31,6 +31,13 @@
     std::function<void(const peer_info&)> on_disconnected;
 };
 
+/// Bytes on all links since the start, and those that wait for room on a connection.
+struct mesh_traffic {
+    std::uint64_t sent{0};
+    std::uint64_t received{0};
+    std::size_t queued{0};
+};
+
 /// Keeps the links and finds instances through each other. Not thread safe.
 class mesh {
 public:
@@ -49,6 +56,8 @@
     bool send(incarnation_id to, Body body) {
         return this->send_frame(to, encode_frame(std::move(body)));
     }
+    /// Sends a frame that encode_frame made. False when the peer is not connected.
+    bool send_frame(incarnation_id to, const std::string& frame);
     /// Sends to every connected peer.
     template <typename Body>
     void broadcast(const Body& body) {
@@ -67,7 +76,7 @@
     [[nodiscard]] const peer_info& self() const noexcept { return this->own; }
     /// Connected peers by incarnation. A copy, so that handlers may change the mesh.
     [[nodiscard]] std::map<incarnation_id, peer_info> peers() const;
-    [[nodiscard]] std::uint64_t bytes_sent() const noexcept;
+    [[nodiscard]] mesh_traffic traffic() const;
     [[nodiscard]] std::uint64_t datagrams_sent() const noexcept { return this->datagrams; }
 
 private:
@@ -77,7 +86,6 @@
         time_point next_dial;
     };
 
-    bool send_frame(incarnation_id to, const std::string& frame);
     void maintain();
     void dial(const endpoint& address);
     [[nodiscard]] bool has_link_to(const endpoint& address) const;
@@ -101,7 +109,7 @@
     std::list<std::unique_ptr<peer_link>> links;
     std::unordered_map<incarnation_id, peer_link*> links_by_peer;
     std::map<endpoint, known_address> addresses;
-    std::uint64_t bytes_of_closed_links{0};
+    mesh_traffic traffic_of_closed_links;
     int datagram_socket{-1};
     std::unique_ptr<event, detail::event_deleter> datagram_event;
     std::uint64_t datagrams{0};
--- a/libs/peers/include/peers/peer_link.h
+++ b/libs/peers/include/peers/peer_link.h
@@ -42,6 +42,9 @@
         return now - this->last_received;
     }
     [[nodiscard]] std::uint64_t bytes_sent() const noexcept { return this->sent; }
+    [[nodiscard]] std::uint64_t bytes_received() const noexcept { return this->received; }
+    /// Bytes that wait in this process for room on the connection.
+    [[nodiscard]] std::size_t bytes_queued() const;
 
     /// Peer's hello; nothing before it has arrived.
     std::optional<peer_info> peer;
@@ -60,6 +63,7 @@
     handlers calls;
     time_point last_received;
     std::uint64_t sent{0};
+    std::uint64_t received{0};
 };
 
 } // namespace knapweedknot
--- a/libs/peers/src/mesh.cpp
+++ b/libs/peers/src/mesh.cpp
@@ -123,10 +123,13 @@
     return connected;
 }
 
-std::uint64_t mesh::bytes_sent() const noexcept {
-    std::uint64_t total = this->bytes_of_closed_links + this->datagram_bytes;
+mesh_traffic mesh::traffic() const {
+    mesh_traffic total = this->traffic_of_closed_links;
+    total.sent += this->datagram_bytes;
     for (const auto& link : this->links) {
-        total += link->bytes_sent();
+        total.sent += link->bytes_sent();
+        total.received += link->bytes_received();
+        total.queued += link->bytes_queued();
     }
     return total;
 }
@@ -282,7 +285,8 @@
     if (place == this->links.end()) {
         return;
     }
-    this->bytes_of_closed_links += link.bytes_sent();
+    this->traffic_of_closed_links.sent += link.bytes_sent();
+    this->traffic_of_closed_links.received += link.bytes_received();
     // The link may be in one of its own callbacks, so it is destroyed in the next round.
     std::shared_ptr<peer_link> closed = std::move(*place);
     this->links.erase(place);
--- a/libs/peers/src/peer_link.cpp
+++ b/libs/peers/src/peer_link.cpp
@@ -71,6 +71,10 @@
     evbuffer_add(output, frame.data(), frame.size());
 }
 
+std::size_t peer_link::bytes_queued() const {
+    return evbuffer_get_length(bufferevent_get_output(this->stream.get()));
+}
+
 void peer_link::read_ready(bufferevent* /*unused*/, void* argument) {
     static_cast<peer_link*>(argument)->read_frames();
 }
@@ -96,6 +100,7 @@
         if (evbuffer_get_length(input) < frame_header_bytes + *length) {
             return;
         }
+        this->received += frame_header_bytes + *length;
         evbuffer_drain(input, frame_header_bytes);
         std::string bytes(*length, '\0');
         evbuffer_remove(input, bytes.data(), bytes.size());
--- a/libs/proxy/include/proxy/edge_gateway.h
+++ b/libs/proxy/include/proxy/edge_gateway.h
@@ -59,6 +59,7 @@
     /// Requests per second, averaged over the last seconds.
     [[nodiscard]] double request_rate_at(time_point now) const;
     [[nodiscard]] http_server& server() noexcept { return this->callers; }
+    [[nodiscard]] const http_server& server() const noexcept { return this->callers; }
     [[nodiscard]] edge_metrics& measured() noexcept { return this->metrics; }
     [[nodiscard]] std::string metrics_text() const;
 
--- a/libs/proxy/include/proxy/edge_metrics.h
+++ b/libs/proxy/include/proxy/edge_metrics.h
@@ -35,6 +35,8 @@
     std::map<std::string, std::uint64_t> requests;
     time_histogram total_time;
     time_histogram target_time;
+    /// From the arrival to the first send.
+    time_histogram waiting_time;
     std::uint64_t caller_gone{0};
     std::uint64_t address_answers{0};
 };
--- a/libs/proxy/include/proxy/proxied_request.h
+++ b/libs/proxy/include/proxy/proxied_request.h
@@ -41,6 +41,8 @@
     int attempts{0};
     /// Time from the last send to the whole answer.
     duration spent{duration::zero()};
+    /// Time from the arrival to the first send.
+    duration waited{duration::zero()};
 };
 
 /// Why a request has no answer of a target.
@@ -53,6 +55,8 @@
     int attempts{0};
     /// Target of the last attempt; empty when there was none.
     target_id target;
+    /// Time from the arrival to the first send, or to the end when there was none.
+    duration waited{duration::zero()};
 };
 
 using proxy_outcome = tl::expected<proxied_answer, proxy_refusal>;
--- a/libs/proxy/src/balancer.cpp
+++ b/libs/proxy/src/balancer.cpp
@@ -48,6 +48,7 @@
     /// True when a target may have run it.
     bool may_have_run{false};
     target_id last_target;
+    std::optional<time_point> first_sent;
     timer due;
 };
 
@@ -174,6 +175,7 @@
     at->evidence.last_used = now;
     work->tried.insert(at->id());
     work->last_target = at->id();
+    work->first_sent = work->first_sent.value_or(now);
     ++work->sent;
     ++this->counters.sent;
     this->write(work, made);
@@ -251,7 +253,8 @@
         this->targets.note_success(*at, now);
         this->model_of(*work->wanted.route).note(spent);
     }
-    this->finish(work, proxied_answer{std::move(answer), at->id(), work->sent, spent});
+    this->finish(work, proxied_answer{std::move(answer), at->id(), work->sent, spent,
+                                      *work->first_sent - work->wanted.arrived});
 }
 
 /// A target has said that it did not run the request.
@@ -459,7 +462,9 @@
 /// came last: an earlier attempt may have run.
 void balancer::refuse(const job_ptr& work, const error& problem,
                       std::optional<duration> retry_after) {
-    proxy_refusal refusal{problem, execution::not_run, retry_after, work->sent, work->last_target};
+    const duration waited = work->first_sent.value_or(boot_clock::now()) - work->wanted.arrived;
+    proxy_refusal refusal{problem,    execution::not_run, retry_after,
+                          work->sent, work->last_target,  waited};
     if (work->may_have_run) {
         refusal.outcome = execution::may_have_run;
         refusal.retry_after.reset();
--- a/libs/proxy/src/edge_gateway.cpp
+++ b/libs/proxy/src/edge_gateway.cpp
@@ -285,25 +285,31 @@
                           proxy_outcome outcome) {
     const time_point now = boot_clock::now();
     const auto age = this->policy.proof_age(now);
+    const auto targets_age = this->directory.age(now);
     const std::string kind =
         outcome ? "served" : std::string(answer_for(outcome.error().problem.kind).name);
     ++this->metrics.requests[kind];
     this->metrics.total_time.note(now - summary.arrived);
+    this->metrics.waiting_time.note(outcome ? outcome->waited : outcome.error().waited);
     const int status =
         outcome ? outcome->message.status : answer_for(outcome.error().problem.kind).http_status;
-    log_event(outcome ? log_level::info : log_level::warning,
-              outcome ? "request_served" : "request_failed",
-              {{"id", summary.id},
-               {"route", summary.route->id.value},
-               {"account", summary.account.value},
-               {"target", outcome ? outcome->target.value : outcome.error().target.value},
-               {"attempts", std::to_string(outcome ? outcome->attempts : outcome.error().attempts)},
-               {"status", std::to_string(status)},
-               {"outcome", kind},
-               {"detail", outcome ? "" : outcome.error().problem.detail},
-               {"total_ms", std::to_string(to_milliseconds(now - summary.arrived))},
-               {"policy", std::to_string(this->policy.current()->number().value)},
-               {"proof_age_ms", std::to_string(age ? to_milliseconds(*age) : -1)}});
+    log_event(
+        outcome ? log_level::info : log_level::warning,
+        outcome ? "request_served" : "request_failed",
+        {{"id", summary.id},
+         {"route", summary.route->id.value},
+         {"account", summary.account.value},
+         {"target", outcome ? outcome->target.value : outcome.error().target.value},
+         {"attempts", std::to_string(outcome ? outcome->attempts : outcome.error().attempts)},
+         {"status", std::to_string(status)},
+         {"outcome", kind},
+         {"detail", outcome ? "" : outcome.error().problem.detail},
+         {"total_ms", std::to_string(to_milliseconds(now - summary.arrived))},
+         {"waited_ms",
+          std::to_string(to_milliseconds(outcome ? outcome->waited : outcome.error().waited))},
+         {"policy", std::to_string(this->policy.current()->number().value)},
+         {"proof_age_ms", std::to_string(age ? to_milliseconds(*age) : -1)},
+         {"targets_age_ms", std::to_string(targets_age ? to_milliseconds(*targets_age) : -1)}});
     if (incoming->is_caller_gone()) {
         return;
     }
--- a/libs/proxy/src/edge_metrics.cpp
+++ b/libs/proxy/src/edge_metrics.cpp
@@ -57,6 +57,7 @@
     }
     metrics.total_time.write(text, "request_seconds");
     metrics.target_time.write(text, "target_seconds");
+    metrics.waiting_time.write(text, "waiting_seconds");
     write_metric(text, "callers_gone_total", "", static_cast<double>(metrics.caller_gone));
     write_metric(text, "address_answers_total", "", static_cast<double>(metrics.address_answers));
     return text;
--- a/programs/knapweedknotd/edge_instance.cpp
+++ b/programs/knapweedknotd/edge_instance.cpp
@@ -72,6 +72,7 @@
       directory(event_loop, store, std::string(platform::targets_prefix), &platform::decode_target,
                 make_directory_options(false, given.bounds)),
       gateway({event_loop, settings, headers, policy, directory, reports}),
+      load({event_loop, network, reports, store, policy, directory, gateway}),
       readiness(event_loop, {}, [this](const auto& request) { this->handle_readiness(request); }),
       addresses(event_loop, {}, [this](const auto& request) { this->handle_directory(request); }),
       metrics(event_loop, {}, [this](const auto& request) { this->handle_metrics(request); }),
@@ -206,9 +207,7 @@
         write_metric(text, "store_calls_total", label, static_cast<double>(count.sent));
         write_metric(text, "store_calls_failed_total", label, static_cast<double>(count.failed));
     }
-    const auto age = this->policy.proof_age(boot_clock::now());
-    write_metric(text, "policy_proof_age_seconds", "", age ? to_seconds(*age) : -1);
-    write_metric(text, "peers_heard", "", static_cast<double>(this->reports.heard_peers()));
+    this->load.write_metrics(text);
     write_metric(text, "ready", "", this->is_ready() ? 1 : 0);
     return text;
 }
--- a/programs/knapweedknotd/edge_instance.h
+++ b/programs/knapweedknotd/edge_instance.h
@@ -14,6 +14,8 @@
 #include "proxy/edge_gateway.h"
 #include "proxy/edge_settings.h"
 
+#include "load_log.h"
+
 /// \file
 /// An instance on the users' platform: all parts of one process and their connections.
 
@@ -55,6 +57,7 @@
     policy_follower policy;
     target_directory directory;
     edge_gateway gateway;
+    load_log load;
     http_server readiness;
     http_server addresses;
     http_server metrics;
