--- a/libs/fleet/tests/reports_test.cpp
+++ b/libs/fleet/tests/reports_test.cpp
@@ -1,6 +1,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <list>
 #include <vector>
 
 #include "fleet/fleet_reports.h"
@@ -177,3 +178,52 @@
     BOOST_TEST(std::count(second.kinds.begin(), second.kinds.end(), report_kind::introduction) ==
                2);
 }
+
+// Guards against confirmed changes that come late: reports between many serving instances filled
+// the links on which the store's answers, requests and their answers wait.
+BOOST_AUTO_TEST_CASE(reports_of_many_serving_instances_leave_the_link_to_requests) {
+    constexpr std::size_t instances = 24;
+    constexpr std::uint64_t targets = 200;
+    constexpr std::uint64_t accounts = 70;
+    constexpr std::uint16_t first_port = 18900;
+    // A tenth of a link of 10 Mbit/s.
+    constexpr double report_bytes_per_s = 125'000;
+    loop events;
+    std::list<reporter> fleet;
+    for (std::size_t i = 0; i < instances; ++i) {
+        const auto port = static_cast<std::uint16_t>(first_port + 2 * i);
+        reporter& added = fleet.emplace_back(events, describe("i" + std::to_string(i), i + 1, port),
+                                             report_times{});
+        added.own.serving = true;
+        for (std::uint64_t target = 1; target <= targets; ++target) {
+            added.own.targets[target] = {1, 0.5, 0.5, milliseconds(0)};
+        }
+        for (std::uint64_t account = 1; account <= accounts; ++account) {
+            added.own.accounts[account] = {1, 10};
+        }
+        added.start();
+        added.network.learn({"127.0.0.1", first_port}, false);
+    }
+    const auto is_whole = [&] {
+        return std::all_of(fleet.begin(), fleet.end(), [](const reporter& item) {
+            return item.reports.count_serving(boot_clock::now()).heard == instances - 1;
+        });
+    };
+    BOOST_REQUIRE(run_until(events, is_whole));
+    const std::uint64_t before = fleet.front().network.traffic().sent;
+    const time_point began = boot_clock::now();
+    // Accounts press, so that each admission should be told soon.
+    const timer pressing = events.every(milliseconds(20), [&] {
+        for (reporter& item : fleet) {
+            ++item.own.accounts[1].admitted;
+            item.reports.hurry();
+        }
+    });
+    run_until(events, [&] { return boot_clock::now() - began > seconds(4); });
+    const double sent = static_cast<double>(fleet.front().network.traffic().sent - before);
+    BOOST_TEST(sent / to_seconds(boot_clock::now() - began) < report_bytes_per_s);
+    // The admissions are told all the same.
+    const auto& told = fleet.back().reports.peers().begin()->second;
+    BOOST_TEST((boot_clock::now() - told.heard < milliseconds(450)));
+    BOOST_TEST(told.report->accounts.at(1).admitted + 40 > fleet.front().own.accounts[1].admitted);
+}
