--- a/libs/fleet/include/fleet/fleet_reports.h
+++ b/libs/fleet/include/fleet/fleet_reports.h
@@ -34,6 +34,9 @@
     /// A serving peer that was not heard for this many busy intervals is not counted on to have
     /// told of what it admits.
     double silent_busy_intervals{1.8};
+    /// Bytes of full reports per second that an instance sends at most, on average. Between them it
+    /// tells serving peers only what has changed.
+    double full_report_bytes_per_s{62'500};
 };
 
 /// What an instance has running at one target.
@@ -73,6 +76,8 @@
     brief,
     /// The same, and what runs at the targets.
     full,
+    /// Counts that have changed since the last full or changes report.
+    changes,
     /// Every count: the peer has just connected.
     introduction,
 };
@@ -81,6 +86,8 @@
 struct fleet_report {
     /// When it arrived here.
     time_point received;
+    /// When the newest list of what runs at the targets arrived here.
+    time_point targets_told;
     bool ready{false};
     /// True when it has served requests lately.
     bool serving{false};
@@ -150,7 +157,8 @@
 
 private:
     void tick();
-    void send_busy();
+    void send_busy(report_kind kind);
+    void keep_changes(fleet_report& report);
     void send_quiet(bool near_ones, bool far_ones);
     void send(incarnation_id to, report_kind kind, const std::string& frame);
     void remember(const reporting_peer& lost);
@@ -165,6 +173,11 @@
     /// Last reports of peers that were lost: when they are back, only what is new counts.
     std::map<incarnation_id, reporting_peer> lost_peers;
     std::map<report_kind, sent_reports> sent_by_kind;
+    /// No full report is sent before, so that they keep to their rate.
+    time_point next_full;
+    /// Counts as serving peers were last told them.
+    std::unordered_map<std::uint64_t, account_use> told_accounts;
+    std::unordered_map<std::uint64_t, service_use> told_services;
     time_point last_to_near;
     time_point last_to_far;
     time_point last_hurried;
--- a/libs/fleet/src/fleet_reports.cpp
+++ b/libs/fleet/src/fleet_reports.cpp
@@ -108,6 +108,19 @@
     }
 }
 
+/// Leaves only counts that serving peers were not told yet.
+void fleet_reports::keep_changes(fleet_report& report) {
+    std::erase_if(report.accounts, [this](const auto& item) {
+        const auto told = this->told_accounts.find(item.first);
+        return told != this->told_accounts.end() && told->second.admitted == item.second.admitted;
+    });
+    std::erase_if(report.services, [this](const auto& item) {
+        const auto told = this->told_services.find(item.first);
+        return told != this->told_services.end() && told->second.requests == item.second.requests &&
+               told->second.resends == item.second.resends;
+    });
+}
+
 void fleet_reports::peer_disconnected(const peer_info& peer) {
     const auto found = this->known.find(peer.incarnation);
     if (found == this->known.end()) {
@@ -160,11 +173,13 @@
         peer.report->accounts.insert(before->accounts.begin(), before->accounts.end());
         peer.report->services.insert(before->services.begin(), before->services.end());
     }
-    if (before && !message.in_full) {
-        peer.report->targets = before->targets;
-    }
     peer.heard = boot_clock::now();
     peer.report->received = peer.heard;
+    peer.report->targets_told = peer.heard;
+    if (before && !message.in_full) {
+        peer.report->targets = std::move(before->targets);
+        peer.report->targets_told = before->targets_told;
+    }
     if (this->on_report) {
         this->on_report(peer, before ? &*before : nullptr);
     }
@@ -219,12 +234,13 @@
         if (found == peer.report->targets.end()) {
             continue;
         }
-        if (now - peer.heard < this->times.running_lifetime) {
+        const duration age = now - peer.report->targets_told;
+        if (age < this->times.running_lifetime) {
             total.running += found->second.running;
             total.silence += found->second.silence;
         }
         total.failures += found->second.failures;
-        total.out = std::max(total.out, found->second.out - (now - peer.heard));
+        total.out = std::max(total.out, found->second.out - age);
     }
     return total;
 }
@@ -242,16 +258,16 @@
     }
     const bool near_due = now - this->last_to_near >= this->times.near_interval;
     const bool far_due = now - this->last_to_far >= this->times.far_interval;
-    this->send_busy();
+    this->send_busy(now < this->next_full ? report_kind::changes : report_kind::full);
     if (near_due || far_due) {
         this->send_quiet(near_due, far_due);
     }
 }
 
-/// Tells the serving peers in full, if this instance serves too. All peers hear at once that it
-/// begins to: until then they count on the whole refill of every account.
-void fleet_reports::send_busy() {
-    const fleet_report report = this->make_report(report_kind::full);
+/// Tells the serving peers, if this instance serves too. All peers hear at once that it begins to:
+/// until then they count on the whole refill of every account.
+void fleet_reports::send_busy(report_kind kind) {
+    fleet_report report = this->make_report(kind);
     if (!report.serving) {
         this->serving_since.reset();
         return;
@@ -260,12 +276,28 @@
         this->serving_since = boot_clock::now();
         this->tell_all();
     }
+    if (kind == report_kind::changes) {
+        this->keep_changes(report);
+    }
+    for (const auto& [account, use] : report.accounts) {
+        this->told_accounts[account] = use;
+    }
+    for (const auto& [service, use] : report.services) {
+        this->told_services[service] = use;
+    }
     const std::string frame = encode_frame(encode(report));
+    std::size_t receivers = 0;
     for (const auto& [incarnation, peer] : this->known) {
         if (peer.report && peer.report->serving) {
-            this->send(incarnation, report_kind::full, frame);
+            this->send(incarnation, kind, frame);
+            ++receivers;
         }
     }
+    if (kind == report_kind::full) {
+        this->next_full =
+            boot_clock::now() + from_seconds(static_cast<double>(receivers * frame.size()) /
+                                             this->times.full_report_bytes_per_s);
+    }
 }
 
 void fleet_reports::send_quiet(bool near_ones, bool far_ones) {
@@ -288,7 +320,7 @@
     this->hurrying = this->owner.after(hurry_interval, [this] {
         this->hurrying = timer();
         this->last_hurried = boot_clock::now();
-        this->send_busy();
+        this->send_busy(report_kind::changes);
     });
 }
 
--- a/programs/knapweedknotd/load_log.cpp
+++ b/programs/knapweedknotd/load_log.cpp
@@ -27,6 +27,8 @@
         return "brief";
     case report_kind::full:
         return "full";
+    case report_kind::changes:
+        return "changes";
     case report_kind::introduction:
         return "introduction";
     }
