--- a/libs/decide/include/decide/instance_choice.h
+++ b/libs/decide/include/decide/instance_choice.h
@@ -28,16 +28,25 @@
     duration uptime{duration::zero()};
     /// Requests per second that it has lately received.
     double request_rate{0};
+    /// Requests per second that its machine serves with ease.
+    double capacity{50};
 };
 
 /// How many instances serve.
 struct choice_policy {
-    /// Requests per second that one instance should serve; beyond it another one is named.
-    double rate_per_instance{50};
+    /// An instance with less than this part of the capacity of the strongest one is weak: callers
+    /// choose among the named ones evenly, so it would get as much as the strong ones.
+    double weak_part{0.5};
+    /// Weak instances are named when the strong ones would get more than this many times their
+    /// capacity.
+    double most_load_of_strong{2};
     /// A process younger than this is named only when older ones are missing.
     duration settling_time{milliseconds(1500)};
 };
 
+/// Capacity of a machine with \p cores of processor time per second and a link of \p mbit_per_s.
+[[nodiscard]] double capacity_of(double cores, double mbit_per_s);
+
 /// The instances that callers in \p failure_domain should use, best first. Those of another
 /// failure domain are named only when their own one has none that is ready.
 [[nodiscard]] std::vector<instance_candidate>
--- a/libs/decide/tests/traffic_test.cpp
+++ b/libs/decide/tests/traffic_test.cpp
@@ -25,6 +25,17 @@
     return made;
 }
 
+/// Two strong instances and twenty weak ones, with \p rate requests per second at the first.
+std::vector<instance_candidate> unequal_domain(double rate) {
+    std::vector<instance_candidate> all;
+    for (int i = 0; i < 22; ++i) {
+        instance_candidate& added = all.emplace_back(candidate("i" + std::to_string(i), "a"));
+        added.capacity = i % 11 == 0 ? 125 : 50;
+    }
+    all.front().request_rate = rate;
+    return all;
+}
+
 /// Greatest number of \p times in any window of \p length.
 std::size_t busiest_window(const std::vector<time_point>& times, duration length) {
     std::size_t most = 0;
@@ -199,3 +210,24 @@
                                               candidate("a3", "a", 0, true, milliseconds(100))};
     BOOST_TEST(choose_instances(all, failure_domain_id{"a"}, {}).front().instance.value == "a2");
 }
+
+// Guards against requests that wait on narrow links while wide ones are idle: weak instances were
+// named before strong ones, by hash alone.
+BOOST_AUTO_TEST_CASE(strong_instances_are_named_before_weak_ones) {
+    for (const double rate : {0.0, 120.0, 480.0}) {
+        const auto named = choose_instances(unequal_domain(rate), failure_domain_id{"a"}, {});
+        BOOST_TEST(!named.empty());
+        BOOST_TEST(std::all_of(named.begin(), named.end(),
+                               [](const auto& item) { return item.capacity == 125; }));
+    }
+    // Callers choose evenly among the named ones, so the least of them sets how many it takes.
+    BOOST_TEST(choose_instances(unequal_domain(600), failure_domain_id{"a"}, {}).size() == 12U);
+    BOOST_TEST(choose_instances(unequal_domain(9000), failure_domain_id{"a"}, {}).size() == 22U);
+}
+
+BOOST_AUTO_TEST_CASE(the_capacity_of_a_machine_is_bound_by_its_processor_and_its_link) {
+    BOOST_TEST(capacity_of(0.5, 200) == 125);
+    BOOST_TEST(capacity_of(4, 10) > 100);
+    BOOST_TEST(capacity_of(4, 10) < 110);
+    BOOST_TEST(capacity_of(0.1, 10) == 50);
+}
--- a/libs/peers/include/peers/peer_info.h
+++ b/libs/peers/include/peers/peer_info.h
@@ -19,6 +19,8 @@
     endpoint peers_listen;
     /// Where callers connect.
     endpoint callers_address;
+    /// Requests per second that its machine serves with ease.
+    double capacity{0};
 };
 
 } // namespace knapweedknot
--- a/libs/peers/src/mesh.cpp
+++ b/libs/peers/src/mesh.cpp
@@ -206,6 +206,7 @@
     hello.failure_domain = this->own.failure_domain.value;
     hello.peers_address = to_string(this->own.peers_address);
     hello.callers_address = to_string(this->own.callers_address);
+    hello.capacity = static_cast<float>(this->own.capacity);
     link.send(encode_frame(std::move(hello)));
 }
 
@@ -229,7 +230,8 @@
                    failure_domain_id{hello.failure_domain},
                    parse_or_empty(hello.peers_address),
                    endpoint{},
-                   parse_or_empty(hello.callers_address)};
+                   parse_or_empty(hello.callers_address),
+                   hello.capacity};
     if (peer.incarnation == this->own.incarnation || link.peer) {
         this->close(link);
         return;
--- a/libs/proxy/include/proxy/edge_settings.h
+++ b/libs/proxy/include/proxy/edge_settings.h
@@ -36,6 +36,13 @@
     double floor_share{0.7};
 };
 
+/// What the instance's machine provides.
+struct machine_means {
+    /// Processor time per second.
+    double cores{0.2};
+    double link_mbit_per_s{1000};
+};
+
 /// Settings of an instance.
 struct edge_settings {
     instance_id instance;
@@ -51,6 +58,7 @@
     endpoint store_address;
     log_level lowest_log_level{log_level::info};
     fleet_bounds bounds;
+    machine_means machine;
 };
 
 /// Reads settings. The error lists every bad value with its path, unit and range. Thread safe.
--- a/libs/proxy/src/edge_settings.cpp
+++ b/libs/proxy/src/edge_settings.cpp
@@ -48,6 +48,18 @@
     return bounds;
 }
 
+machine_means read_machine(const nlohmann::json& source, std::vector<std::string>& problems) {
+    constexpr double most_cores = 1024;
+    constexpr double most_mbit_per_s = 1e6;
+    settings_reader reader(source, "/machine", problems);
+    machine_means means;
+    means.cores = reader.number("cores", means.cores, 0.001, most_cores, "cores");
+    means.link_mbit_per_s =
+        reader.number("link_mbit_per_s", means.link_mbit_per_s, 0.1, most_mbit_per_s, "Mbit/s");
+    reader.reject_unknown_fields();
+    return means;
+}
+
 } // namespace
 
 result<edge_settings> parse_edge_settings(std::string_view text) {
@@ -73,6 +85,7 @@
     settings.store_address = read_endpoint(reader, "store_address");
     settings.lowest_log_level = parse_log_level(reader.text("log_level", "info"));
     settings.bounds = read_bounds(reader.object("bounds"), problems);
+    settings.machine = read_machine(reader.object("machine"), problems);
     reader.reject_unknown_fields();
     if (!problems.empty()) {
         return fail(error_kind::invalid_value, join_problems(problems));
--- a/programs/knapweedknotd/edge_instance.cpp
+++ b/programs/knapweedknotd/edge_instance.cpp
@@ -24,6 +24,9 @@
 constexpr double give_up_part = 5.0 / 6;
 // The process ends this long before it would be killed.
 constexpr duration kill_margin = milliseconds(400);
+// Part of the link that reports on what runs at the targets may take.
+constexpr double share_of_link_for_reports = 0.05;
+constexpr double bytes_per_mbit = 125'000;
 // Part of the time until a withdrawn key must be dead that is kept for the request's way.
 constexpr duration proof_margin = milliseconds(400);
 
@@ -46,6 +49,13 @@
     return options;
 }
 
+report_times make_report_times(const machine_means& machine) {
+    report_times times;
+    times.full_report_bytes_per_s =
+        machine.link_mbit_per_s * bytes_per_mbit * share_of_link_for_reports;
+    return times;
+}
+
 peer_info describe(const edge_settings& settings) {
     peer_info self;
     self.instance = settings.instance;
@@ -54,6 +64,7 @@
     self.peers_address = settings.peers_address;
     self.peers_listen = settings.peers_address;
     self.callers_address = settings.callers_address;
+    self.capacity = capacity_of(settings.machine.cores, settings.machine.link_mbit_per_s);
     return self;
 }
 
@@ -66,7 +77,8 @@
     : owner(event_loop), settings(given), headers(platform::make_header_names()),
       store(event_loop, given.store_address), self(describe(given)),
       network(event_loop, self, this->make_mesh_handlers()),
-      reports(event_loop, network, report_times{}), registry(event_loop, store, network),
+      reports(event_loop, network, make_report_times(given.machine)),
+      registry(event_loop, store, network),
       policy(event_loop, store, std::string(platform::policy_key), &platform::decode_policy,
              make_policy_options(given.bounds)),
       directory(event_loop, store, std::string(platform::targets_prefix), &platform::decode_target,
@@ -173,13 +185,13 @@
     std::vector<instance_candidate> candidates;
     candidates.push_back({this->self.instance, this->self.failure_domain,
                           this->self.callers_address, this->is_ready(), now - this->started,
-                          this->gateway.request_rate_at(now)});
+                          this->gateway.request_rate_at(now), this->self.capacity});
     for (const auto& [incarnation, peer] : this->reports.peers()) {
         const bool named = this->may_be_named(peer, now);
         candidates.push_back({peer.info.instance, peer.info.failure_domain,
                               peer.info.callers_address, named,
                               named ? peer.report->uptime : duration::zero(),
-                              named ? peer.report->request_rate : 0});
+                              named ? peer.report->request_rate : 0, peer.info.capacity});
     }
     const failure_domain_id from = platform::asking_domain(request->query());
     std::vector<endpoint> named;
