--- a/libs/fleet/include/fleet/target_directory.h
+++ b/libs/fleet/include/fleet/target_directory.h
@@ -52,8 +52,8 @@
 
     /// Begins to read and watch.
     void start();
-    /// Takes other times from the next watch on.
-    void set_options(const target_directory_options& changed) noexcept { this->options = changed; }
+    /// Takes other times. A watch under way that would wait for longer is replaced.
+    void set_options(const target_directory_options& changed);
     /// Targets of \p service by id; empty when it has none.
     [[nodiscard]] const std::map<target_id, known_target>&
     targets_of(const service_id& service) const;
@@ -91,6 +91,10 @@
     std::map<target_id, service_id> service_by_id;
     std::uint64_t known_revision{0};
     std::uint64_t last_run{0};
+    /// Number of the newest watch; the answers of earlier ones are not used.
+    std::uint64_t last_watch{0};
+    /// Longest wait of the watch under way; nothing while there is none.
+    std::optional<duration> waiting;
     bool loaded{false};
     std::optional<time_point> heard;
     timer next;
--- a/libs/fleet/src/target_directory.cpp
+++ b/libs/fleet/src/target_directory.cpp
@@ -104,10 +104,22 @@
     }
 }
 
+void target_directory::set_options(const target_directory_options& changed) {
+    this->options = changed;
+    if (this->waiting && this->options.watch_wait < *this->waiting) {
+        this->watch();
+    }
+}
+
 void target_directory::watch() {
+    this->waiting = this->options.watch_wait;
     this->store.watch_prefix(
         this->prefix, this->known_revision, this->options.watch_wait,
-        [this](const result<store_changes>& changes) {
+        [this, number = ++this->last_watch](const result<store_changes>& changes) {
+            if (number != this->last_watch) {
+                return;
+            }
+            this->waiting.reset();
             if (!changes) {
                 this->again(retry_delay, &target_directory::watch);
                 return;
--- a/libs/fleet/tests/follower_test.cpp
+++ b/libs/fleet/tests/follower_test.cpp
@@ -186,6 +186,29 @@
     BOOST_TEST(store.run_until([&] { return targets.empty(); }));
 }
 
+// Guards against requests at targets that have said they are leaving: an instance that began to
+// serve kept the long watch of its quiet time, which may hear nothing any more.
+BOOST_AUTO_TEST_CASE(targets_are_followed_closely_from_the_moment_an_instance_serves) {
+    store_fixture store;
+    store.write("servers/i-1", target_text("127.0.0.1:9000", "ready"));
+    target_directory_options options;
+    options.watch_wait = seconds(60);
+    target_directory directory(store.events, store.client, std::string(platform::targets_prefix),
+                               &platform::decode_target, options);
+    directory.start();
+    BOOST_REQUIRE(store.run_until([&] { return directory.is_loaded(); }));
+    store.run_for(milliseconds(50));
+    options.watch_wait = milliseconds(200);
+    directory.set_options(options);
+    constexpr duration longest_age = milliseconds(800);
+    for (int look = 0; look < 12; ++look) {
+        store.run_for(milliseconds(100));
+        BOOST_TEST((*directory.age(boot_clock::now()) < longest_age));
+    }
+    store.write("servers/i-2", target_text("127.0.0.1:9001", "ready"));
+    BOOST_TEST(store.run_until([&] { return directory.targets_of(service).size() == 2; }));
+}
+
 BOOST_AUTO_TEST_CASE(an_unreadable_registration_names_no_target_and_the_others_hold) {
     store_fixture store;
     store.write("servers/i-1", target_text("127.0.0.1:9000", "ready"));
