--- a/libs/proxy/src/target_pool.cpp
+++ b/libs/proxy/src/target_pool.cpp
@@ -194,7 +194,7 @@
     for (const auto& [id, target] : this->targets) {
         const auto told = report.targets.find(target->hash);
         if (told != report.targets.end() &&
-            follow_judgement(target->evidence, now + told->second.out, now)) {
+            follow_judgement(target->evidence, report.targets_told + told->second.out, now)) {
             log_event(log_level::debug, "target_out_as_told",
                       {{"service", this->service.value}, {"target", id.value}});
         }
