--- a/libs/decide/include/decide/target_rotation.h
+++ b/libs/decide/include/decide/target_rotation.h
@@ -75,14 +75,10 @@
 struct target_standing {
     /// Requests that run there.
     int running{0};
-    /// Sum over the running requests, but for the stale ones, of -ln(probability that a healthy
-    /// target still runs it).
+    /// Sum over the running requests of -ln(probability that a healthy target still runs it).
     double silence{0};
     /// Doubt from failures.
     double failures{0};
-    /// Running requests that were sent before the target was last taken out. They take up slots,
-    /// but what they say of it has been judged.
-    int stale{0};
 };
 
 /// Takes \p target out of rotation if \p standing gives reason to. True when it does so now.
--- a/libs/decide/src/target_rotation.cpp
+++ b/libs/decide/src/target_rotation.cpp
@@ -32,13 +32,8 @@
 // Keeps instances that see the same loads from choosing the same target.
 constexpr double random_spread = 0.1;
 
-/// Running requests that speak for or against a target.
-int telling(const target_standing& standing) {
-    return std::max(0, standing.running - standing.stale);
-}
-
 double doubt_of(const target_candidate& candidate) {
-    return candidate.standing.silence / (1 + telling(candidate.standing)) +
+    return candidate.standing.silence / (1 + candidate.standing.running) +
            candidate.standing.failures;
 }
 
@@ -48,8 +43,8 @@
 
 bool has_room(const target_candidate& candidate, time_point now) {
     const bool on_trial = candidate.evidence->on_trial && !is_out(*candidate.evidence, now);
-    return candidate.standing.running < candidate.slots &&
-           (!on_trial || telling(candidate.standing) == 0);
+    const int limit = on_trial ? 1 : candidate.slots;
+    return candidate.standing.running < limit;
 }
 
 double cost_of(const target_candidate& candidate, loss if_lost, time_point now) {
@@ -93,7 +88,7 @@
         return false;
     }
     const double silence_limit =
-        policy.silence_limit + policy.silence_limit_per_request * telling(standing);
+        policy.silence_limit + policy.silence_limit_per_request * standing.running;
     if (standing.silence <= silence_limit && standing.failures <= policy.failure_limit) {
         return false;
     }
@@ -150,7 +145,7 @@
                               : risk_just_heard + (risk_unheard - risk_just_heard) * unheard;
     const target_standing& standing = candidate.standing;
     const double evidence_against =
-        standing.silence - usual_silence * telling(standing) + standing.failures;
+        standing.silence - usual_silence * standing.running + standing.failures;
     const double odds = before / (1 - before) * std::exp(std::clamp(evidence_against, -3.0, 12.0));
     return odds / (1 + odds);
 }
--- a/libs/decide/tests/target_rotation_test.cpp
+++ b/libs/decide/tests/target_rotation_test.cpp
@@ -133,29 +133,6 @@
     BOOST_TEST(*service.choose(loss::repeatable, now) == 0U);
 }
 
-// Guards against sound targets that get nothing: a request that had hung since before the time out
-// took the target out again at its end, and kept it from being tried.
-BOOST_AUTO_TEST_CASE(what_hung_before_a_time_out_is_not_held_against_a_target_again) {
-    service_fixture service(1);
-    const time_point now = start + policy.time_out;
-    service.evidence[0].last_out = start;
-    service.evidence[0].out_until = now;
-    service.evidence[0].on_trial = true;
-    target_standing& standing = service.candidates[0].standing;
-    standing.running = 2;
-    standing.stale = 2;
-    BOOST_TEST(!judge(service.evidence[0], standing, policy, now));
-    BOOST_TEST(service.choose(loss::repeatable, now).has_value());
-    // One trial at a time, and what hangs takes up slots.
-    standing.running = 3;
-    BOOST_TEST(!service.choose(loss::repeatable, now).has_value());
-    standing.running = standing.stale = service.candidates[0].slots;
-    BOOST_TEST(!service.choose(loss::repeatable, now).has_value());
-    // A trial that hangs counts as it would without the others.
-    standing = {3, 7.6, 0, 2};
-    BOOST_TEST(judge(service.evidence[0], standing, policy, now));
-}
-
 BOOST_AUTO_TEST_CASE(the_latency_model_learns_and_never_excludes_an_answer) {
     latency_model model(milliseconds(4000));
     for (int i = 0; i < 500; ++i) {
--- a/libs/fleet/include/fleet/fleet_reports.h
+++ b/libs/fleet/include/fleet/fleet_reports.h
@@ -46,8 +46,6 @@
     double failures{0};
     /// How much longer the instance keeps the target out of rotation.
     duration out{duration::zero()};
-    /// Running requests that were sent before the target was last taken out.
-    int stale{0};
 };
 
 /// Peers that serve by their newest report.
--- a/libs/fleet/src/fleet_reports.cpp
+++ b/libs/fleet/src/fleet_reports.cpp
@@ -45,7 +45,7 @@
     }
     for (const auto& [target, use] : report.targets) {
         message.targets.emplace_back(
-            target, clamp_to<std::uint8_t>(use.running), clamp_to<std::uint8_t>(use.stale),
+            target, clamp_to<std::uint16_t>(use.running),
             clamp_to<std::uint16_t>(use.silence / doubt_unit),
             clamp_to<std::uint16_t>(use.failures / doubt_unit),
             clamp_to<std::uint16_t>(static_cast<double>(to_milliseconds(use.out))));
@@ -74,8 +74,7 @@
     }
     for (const wire::target_use& use : message.targets) {
         report.targets[use.target()] = {use.running(), use.silence() * doubt_unit,
-                                        use.failures() * doubt_unit, milliseconds(use.out_ms()),
-                                        use.stale()};
+                                        use.failures() * doubt_unit, milliseconds(use.out_ms())};
     }
     for (const wire::crash_note& note : message.crashes) {
         report.crashes[note.fingerprint()] = note.deaths();
@@ -238,7 +237,6 @@
         const duration age = now - peer.report->targets_told;
         if (age < this->times.running_lifetime) {
             total.running += found->second.running;
-            total.stale += found->second.stale;
             total.silence += found->second.silence;
         }
         total.failures += found->second.failures;
--- a/libs/proxy/src/target_pool.cpp
+++ b/libs/proxy/src/target_pool.cpp
@@ -20,19 +20,13 @@
     return std::to_string(tenths / parts) + '.' + std::to_string(tenths % parts);
 }
 
-/// What this instance runs at \p target. Requests that were sent before it was taken out are stale:
-/// they may hang until their deadline, and must not take it out again.
-target_standing own_standing(const pooled_target& target, time_point now) {
-    target_standing own;
-    own.running = static_cast<int>(target.running.size());
+/// Sum over what this instance runs at \p target of how unusual it is that it still runs.
+double own_silence(const pooled_target& target, time_point now) {
+    double silence = 0;
     for (const running_attempt* made : target.running) {
-        if (made->started < target.evidence.last_out) {
-            ++own.stale;
-        } else {
-            own.silence -= std::log(made->model->survival(now - made->started));
-        }
+        silence -= std::log(made->model->survival(now - made->started));
     }
-    return own;
+    return silence;
 }
 
 } // namespace
@@ -71,10 +65,9 @@
 
 target_standing target_pool::standing_of(const pooled_target& target, time_point now) const {
     const target_use peers = this->reports.total_at(target.hash, now);
-    target_standing standing = own_standing(target, now);
-    standing.running += peers.running;
-    standing.stale += peers.stale;
-    standing.silence += peers.silence;
+    target_standing standing;
+    standing.running = static_cast<int>(target.running.size()) + peers.running;
+    standing.silence = own_silence(target, now) + peers.silence;
     standing.failures =
         failure_doubt(target.evidence, this->options.rotation, now) + peers.failures;
     return standing;
@@ -187,10 +180,8 @@
 void target_pool::report(fleet_report& report, time_point now) const {
     for (const auto& [id, target] : this->targets) {
         target_use use;
-        const target_standing own = own_standing(*target, now);
-        use.running = own.running;
-        use.stale = own.stale;
-        use.silence = own.silence;
+        use.running = static_cast<int>(target->running.size());
+        use.silence = own_silence(*target, now);
         use.failures = failure_doubt(target->evidence, this->options.rotation, now);
         use.out = std::max(duration::zero(), target->evidence.out_until - now);
         if (use.running > 0 || use.failures > negligible_doubt || use.out > duration::zero()) {
