--- a/libs/decide/include/decide/instance_choice.h
+++ b/libs/decide/include/decide/instance_choice.h
@@ -44,8 +44,9 @@
     duration settling_time{milliseconds(1500)};
 };
 
-/// Capacity of a machine with \p cores of processor time per second and a link of \p mbit_per_s.
-[[nodiscard]] double capacity_of(double cores, double mbit_per_s);
+/// Requests per second that a machine serves with ease, with \p cores of processor time per second
+/// and a link of \p link_bytes_per_s.
+[[nodiscard]] double capacity_of(double cores, double link_bytes_per_s);
 
 /// The instances that callers in \p failure_domain should use, best first. Those of another
 /// failure domain are named only when their own one has none that is ready.
--- a/libs/decide/src/instance_choice.cpp
+++ b/libs/decide/src/instance_choice.cpp
@@ -10,10 +10,9 @@
 
 namespace {
 
-// A request costs about this much processor time, and this many bytes on the link, at most.
+// What a request costs at most of the processor and of the link.
 constexpr double requests_per_core_second = 250;
 constexpr double bytes_per_request = 12'000;
-constexpr double bytes_per_mbit = 125'000;
 // Even a small machine serves this many requests per second.
 constexpr double least_capacity = 50;
 
@@ -23,8 +22,9 @@
     double strongest{0};
     std::size_t strong{0};
     std::size_t all{0};
-    /// Least capacity of the strong ones and of all.
+    /// Least capacity among the strong ones.
     double strong_capacity{0};
+    /// Least capacity among all.
     double least_capacity{0};
 };
 
@@ -80,9 +80,9 @@
 
 } // namespace
 
-double capacity_of(double cores, double mbit_per_s) {
+double capacity_of(double cores, double link_bytes_per_s) {
     const double by_processor = cores * requests_per_core_second;
-    const double by_link = mbit_per_s * bytes_per_mbit / bytes_per_request;
+    const double by_link = link_bytes_per_s / bytes_per_request;
     return std::max(least_capacity, std::min(by_processor, by_link));
 }
 
--- a/libs/decide/tests/traffic_test.cpp
+++ b/libs/decide/tests/traffic_test.cpp
@@ -226,8 +226,10 @@
 }
 
 BOOST_AUTO_TEST_CASE(the_capacity_of_a_machine_is_bound_by_its_processor_and_its_link) {
-    BOOST_TEST(capacity_of(0.5, 200) == 125);
-    BOOST_TEST(capacity_of(4, 10) > 100);
-    BOOST_TEST(capacity_of(4, 10) < 110);
-    BOOST_TEST(capacity_of(0.1, 10) == 50);
+    constexpr double narrow = 1.25e6;
+    constexpr double wide = 25e6;
+    BOOST_TEST(capacity_of(0.5, wide) == 125);
+    BOOST_TEST(capacity_of(4, narrow) > 100);
+    BOOST_TEST(capacity_of(4, narrow) < 110);
+    BOOST_TEST(capacity_of(0.1, narrow) == 50);
 }
--- a/libs/proxy/include/proxy/edge_settings.h
+++ b/libs/proxy/include/proxy/edge_settings.h
@@ -40,7 +40,7 @@
 struct machine_means {
     /// Processor time per second.
     double cores{0.2};
-    double link_mbit_per_s{1000};
+    double link_bytes_per_s{125e6};
 };
 
 /// Settings of an instance.
--- a/libs/proxy/src/edge_settings.cpp
+++ b/libs/proxy/src/edge_settings.cpp
@@ -51,11 +51,13 @@
 machine_means read_machine(const nlohmann::json& source, std::vector<std::string>& problems) {
     constexpr double most_cores = 1024;
     constexpr double most_mbit_per_s = 1e6;
+    constexpr double bytes_per_mbit = 125'000;
     settings_reader reader(source, "/machine", problems);
     machine_means means;
     means.cores = reader.number("cores", means.cores, 0.001, most_cores, "cores");
-    means.link_mbit_per_s =
-        reader.number("link_mbit_per_s", means.link_mbit_per_s, 0.1, most_mbit_per_s, "Mbit/s");
+    means.link_bytes_per_s =
+        bytes_per_mbit * reader.number("link_mbit_per_s", means.link_bytes_per_s / bytes_per_mbit,
+                                       0.1, most_mbit_per_s, "Mbit/s");
     reader.reject_unknown_fields();
     return means;
 }
--- a/libs/proxy/tests/ledger_test.cpp
+++ b/libs/proxy/tests/ledger_test.cpp
@@ -240,3 +240,13 @@
         BOOST_TEST(settings.error().detail.find(part) != std::string::npos, part);
     }
 }
+
+BOOST_AUTO_TEST_CASE(the_link_of_a_machine_is_read_in_mbit_and_held_in_bytes) {
+    const auto settings = parse_edge_settings(R"({"instance": "a", "failure_domain": "d",
+        "callers_address": "127.0.0.1:1", "readiness_address": "127.0.0.1:2",
+        "metrics_address": "127.0.0.1:3", "peers_address": "127.0.0.1:4",
+        "store_address": "127.0.0.1:5", "machine": {"cores": 0.1, "link_mbit_per_s": 10}})");
+    BOOST_REQUIRE(settings.has_value());
+    BOOST_TEST(settings->machine.cores == 0.1);
+    BOOST_TEST(settings->machine.link_bytes_per_s == 1.25e6);
+}
--- a/programs/knapweedknotd/edge_instance.cpp
+++ b/programs/knapweedknotd/edge_instance.cpp
@@ -26,7 +26,6 @@
 constexpr duration kill_margin = milliseconds(400);
 // Part of the link that reports on what runs at the targets may take.
 constexpr double share_of_link_for_reports = 0.05;
-constexpr double bytes_per_mbit = 125'000;
 // Part of the time until a withdrawn key must be dead that is kept for the request's way.
 constexpr duration proof_margin = milliseconds(400);
 
@@ -51,8 +50,7 @@
 
 report_times make_report_times(const machine_means& machine) {
     report_times times;
-    times.full_report_bytes_per_s =
-        machine.link_mbit_per_s * bytes_per_mbit * share_of_link_for_reports;
+    times.full_report_bytes_per_s = machine.link_bytes_per_s * share_of_link_for_reports;
     return times;
 }
 
@@ -64,7 +62,7 @@
     self.peers_address = settings.peers_address;
     self.peers_listen = settings.peers_address;
     self.callers_address = settings.callers_address;
-    self.capacity = capacity_of(settings.machine.cores, settings.machine.link_mbit_per_s);
+    self.capacity = capacity_of(settings.machine.cores, settings.machine.link_bytes_per_s);
     return self;
 }
 
