--- a/libs/proxy/include/proxy/balancer.h
+++ b/libs/proxy/include/proxy/balancer.h
@@ -15,7 +15,7 @@
 #include "event/http_client.h"
 #include "proxy/header_names.h"
 #include "proxy/proxied_request.h"
-#include "proxy/resend_ledger.h"
+#include "proxy/retry_limiter.h"
 #include "proxy/target_pool.h"
 
 /// \file
@@ -35,85 +35,88 @@
 };
 
 /// What a balancer shares with the others of its instance. All must outlive it.
-struct balancer_services {
+struct balancer_dependencies {
     loop& owner;
     const target_directory& directory;
     const fleet_reports& reports;
-    resend_ledger& resends;
+    retry_limiter& retries;
 };
 
 /// Identifies a request so that it can be cancelled.
-using balancer_ticket = detail::strong_id<struct balancer_ticket_tag, std::uint64_t>;
+using balancer_request_id = detail::strong_id<struct balancer_request_id_tag, std::uint64_t>;
 
 /// Counters of a balancer.
 struct balancer_counts {
     std::uint64_t sent{0};
-    std::uint64_t resent{0};
+    std::uint64_t retried{0};
     std::uint64_t new_connections{0};
-    std::uint64_t refused_by_targets{0};
-    std::uint64_t failed{0};
+    std::uint64_t not_executed{0};
+    std::uint64_t failed_attempts{0};
 };
 
 /// Balances one service. Not thread safe.
 class balancer {
 public:
-    balancer(service_id service, const balancer_services& shared, const balancer_options& options);
+    balancer(service_id service, const balancer_dependencies& shared,
+             const balancer_options& options);
     ~balancer();
     balancer(const balancer&) = delete;
     balancer& operator=(const balancer&) = delete;
 
     /// Sends \p request and calls \p done once, at once or later.
-    balancer_ticket start(proxied_request&& request, proxy_handler done);
+    balancer_request_id start(proxied_request&& request, proxy_handler done);
     /// Cancels a request whose caller has gone; its handler is not called.
-    void cancel(balancer_ticket ticket);
+    void cancel(balancer_request_id id);
     /// Ends every request without a target's answer.
-    void give_up_all();
+    void fail_all();
     /// Takes the directory's newest targets.
     void update_targets();
     [[nodiscard]] const balancer_counts& counts() const noexcept { return this->counters; }
     [[nodiscard]] std::size_t queued() const noexcept;
-    [[nodiscard]] std::size_t running() const noexcept { return this->jobs.size(); }
+    [[nodiscard]] std::size_t running() const noexcept { return this->pending_requests.size(); }
     [[nodiscard]] target_pool& pool() noexcept { return this->targets; }
 
 private:
     struct attempt;
-    struct job;
-    using job_ptr = std::shared_ptr<job>;
+    struct pending_request;
+    using pending_request_ptr = std::shared_ptr<pending_request>;
 
-    void place(const job_ptr& work);
-    void send(const job_ptr& work, const target_ptr& at);
-    void write(const job_ptr& work, attempt& made);
-    void handle_outcome(const job_ptr& work, attempt& ended, http_outcome outcome);
-    void handle_answer(const job_ptr& work, const target_ptr& at, duration spent,
-                       http_answer answer);
-    void handle_failure(const job_ptr& work, const target_ptr& at, const http_failure& failure,
-                        bool reused);
-    void handle_refusal(const job_ptr& work, const target_ptr& at, const http_answer& answer);
-    void try_elsewhere(const job_ptr& work, const error& problem);
-    [[nodiscard]] bool may_resend(const job& work, time_point now);
-    void wait(const job_ptr& work);
-    void serve_waiting();
-    void look();
-    void look_at(const job_ptr& work, time_point now);
-    void run_out(const job_ptr& work);
-    void finish(const job_ptr& work, proxy_outcome outcome);
-    void refuse(const job_ptr& work, const error& problem, std::optional<duration> retry_after);
-    void drop_attempts(job& work);
-    [[nodiscard]] target_ptr choose(const job& work, time_point now);
-    [[nodiscard]] latency_model& model_of(const traffic_route& route);
-    [[nodiscard]] duration resend_delay(const traffic_route& route);
+    void dispatch(const pending_request_ptr& pending);
+    void send(const pending_request_ptr& pending, const target_ptr& target);
+    void write_request(const pending_request_ptr& pending, attempt& current);
+    void handle_outcome(const pending_request_ptr& pending, attempt& ended, http_outcome outcome);
+    void handle_response(const pending_request_ptr& pending, const target_ptr& target,
+                         duration response_time, http_answer answer);
+    void handle_failure(const pending_request_ptr& pending, const target_ptr& target,
+                        const http_failure& failure, bool reused);
+    void handle_not_executed(const pending_request_ptr& pending, const target_ptr& target,
+                             const http_answer& answer);
+    void retry_or_fail(const pending_request_ptr& pending, const error& problem);
+    [[nodiscard]] bool may_retry(const pending_request& pending, time_point now);
+    void enqueue(const pending_request_ptr& pending);
+    void dispatch_queued();
+    void check_running_requests();
+    void hedge_if_slow(const pending_request_ptr& pending, time_point now);
+    void handle_deadline(const pending_request_ptr& pending);
+    void finish(const pending_request_ptr& pending, proxy_outcome outcome);
+    void finish_with_error(const pending_request_ptr& pending, const error& problem,
+                           std::optional<duration> retry_after);
+    void cancel_attempts(pending_request& pending);
+    [[nodiscard]] target_ptr choose(const pending_request& pending, time_point now);
+    [[nodiscard]] latency_model& latency_model_of(const traffic_route& route);
+    [[nodiscard]] duration hedging_delay(const traffic_route& route);
     [[nodiscard]] duration expected_wait(time_point now);
 
     service_id service;
-    balancer_services shared;
+    balancer_dependencies shared;
     balancer_options options;
     target_pool targets;
-    std::map<balancer_ticket, job_ptr> jobs;
-    std::map<int, fair_queue<balancer_ticket>> waiting;
-    std::unordered_map<route_id, latency_model> models;
+    std::map<balancer_request_id, pending_request_ptr> pending_requests;
+    std::map<int, fair_queue<balancer_request_id>> queues;
+    std::unordered_map<route_id, latency_model> latency_models;
     balancer_counts counters;
-    std::uint64_t last_ticket{0};
-    timer looking;
+    std::uint64_t last_id{0};
+    timer check_timer;
 };
 
 } // namespace knapweedknot
--- a/libs/proxy/include/proxy/edge_gateway.h
+++ b/libs/proxy/include/proxy/edge_gateway.h
@@ -14,13 +14,13 @@
 #include "fleet/fleet_reports.h"
 #include "fleet/policy_follower.h"
 #include "fleet/target_directory.h"
-#include "proxy/account_ledger.h"
+#include "proxy/account_rate_limiter.h"
 #include "proxy/balancer.h"
 #include "proxy/edge_metrics.h"
 #include "proxy/edge_settings.h"
 #include "proxy/header_names.h"
 #include "proxy/request_preparation.h"
-#include "proxy/resend_ledger.h"
+#include "proxy/retry_limiter.h"
 
 /// \file
 /// The path of a request at an edge: match, authenticate, prove the policy, admit, split, balance,
@@ -32,7 +32,7 @@
 class edge_gateway {
 public:
     /// What the gateway works with. All must outlive it.
-    struct parts {
+    struct dependencies {
         loop& owner;
         const edge_settings& settings;
         const header_names& headers;
@@ -41,26 +41,26 @@
         fleet_reports& reports;
     };
 
-    explicit edge_gateway(const parts& given);
+    explicit edge_gateway(const dependencies& given);
 
     [[nodiscard]] result<void> listen();
     /// Takes the limits and services of a policy that was adopted.
-    void take_policy();
+    void apply_policy();
     void update_targets(const service_id& service);
     /// Ends every request that has no answer yet, so that answers behind it can be delivered.
-    void give_up_all();
+    void fail_all();
     /// Adds what this gateway knows to the own report.
-    void report(fleet_report& report, report_kind kind, time_point now);
+    void add_to_report(fleet_report& report, report_kind kind, time_point now);
     void handle_report(const reporting_peer& peer, const fleet_report* before);
-    void handle_lost(const reporting_peer& peer);
+    void handle_peer_lost(const reporting_peer& peer);
 
     /// True when callers lately sent requests at more than a trickle.
     [[nodiscard]] bool is_serving(time_point now) const noexcept;
     /// Requests per second, averaged over the last seconds.
     [[nodiscard]] double request_rate_at(time_point now) const;
-    [[nodiscard]] http_server& server() noexcept { return this->callers; }
-    [[nodiscard]] const http_server& server() const noexcept { return this->callers; }
-    [[nodiscard]] edge_metrics& measured() noexcept { return this->metrics; }
+    [[nodiscard]] http_server& server() noexcept { return this->caller_server; }
+    [[nodiscard]] const http_server& server() const noexcept { return this->caller_server; }
+    [[nodiscard]] edge_metrics& request_metrics() noexcept { return this->metrics; }
     [[nodiscard]] std::string metrics_text() const;
 
 private:
@@ -68,11 +68,12 @@
     struct running_request;
 
     void handle(const request_ptr& incoming);
-    void handle_with_proof(const request_ptr& incoming, bool proof_was_awaited);
-    [[nodiscard]] bool needs_proof(const result<matched_request>& matched, time_point now) const;
+    void handle_with_confirmation(const request_ptr& incoming, bool confirmation_awaited);
+    [[nodiscard]] bool needs_confirmation(const result<matched_request>& matched,
+                                          time_point now) const;
     void admit(const request_ptr& incoming, const matched_request& matched);
     void start(const request_ptr& incoming, const matched_request& matched);
-    void start_later(const request_ptr& incoming, const matched_request& matched, duration wait);
+    void start_after(const request_ptr& incoming, const matched_request& matched, duration wait);
     [[nodiscard]] const service_id& choose_service(const traffic_route& route);
     [[nodiscard]] balancer& balancer_of(const service_id& service);
     void finish(const request_ptr& incoming, const proxied_request& summary, proxy_outcome outcome);
@@ -81,7 +82,7 @@
     [[nodiscard]] http_answer make_refusal(const error& problem, execution outcome,
                                            std::optional<duration> retry_after) const;
     [[nodiscard]] bool may_overlap(const http_request& request) const;
-    void note_request(time_point now);
+    void record_request(time_point now);
 
     loop& owner;
     const edge_settings& settings;
@@ -89,26 +90,26 @@
     policy_follower& policy;
     target_directory& directory;
     fleet_reports& reports;
-    resend_ledger resends;
-    account_ledger accounts;
+    retry_limiter retries;
+    account_rate_limiter accounts;
     edge_metrics metrics;
     std::map<service_id, std::unique_ptr<balancer>> balancers;
     struct route_split {
-        std::vector<weighted_service> parts;
+        std::vector<weighted_service> services;
         weighted_split split;
     };
     std::unordered_map<route_id, route_split> splits;
     /// Serving peers that were lost and may still admit requests.
     lost_instances lost_peers;
     /// Requests that wait for a token, by number.
-    std::unordered_map<std::uint64_t, timer> delayed;
+    std::unordered_map<std::uint64_t, timer> delayed_starts;
     std::uint64_t last_delayed{0};
     time_point started;
-    /// Requests per second, averaged over the last seconds, at rate_since.
+    /// Requests per second, averaged over the last seconds, at rate_updated_at.
     double request_rate{0};
-    time_point rate_since;
-    std::optional<time_point> last_busy;
-    http_server callers;
+    time_point rate_updated_at;
+    std::optional<time_point> last_serving;
+    http_server caller_server;
 };
 
 } // namespace knapweedknot
--- a/libs/proxy/include/proxy/edge_metrics.h
+++ b/libs/proxy/include/proxy/edge_metrics.h
@@ -15,10 +15,10 @@
 namespace knapweedknot {
 
 /// Times of one kind, in buckets. Not thread safe.
-class time_histogram {
+class duration_histogram {
 public:
-    time_histogram();
-    void note(duration value);
+    duration_histogram();
+    void record(duration value);
     /// Appends the buckets, sum and count of the metric \p name.
     void write(std::string& text, const std::string& name) const;
 
@@ -33,10 +33,10 @@
 struct edge_metrics {
     /// Requests by outcome: "served", or the name of an error kind.
     std::map<std::string, std::uint64_t> requests;
-    time_histogram total_time;
-    time_histogram target_time;
+    duration_histogram total_time;
+    duration_histogram response_time;
     /// From the arrival to the first send.
-    time_histogram waiting_time;
+    duration_histogram queue_time;
     std::uint64_t caller_gone{0};
     std::uint64_t address_answers{0};
 };
--- a/libs/proxy/include/proxy/edge_settings.h
+++ b/libs/proxy/include/proxy/edge_settings.h
@@ -37,7 +37,7 @@
 };
 
 /// What the instance's machine provides.
-struct machine_means {
+struct machine_resources {
     /// Processor time per second.
     double cores{0.2};
     double link_bytes_per_s{125e6};
@@ -58,7 +58,7 @@
     endpoint store_address;
     log_level lowest_log_level{log_level::info};
     fleet_bounds bounds;
-    machine_means machine;
+    machine_resources machine;
 };
 
 /// Reads settings. The error lists every bad value with its path, unit and range. Thread safe.
--- a/libs/proxy/include/proxy/proxied_request.h
+++ b/libs/proxy/include/proxy/proxied_request.h
@@ -26,27 +26,27 @@
     /// Empty on open routes.
     account_id account;
     int priority{0};
-    time_point arrived;
+    time_point arrived_at;
     /// When the caller has to have its answer.
-    time_point due;
+    time_point deadline;
     /// Same for requests that ask for the same work.
     std::uint64_t fingerprint{0};
 };
 
 /// A target's whole answer.
-struct proxied_answer {
+struct proxied_response {
     http_answer message;
     target_id target;
     /// Targets that the request was sent to.
     int attempts{0};
     /// Time from the last send to the whole answer.
-    duration spent{duration::zero()};
+    duration response_time{duration::zero()};
     /// Time from the arrival to the first send.
-    duration waited{duration::zero()};
+    duration queue_time{duration::zero()};
 };
 
 /// Why a request has no answer of a target.
-struct proxy_refusal {
+struct proxy_failure {
     error problem;
     /// Whether the caller may be promised that the request did not and will not run.
     execution outcome{execution::not_run};
@@ -56,10 +56,10 @@
     /// Target of the last attempt; empty when there was none.
     target_id target;
     /// Time from the arrival to the first send, or to the end when there was none.
-    duration waited{duration::zero()};
+    duration queue_time{duration::zero()};
 };
 
-using proxy_outcome = tl::expected<proxied_answer, proxy_refusal>;
+using proxy_outcome = tl::expected<proxied_response, proxy_failure>;
 using proxy_handler = std::function<void(proxy_outcome)>;
 
 } // namespace knapweedknot
--- a/libs/proxy/include/proxy/request_preparation.h
+++ b/libs/proxy/include/proxy/request_preparation.h
@@ -26,8 +26,8 @@
                                                     const header_names& names);
 
 /// Time that the caller still waits; the route's timeout when it does not say.
-[[nodiscard]] duration caller_patience(const incoming_request& incoming, const traffic_route& route,
-                                       const header_names& names);
+[[nodiscard]] duration remaining_time(const incoming_request& incoming, const traffic_route& route,
+                                      const header_names& names);
 
 /// The request to send: the caller's, without its key, the headers that belong to its connection
 /// and those that the proxy sets itself, and with the account's name.
@@ -36,6 +36,6 @@
                                                    const header_names& names);
 
 /// The answer to pass on: the target's, without the headers that belong to its connection.
-[[nodiscard]] http_answer make_passed_answer(http_answer&& answer, bool is_head);
+[[nodiscard]] http_answer make_forwarded_response(http_answer&& answer, bool is_head);
 
 } // namespace knapweedknot
--- a/libs/proxy/include/proxy/target_pool.h
+++ b/libs/proxy/include/proxy/target_pool.h
@@ -42,7 +42,7 @@
     bool misdirected{false};
 
     [[nodiscard]] const target_id& id() const noexcept { return this->known.registration.id; }
-    [[nodiscard]] bool takes_work(time_point now) const;
+    [[nodiscard]] bool accepts_requests(time_point now) const;
 };
 
 using target_ptr = std::shared_ptr<pooled_target>;
@@ -73,15 +73,15 @@
     /// Requests that all targets can run at once.
     [[nodiscard]] int capacity(time_point now) const;
     /// Targets that are registered, and those of them that are taken out.
-    [[nodiscard]] std::pair<std::size_t, std::size_t> rotation_size(time_point now) const;
-    [[nodiscard]] std::uint64_t taken_out() const noexcept { return this->taken_out_count; }
+    [[nodiscard]] std::pair<std::size_t, std::size_t> rotation_counts(time_point now) const;
+    [[nodiscard]] std::uint64_t ejections() const noexcept { return this->ejection_count; }
 
-    void note_failure(pooled_target& target, double doubt, time_point now);
-    void note_success(pooled_target& target, time_point now);
+    void record_failure(pooled_target& target, double suspicion, time_point now);
+    void record_success(pooled_target& target, time_point now);
     /// Takes \p target out of rotation if the evidence of all instances gives reason to.
-    void judge_target(pooled_target& target, time_point now);
+    void check_target(pooled_target& target, time_point now);
     /// The same for each target at which something runs.
-    void judge_running(time_point now);
+    void check_running_targets(time_point now);
 
     /// An idle connection that was used within \p limit; null when there is none.
     [[nodiscard]] static std::unique_ptr<http_connection> take_connection(pooled_target& target,
@@ -89,14 +89,14 @@
     void keep_connection(pooled_target& target, std::unique_ptr<http_connection> connection) const;
 
     /// Adds what runs at the targets to the own report.
-    void report(fleet_report& report, time_point now) const;
+    void add_to_report(fleet_report& report, time_point now) const;
     /// Takes the judgements of a peer.
-    void follow(const fleet_report& report, time_point now);
+    void adopt_ejections(const fleet_report& report, time_point now);
 
 private:
     [[nodiscard]] std::vector<target_candidate> candidates(const std::set<target_id>& tried,
                                                            time_point now) const;
-    [[nodiscard]] target_standing standing_of(const pooled_target& target, time_point now) const;
+    [[nodiscard]] target_standing fleet_state_of(const pooled_target& target, time_point now) const;
 
     service_id service;
     const target_directory& directory;
@@ -104,7 +104,7 @@
     target_pool_options options;
     std::map<target_id, target_ptr> targets;
     std::minstd_rand random;
-    std::uint64_t taken_out_count{0};
+    std::uint64_t ejection_count{0};
 };
 
 } // namespace knapweedknot
--- /dev/null
+++ b/libs/proxy/src/account_rate_limiter.cpp
@@ -0,0 +1,166 @@
+#include "proxy/account_rate_limiter.h"
+
+#include <algorithm>
+
+#include "base/digest.h"
+
+namespace knapweedknot {
+
+namespace {
+
+// Others are told soon once this share of the burst was admitted since they last heard.
+constexpr double early_report_share = 0.1;
+// For this long after a start, what others and the process before admitted may still count.
+constexpr duration unknown_history_time = seconds(5);
+// Part of the burst to begin with where the level is not known.
+constexpr double initial_share = 0.15;
+// Counts are reported for this long after their last change, so that a lost report is made up for.
+constexpr duration reporting_period = seconds(7);
+// A serving peer between whose reports more time has passed could not be heard.
+constexpr duration max_report_gap = milliseconds(450);
+// A peer that has told nothing new for this long has admitted nothing since.
+constexpr duration idle_peer_threshold = milliseconds(3500);
+
+/// Part of the time since the report \p before that lies after \p created: a bucket's first level
+/// covers what was admitted before it was made.
+double fraction_since(time_point created, const fleet_report* before, time_point now) {
+    if (before == nullptr || before->received >= created || before->received >= now) {
+        return 1;
+    }
+    return std::min(1.0, to_seconds(now - created) / to_seconds(now - before->received));
+}
+
+} // namespace
+
+/// An account that was not seen here yet. Where it is not known what others, or the process before,
+/// have lately admitted, it begins with little.
+account_rate_limiter::account_state
+account_rate_limiter::make_account_state(std::uint64_t account, const rate_limit& limit,
+                                         const peer_summary& peers, time_point now) const {
+    account_state state;
+    state.created = now;
+    state.bucket = make_shared_bucket(limit, now);
+    double& tokens = state.bucket.tokens;
+    const bool is_unknown = now - this->started < unknown_history_time || peers.refill_share < 1;
+    if (const auto found = this->reported_levels.find(account);
+        found != this->reported_levels.end()) {
+        const duration age = now - found->second.reported_at;
+        const bool is_settled = age > idle_peer_threshold;
+        const double refill = is_settled ? to_seconds(age) * limit.rate_per_s : 0;
+        tokens = std::min(tokens, found->second.tokens + refill);
+    }
+    if (is_unknown) {
+        tokens = std::min(tokens, std::max(1.0, limit.burst * initial_share * peers.refill_share));
+    }
+    return state;
+}
+
+/// An instance that has just begun to serve does not know the levels of accounts until the others
+/// tell it at the short interval. Until then it admits little and promises nothing.
+void account_rate_limiter::mark_stale_level(account_state& state, const peer_summary& peers) {
+    const bool is_stale = peers.oldest_report_age > max_report_gap && peers.refill_share == 1;
+    if (is_stale && !state.is_estimate) {
+        state.admitted_before_estimate = state.admitted;
+        state.bucket.tokens =
+            std::min(state.bucket.tokens, std::max(1.0, state.bucket.limit.burst * initial_share));
+    }
+    state.is_estimate = is_stale;
+}
+
+account_rate_limiter::decision account_rate_limiter::admit(const traffic_account& account,
+                                                           const peer_summary& peers,
+                                                           duration max_wait, time_point now) {
+    decision outcome;
+    if (account.rate_per_s <= 0) {
+        outcome.admitted = true;
+        return outcome;
+    }
+    const rate_limit limit{account.rate_per_s, account.burst};
+    const std::uint64_t id = hash64(account.id.value);
+    const auto [place, is_new] = this->states.try_emplace(id);
+    account_state& state = place->second;
+    if (is_new) {
+        state = this->make_account_state(id, limit, peers, now);
+    }
+    advance(state.bucket, limit, peers.refill_share, now);
+    mark_stale_level(state, peers);
+    shared_bucket_times current = this->times;
+    current.report_delay = std::max<duration>(
+        current.report_delay, std::min<duration>(peers.oldest_report_age, max_report_gap));
+    const auto wait =
+        take_future_token(state.bucket, current, state.is_estimate ? duration::zero() : max_wait);
+    outcome.tokens = state.bucket.tokens;
+    if (!wait) {
+        outcome.retry_after = time_to_token(state.bucket, current);
+        return outcome;
+    }
+    outcome.admitted = true;
+    outcome.wait = *wait;
+    ++state.admitted;
+    state.last_admitted = now;
+    const double unreported = state.admitted - state.reported;
+    if (unreported >= std::max(2.0, account.burst * early_report_share)) {
+        outcome.report_early = true;
+        state.reported = state.admitted;
+    }
+    return outcome;
+}
+
+std::unordered_map<std::uint64_t, account_use> account_rate_limiter::report(report_kind kind,
+                                                                            time_point now) const {
+    std::unordered_map<std::uint64_t, account_use> usages;
+    for (const auto& [id, state] : this->states) {
+        const bool is_recent = now - state.last_admitted < reporting_period;
+        if (state.admitted > 0 && (is_recent || kind == report_kind::introduction)) {
+            usages[id] = {state.admitted, state.bucket.tokens};
+        }
+    }
+    return usages;
+}
+
+void account_rate_limiter::apply_peer_report(const fleet_report& report, const fleet_report* before,
+                                             bool is_new, time_point now) {
+    const bool was_overdue =
+        before != nullptr && report.received - before->received > max_report_gap;
+    for (const auto& [id, usage] : report.accounts) {
+        std::uint32_t previous = 0;
+        if (before != nullptr) {
+            const auto reported = before->accounts.find(id);
+            previous = reported == before->accounts.end() ? 0 : reported->second.admitted;
+        } else if (!is_new) {
+            // What another peer admitted before we heard of it is not known by time.
+            previous = usage.admitted;
+        }
+        if (usage.admitted == previous && before != nullptr) {
+            continue;
+        }
+        // Who serves nobody hears of admissions late and believes in levels that are too high.
+        if (report.serving) {
+            this->reported_levels[id] = {usage.tokens, now};
+        }
+        if (const auto found = this->states.find(id); found != this->states.end()) {
+            const double fraction = fraction_since(found->second.created, before, now);
+            const peer_admissions admissions{fraction * (usage.admitted - previous), was_overdue,
+                                             report.serving};
+            this->apply_peer_usage(found->second, usage, admissions, now);
+        }
+    }
+}
+
+/// Subtracts what a peer has newly admitted, or takes its level where the own one is a guess.
+void account_rate_limiter::apply_peer_usage(account_state& state, const account_use& usage,
+                                            const peer_admissions& admissions, time_point now) {
+    if (state.is_estimate && admissions.is_serving) {
+        state.is_estimate = false;
+        state.bucket.tokens = std::min(state.bucket.limit.burst, usage.tokens) -
+                              (state.admitted - state.admitted_before_estimate);
+        state.bucket.refilled = now;
+        return;
+    }
+    if (admissions.count > 0) {
+        const auto note = admissions.was_overdue ? note_unheard_tokens : note_peer_tokens;
+        note(state.bucket, admissions.count, this->times, now);
+    }
+}
+
+} // namespace knapweedknot
--- a/libs/proxy/src/balancer.cpp
+++ b/libs/proxy/src/balancer.cpp
@@ -9,12 +9,12 @@
 
 namespace {
 
-constexpr duration look_interval = milliseconds(40);
+constexpr duration check_interval = milliseconds(40);
 // Work with less time left than this is not started.
-constexpr duration least_time_left = milliseconds(5);
+constexpr duration min_time_left = milliseconds(5);
 // A caller that was refused for want of room may find some after this time, at the earliest.
-constexpr duration least_retry_after = milliseconds(300);
-constexpr duration longest_retry_after = milliseconds(3000);
+constexpr duration min_retry_after = milliseconds(300);
+constexpr duration max_retry_after = milliseconds(3000);
 constexpr int status_ok_first = 200;
 constexpr int status_ok_last = 299;
 constexpr int status_misdirected = 421;
@@ -32,40 +32,40 @@
 
 /// One send of a request.
 struct balancer::attempt : running_attempt {
-    target_ptr at;
+    target_ptr target;
     std::unique_ptr<http_connection> connection;
     bool reused{false};
 };
 
 /// A request and its attempts.
-struct balancer::job {
-    balancer_ticket ticket;
-    proxied_request wanted;
-    proxy_handler done;
+struct balancer::pending_request {
+    balancer_request_id id;
+    proxied_request request;
+    proxy_handler on_done;
     std::list<attempt> attempts;
-    std::set<target_id> tried;
-    int sent{0};
+    std::set<target_id> tried_targets;
+    int send_count{0};
     /// True when a target may have run it.
     bool may_have_run{false};
     target_id last_target;
     std::optional<time_point> first_sent;
-    timer due;
+    timer deadline_timer;
 };
 
-balancer::balancer(service_id balanced, const balancer_services& common,
+balancer::balancer(service_id balanced, const balancer_dependencies& common,
                    const balancer_options& balancer_settings)
     : service(std::move(balanced)), shared(common), options(balancer_settings),
       targets(this->service, common.directory, common.reports, balancer_settings.targets) {}
 
 balancer::~balancer() {
-    for (auto& [ticket, work] : this->jobs) {
-        this->drop_attempts(*work);
+    for (auto& [id, pending] : this->pending_requests) {
+        this->cancel_attempts(*pending);
     }
 }
 
 std::size_t balancer::queued() const noexcept {
     std::size_t total = 0;
-    for (const auto& [priority, queue] : this->waiting) {
+    for (const auto& [priority, queue] : this->queues) {
         total += queue.size();
     }
     return total;
@@ -73,417 +73,429 @@
 
 void balancer::update_targets() {
     this->targets.update();
-    this->serve_waiting();
+    this->dispatch_queued();
 }
 
-latency_model& balancer::model_of(const traffic_route& route) {
-    return this->models.try_emplace(route.id, route.latency_target).first->second;
+latency_model& balancer::latency_model_of(const traffic_route& route) {
+    return this->latency_models.try_emplace(route.id, route.latency_target).first->second;
 }
 
 /// Time after which a request that may run twice is sent to a second target: when most answers
 /// would have come, but early enough for the second one to be in time.
-duration balancer::resend_delay(const traffic_route& route) {
-    constexpr double most = 0.93;
-    constexpr double many = 0.75;
-    constexpr double half = 0.5;
-    const latency_model& model = this->model_of(route);
-    const duration in_time = route.latency_target - model.quantile(many);
-    return std::min(model.quantile(most), std::max(model.quantile(half), in_time));
+duration balancer::hedging_delay(const traffic_route& route) {
+    constexpr double p93 = 0.93;
+    constexpr double p75 = 0.75;
+    constexpr double p50 = 0.5;
+    const latency_model& model = this->latency_model_of(route);
+    const duration in_time = route.latency_target - model.quantile(p75);
+    return std::min(model.quantile(p93), std::max(model.quantile(p50), in_time));
 }
 
-balancer_ticket balancer::start(proxied_request&& request, proxy_handler done) {
+balancer_request_id balancer::start(proxied_request&& request, proxy_handler done) {
     const time_point now = boot_clock::now();
-    auto work = std::make_shared<job>();
-    work->ticket = balancer_ticket{++this->last_ticket};
-    work->wanted = std::move(request);
-    work->done = std::move(done);
-    this->jobs[work->ticket] = work;
-    this->shared.resends.note_request(this->service, now);
-    work->due =
-        this->shared.owner.after(std::max<duration>(duration::zero(), work->wanted.due - now),
-                                 [this, work] { this->run_out(work); });
-    if (!this->looking) {
-        this->looking = this->shared.owner.every(look_interval, [this] { this->look(); });
-    }
-    const balancer_ticket ticket = work->ticket;
-    this->place(work);
-    return ticket;
+    auto pending = std::make_shared<pending_request>();
+    pending->id = balancer_request_id{++this->last_id};
+    pending->request = std::move(request);
+    pending->on_done = std::move(done);
+    this->pending_requests[pending->id] = pending;
+    this->shared.retries.record_request(this->service, now);
+    pending->deadline_timer = this->shared.owner.after(
+        std::max<duration>(duration::zero(), pending->request.deadline - now),
+        [this, pending] { this->handle_deadline(pending); });
+    if (!this->check_timer) {
+        this->check_timer =
+            this->shared.owner.every(check_interval, [this] { this->check_running_requests(); });
+    }
+    const balancer_request_id id = pending->id;
+    this->dispatch(pending);
+    return id;
 }
 
-void balancer::cancel(balancer_ticket ticket) {
-    const auto found = this->jobs.find(ticket);
-    if (found == this->jobs.end()) {
+void balancer::cancel(balancer_request_id id) {
+    const auto found = this->pending_requests.find(id);
+    if (found == this->pending_requests.end()) {
         return;
     }
-    const job_ptr work = found->second;
-    this->jobs.erase(found);
-    work->due = timer();
-    this->drop_attempts(*work);
-    this->serve_waiting();
+    const pending_request_ptr pending = found->second;
+    this->pending_requests.erase(found);
+    pending->deadline_timer = timer();
+    this->cancel_attempts(*pending);
+    this->dispatch_queued();
 }
 
-void balancer::drop_attempts(job& work) {
-    for (attempt& made : work.attempts) {
-        std::erase(made.at->running, &made);
-        made.connection->cancel();
+void balancer::cancel_attempts(pending_request& pending) {
+    for (attempt& current : pending.attempts) {
+        std::erase(current.target->running, &current);
+        current.connection->cancel();
     }
-    work.attempts.clear();
+    pending.attempts.clear();
 }
 
 /// Sends a request that has no attempt running, lets it wait, or refuses it.
-void balancer::place(const job_ptr& work) {
+void balancer::dispatch(const pending_request_ptr& pending) {
     const time_point now = boot_clock::now();
-    if (work->wanted.due - now < least_time_left) {
-        this->refuse(work, {error_kind::overloaded, "no time left to run it"}, std::nullopt);
+    if (pending->request.deadline - now < min_time_left) {
+        this->finish_with_error(pending, {error_kind::overloaded, "no time left to run it"},
+                                std::nullopt);
         return;
     }
-    if (const target_ptr chosen = this->choose(*work, now); chosen != nullptr) {
-        this->send(work, chosen);
+    if (const target_ptr chosen = this->choose(*pending, now); chosen != nullptr) {
+        this->send(pending, chosen);
         return;
     }
-    if (!this->targets.has_target(work->tried, now)) {
-        this->refuse(work, {error_kind::no_target, "the service has no target for it"},
-                     least_retry_after);
+    if (!this->targets.has_target(pending->tried_targets, now)) {
+        this->finish_with_error(
+            pending, {error_kind::no_target, "the service has no target for it"}, min_retry_after);
         return;
     }
-    this->wait(work);
+    this->enqueue(pending);
 }
 
-target_ptr balancer::choose(const job& work, time_point now) {
-    const bool repeatable =
-        work.wanted.route->idempotent && work.sent + 1 < work.wanted.route->max_attempts;
-    return this->targets.choose(work.tried, repeatable ? loss::repeatable : loss::final, now);
+target_ptr balancer::choose(const pending_request& pending, time_point now) {
+    const bool is_retryable = pending.request.route->idempotent &&
+                              pending.send_count + 1 < pending.request.route->max_attempts;
+    return this->targets.choose(pending.tried_targets,
+                                is_retryable ? loss::repeatable : loss::final, now);
 }
 
-void balancer::send(const job_ptr& work, const target_ptr& at) {
+void balancer::send(const pending_request_ptr& pending, const target_ptr& target) {
     const time_point now = boot_clock::now();
-    attempt& made = work->attempts.emplace_back();
-    made.at = at;
-    made.started = now;
-    made.model = &this->model_of(*work->wanted.route);
-    made.connection = target_pool::take_connection(*at, work->wanted.route->idempotent
-                                                            ? this->options.idle_limit
-                                                            : this->options.idle_limit_once_only);
-    made.reused = made.connection != nullptr;
-    if (made.connection == nullptr) {
-        const registered_target& where = at->known.registration;
-        made.connection = std::make_unique<http_connection>(
+    attempt& current = pending->attempts.emplace_back();
+    current.target = target;
+    current.started = now;
+    current.model = &this->latency_model_of(*pending->request.route);
+    current.connection = target_pool::take_connection(
+        *target, pending->request.route->idempotent ? this->options.idle_limit
+                                                    : this->options.idle_limit_once_only);
+    current.reused = current.connection != nullptr;
+    if (current.connection == nullptr) {
+        const registered_target& where = target->known.registration;
+        current.connection = std::make_unique<http_connection>(
             this->shared.owner, endpoint{where.ip, where.port}, this->options.limits);
         ++this->counters.new_connections;
     }
-    at->running.push_back(&made);
-    at->evidence.last_used = now;
-    work->tried.insert(at->id());
-    work->last_target = at->id();
-    work->first_sent = work->first_sent.value_or(now);
-    ++work->sent;
+    target->running.push_back(&current);
+    target->evidence.last_used = now;
+    pending->tried_targets.insert(target->id());
+    pending->last_target = target->id();
+    pending->first_sent = pending->first_sent.value_or(now);
+    ++pending->send_count;
     ++this->counters.sent;
-    this->write(work, made);
+    this->write_request(pending, current);
 }
 
-void balancer::write(const job_ptr& work, attempt& made) {
+void balancer::write_request(const pending_request_ptr& pending, attempt& current) {
     const header_names& names = this->options.headers;
     http_request message;
-    message.method = work->wanted.message.method;
-    message.uri = work->wanted.message.uri;
-    message.headers = work->wanted.message.headers;
-    message.body = copy_body(work->wanted.message.body.get());
-    const duration left = work->wanted.due - made.started;
+    message.method = pending->request.message.method;
+    message.uri = pending->request.message.uri;
+    message.headers = pending->request.message.headers;
+    message.body = copy_body(pending->request.message.body.get());
+    const duration left = pending->request.deadline - current.started;
     message.headers.push_back({names.time_left_ms, ms_text(left)});
-    message.headers.push_back({names.intended_target, made.at->id().value});
+    message.headers.push_back({names.intended_target, current.target->id().value});
     log_event(log_level::debug, "request_sent",
-              {{"id", work->wanted.id},
-               {"target", made.at->id().value},
-               {"attempt", std::to_string(work->sent)},
-               {"reused", made.reused ? "yes" : "no"},
+              {{"id", pending->request.id},
+               {"target", current.target->id().value},
+               {"attempt", std::to_string(pending->send_count)},
+               {"reused", current.reused ? "yes" : "no"},
                {"left_ms", ms_text(left)}});
     // The attempt stays where it is until it has ended.
-    made.connection->send(message, left + look_interval,
-                          [this, work, sent = &made](http_outcome outcome) {
-                              this->handle_outcome(work, *sent, std::move(outcome));
-                          });
+    current.connection->send(message, left + check_interval,
+                             [this, pending, sent = &current](http_outcome outcome) {
+                                 this->handle_outcome(pending, *sent, std::move(outcome));
+                             });
 }
 
-void balancer::handle_outcome(const job_ptr& work, attempt& ended, http_outcome outcome) {
-    const target_ptr at = ended.at;
-    const duration spent = boot_clock::now() - ended.started;
+void balancer::handle_outcome(const pending_request_ptr& pending, attempt& ended,
+                              http_outcome outcome) {
+    const target_ptr target = ended.target;
+    const duration response_time = boot_clock::now() - ended.started;
     const bool reused = ended.reused;
     std::unique_ptr<http_connection> connection = std::move(ended.connection);
-    std::erase(at->running, &ended);
-    work->attempts.remove_if([&ended](const attempt& item) { return &item == &ended; });
+    std::erase(target->running, &ended);
+    pending->attempts.remove_if([&ended](const attempt& item) { return &item == &ended; });
     if (outcome) {
-        this->targets.keep_connection(*at, std::move(connection));
-        this->handle_answer(work, at, spent, std::move(*outcome));
+        this->targets.keep_connection(*target, std::move(connection));
+        this->handle_response(pending, target, response_time, std::move(*outcome));
     } else {
-        this->handle_failure(work, at, outcome.error(), reused);
+        this->handle_failure(pending, target, outcome.error(), reused);
     }
-    this->serve_waiting();
+    this->dispatch_queued();
 }
 
-void balancer::handle_answer(const job_ptr& work, const target_ptr& at, duration spent,
-                             http_answer answer) {
+void balancer::handle_response(const pending_request_ptr& pending, const target_ptr& target,
+                               duration response_time, http_answer answer) {
     const time_point now = boot_clock::now();
     const header_names& names = this->options.headers;
     if (answer.status == status_misdirected ||
-        find_header(answer.headers, names.not_run) != nullptr) {
-        this->handle_refusal(work, at, answer);
+        find_header(answer.headers, names.not_executed) != nullptr) {
+        this->handle_not_executed(pending, target, answer);
         return;
     }
-    work->may_have_run = true;
-    const bool is_own = find_header(answer.headers, names.signature) != nullptr;
-    if (is_success(answer.status) && !is_own) {
-        this->targets.note_failure(*at, doubt_of_broken_exchange, now);
-        this->targets.judge_target(*at, now);
-        this->try_elsewhere(work, {error_kind::target_failed, "an answer without a signature"});
+    pending->may_have_run = true;
+    const bool is_signed = find_header(answer.headers, names.signature) != nullptr;
+    if (is_success(answer.status) && !is_signed) {
+        this->targets.record_failure(*target, doubt_of_broken_exchange, now);
+        this->targets.check_target(*target, now);
+        this->retry_or_fail(pending, {error_kind::target_failed, "an answer without a signature"});
         return;
     }
-    this->shared.resends.note_survived(work->wanted.fingerprint);
+    this->shared.retries.clear_crashes(pending->request.fingerprint);
     if (answer.status >= lowest_server_error) {
-        this->targets.note_failure(*at, doubt_of_error_answer, now);
-        this->targets.judge_target(*at, now);
-        if (!work->attempts.empty()) {
+        this->targets.record_failure(*target, doubt_of_error_answer, now);
+        this->targets.check_target(*target, now);
+        if (!pending->attempts.empty()) {
             // Another target still runs it and may do better.
             return;
         }
-        if (this->may_resend(*work, now)) {
-            this->try_elsewhere(work, {error_kind::target_failed, "error answer"});
+        if (this->may_retry(*pending, now)) {
+            this->retry_or_fail(pending, {error_kind::target_failed, "error answer"});
             return;
         }
     } else {
-        this->targets.note_success(*at, now);
-        this->model_of(*work->wanted.route).note(spent);
+        this->targets.record_success(*target, now);
+        this->latency_model_of(*pending->request.route).note(response_time);
     }
-    this->finish(work, proxied_answer{std::move(answer), at->id(), work->sent, spent,
-                                      *work->first_sent - work->wanted.arrived});
+    this->finish(pending, proxied_response{std::move(answer), target->id(), pending->send_count,
+                                           response_time,
+                                           *pending->first_sent - pending->request.arrived_at});
 }
 
 /// A target has said that it did not run the request.
-void balancer::handle_refusal(const job_ptr& work, const target_ptr& at,
-                              const http_answer& answer) {
+void balancer::handle_not_executed(const pending_request_ptr& pending, const target_ptr& target,
+                                   const http_answer& answer) {
     const time_point now = boot_clock::now();
-    ++this->counters.refused_by_targets;
+    ++this->counters.not_executed;
     if (answer.status == status_misdirected) {
-        at->misdirected = true;
-        at->idle.clear();
+        target->misdirected = true;
+        target->idle.clear();
         log_event(log_level::warning, "target_misdirected",
-                  {{"id", work->wanted.id}, {"target", at->id().value}});
+                  {{"id", pending->request.id}, {"target", target->id().value}});
     } else {
-        this->targets.note_failure(*at, doubt_of_error_answer, now);
-        this->targets.judge_target(*at, now);
+        this->targets.record_failure(*target, doubt_of_error_answer, now);
+        this->targets.check_target(*target, now);
     }
-    if (!work->attempts.empty()) {
+    if (!pending->attempts.empty()) {
         return;
     }
-    const bool in_budget = work->sent < work->wanted.route->max_attempts + 1 &&
-                           this->shared.resends.take(this->service, now);
-    if (in_budget) {
-        ++this->counters.resent;
-        this->place(work);
+    const bool may_retry_now = pending->send_count < pending->request.route->max_attempts + 1 &&
+                               this->shared.retries.take_retry(this->service, now);
+    if (may_retry_now) {
+        ++this->counters.retried;
+        this->dispatch(pending);
         return;
     }
-    this->refuse(work, {error_kind::overloaded, "the targets have no room"}, least_retry_after);
+    this->finish_with_error(pending, {error_kind::overloaded, "the targets have no room"},
+                            min_retry_after);
 }
 
-void balancer::handle_failure(const job_ptr& work, const target_ptr& at,
+void balancer::handle_failure(const pending_request_ptr& pending, const target_ptr& target,
                               const http_failure& failure, bool reused) {
     const time_point now = boot_clock::now();
-    ++this->counters.failed;
-    const bool unsent = failure.progress == send_progress::not_connected;
+    ++this->counters.failed_attempts;
+    const bool is_unsent = failure.progress == send_progress::not_connected;
     // Other idle connections may have died in the same way.
-    at->idle.clear();
+    target->idle.clear();
     log_event(log_level::info, "attempt_failed",
-              {{"id", work->wanted.id},
-               {"target", at->id().value},
+              {{"id", pending->request.id},
+               {"target", target->id().value},
                {"problem", std::string(answer_for(failure.problem.kind).name)},
                {"detail", failure.problem.detail},
-               {"sent", unsent ? "no" : "yes"},
+               {"sent", is_unsent ? "no" : "yes"},
                {"reused", reused ? "yes" : "no"}});
-    if (unsent) {
+    if (is_unsent) {
         if (!reused) {
-            this->targets.note_failure(*at, doubt_of_failed_connection, now);
+            this->targets.record_failure(*target, doubt_of_failed_connection, now);
         }
-        --work->sent;
+        --pending->send_count;
     } else {
-        work->may_have_run = true;
-        this->targets.note_failure(*at, doubt_of_broken_exchange, now);
+        pending->may_have_run = true;
+        this->targets.record_failure(*target, doubt_of_broken_exchange, now);
         if (!reused && failure.problem.kind != error_kind::deadline_exceeded) {
-            this->shared.resends.note_crash(work->wanted.fingerprint, now);
+            this->shared.retries.record_crash(pending->request.fingerprint, now);
         }
     }
-    this->targets.judge_target(*at, now);
-    if (!work->attempts.empty()) {
+    this->targets.check_target(*target, now);
+    if (!pending->attempts.empty()) {
         return;
     }
-    if (unsent && !work->may_have_run) {
+    if (is_unsent && !pending->may_have_run) {
         if (reused) {
-            work->tried.erase(at->id());
+            pending->tried_targets.erase(target->id());
         }
-        this->place(work);
+        this->dispatch(pending);
         return;
     }
-    this->try_elsewhere(work, failure.problem);
+    this->retry_or_fail(pending, failure.problem);
 }
 
 /// Sends a request once more after its last attempt has failed, or gives it up.
-void balancer::try_elsewhere(const job_ptr& work, const error& problem) {
-    if (!work->attempts.empty()) {
+void balancer::retry_or_fail(const pending_request_ptr& pending, const error& problem) {
+    if (!pending->attempts.empty()) {
         return;
     }
     const time_point now = boot_clock::now();
-    const bool quarantined = this->shared.resends.is_quarantined(work->wanted.fingerprint, now);
-    if (!quarantined && this->may_resend(*work, now)) {
-        if (const target_ptr next = this->choose(*work, now);
-            next != nullptr && this->shared.resends.take(this->service, now)) {
-            ++this->counters.resent;
-            this->send(work, next);
+    const bool is_quarantined =
+        this->shared.retries.is_quarantined(pending->request.fingerprint, now);
+    if (!is_quarantined && this->may_retry(*pending, now)) {
+        if (const target_ptr next = this->choose(*pending, now);
+            next != nullptr && this->shared.retries.take_retry(this->service, now)) {
+            ++this->counters.retried;
+            this->send(pending, next);
             return;
         }
     }
-    this->refuse(work, problem, std::nullopt);
+    this->finish_with_error(pending, problem, std::nullopt);
 }
 
 /// True when the request may go to one more target, budget aside.
-bool balancer::may_resend(const job& work, time_point now) {
-    return work.wanted.route->idempotent && work.sent < work.wanted.route->max_attempts &&
-           work.wanted.due - now > least_time_left;
+bool balancer::may_retry(const pending_request& pending, time_point now) {
+    return pending.request.route->idempotent &&
+           pending.send_count < pending.request.route->max_attempts &&
+           pending.request.deadline - now > min_time_left;
 }
 
 /// Looks for targets that have gone silent and for requests that should go to a second one.
-void balancer::look() {
+void balancer::check_running_requests() {
     const time_point now = boot_clock::now();
-    this->targets.judge_running(now);
-    std::vector<job_ptr> running;
-    for (const auto& [ticket, work] : this->jobs) {
-        if (work->attempts.size() == 1) {
-            running.push_back(work);
+    this->targets.check_running_targets(now);
+    std::vector<pending_request_ptr> running;
+    for (const auto& [id, pending] : this->pending_requests) {
+        if (pending->attempts.size() == 1) {
+            running.push_back(pending);
         }
     }
-    for (const job_ptr& work : running) {
-        this->look_at(work, now);
+    for (const pending_request_ptr& pending : running) {
+        this->hedge_if_slow(pending, now);
     }
-    this->serve_waiting();
-    if (this->jobs.empty()) {
-        this->looking = timer();
+    this->dispatch_queued();
+    if (this->pending_requests.empty()) {
+        this->check_timer = timer();
     }
 }
 
-void balancer::look_at(const job_ptr& work, time_point now) {
-    if (work->attempts.size() != 1 || !this->may_resend(*work, now)) {
+void balancer::hedge_if_slow(const pending_request_ptr& pending, time_point now) {
+    if (pending->attempts.size() != 1 || !this->may_retry(*pending, now)) {
         return;
     }
-    const attempt& made = work->attempts.front();
-    const duration age = now - made.started;
-    const bool suspect = now < made.at->evidence.out_until &&
-                         age > this->model_of(*work->wanted.route).quantile(0.5);
-    if (!suspect && age < this->resend_delay(*work->wanted.route)) {
+    const attempt& current = pending->attempts.front();
+    const duration age = now - current.started;
+    const bool target_ejected = now < current.target->evidence.out_until &&
+                                age > this->latency_model_of(*pending->request.route).quantile(0.5);
+    if (!target_ejected && age < this->hedging_delay(*pending->request.route)) {
         return;
     }
-    const target_ptr next = this->choose(*work, now);
-    if (next == nullptr || !this->shared.resends.take(this->service, now)) {
+    const target_ptr next = this->choose(*pending, now);
+    if (next == nullptr || !this->shared.retries.take_retry(this->service, now)) {
         return;
     }
-    ++this->counters.resent;
+    ++this->counters.retried;
     log_event(log_level::info, "request_resent",
-              {{"id", work->wanted.id},
-               {"from", made.at->id().value},
+              {{"id", pending->request.id},
+               {"from", current.target->id().value},
                {"to", next->id().value},
                {"age_ms", ms_text(age)},
-               {"suspect", suspect ? "yes" : "no"}});
-    this->send(work, next);
+               {"suspect", target_ejected ? "yes" : "no"}});
+    this->send(pending, next);
 }
 
 /// Time until a waiting request would be sent, by what the targets usually take.
 duration balancer::expected_wait(time_point now) {
     duration mean = milliseconds(500);
-    if (!this->models.empty()) {
-        mean = this->models.begin()->second.mean();
+    if (!this->latency_models.empty()) {
+        mean = this->latency_models.begin()->second.mean();
     }
     const double ahead = static_cast<double>(this->queued()) + 1;
     return from_seconds(to_seconds(mean) * ahead / std::max(1, this->targets.capacity(now)));
 }
 
-void balancer::wait(const job_ptr& work) {
+void balancer::enqueue(const pending_request_ptr& pending) {
     const time_point now = boot_clock::now();
     const duration expected = this->expected_wait(now);
-    const duration usual = this->model_of(*work->wanted.route).quantile(0.5);
-    if (expected + usual > work->wanted.due - now) {
-        this->refuse(work, {error_kind::overloaded, "it could not be served in time"},
-                     std::clamp<duration>(expected, least_retry_after, longest_retry_after));
+    const duration median = this->latency_model_of(*pending->request.route).quantile(0.5);
+    if (expected + median > pending->request.deadline - now) {
+        this->finish_with_error(pending, {error_kind::overloaded, "it could not be served in time"},
+                                std::clamp<duration>(expected, min_retry_after, max_retry_after));
         return;
     }
-    this->waiting[work->wanted.priority].push(work->wanted.account, work->ticket);
+    this->queues[pending->request.priority].push(pending->request.account, pending->id);
 }
 
-void balancer::serve_waiting() {
+void balancer::dispatch_queued() {
     const time_point now = boot_clock::now();
-    for (auto& [priority, queue] : this->waiting) {
+    for (auto& [priority, queue] : this->queues) {
         std::size_t left = queue.size();
         while (left-- > 0) {
-            const balancer_ticket ticket = *queue.pop();
-            const auto found = this->jobs.find(ticket);
+            const balancer_request_id id = *queue.pop();
+            const auto found = this->pending_requests.find(id);
             // A ticket without a job was cancelled or ran out of time.
-            if (found == this->jobs.end()) {
+            if (found == this->pending_requests.end()) {
                 continue;
             }
-            const job_ptr work = found->second;
-            const target_ptr chosen = this->choose(*work, now);
+            const pending_request_ptr pending = found->second;
+            const target_ptr chosen = this->choose(*pending, now);
             if (chosen == nullptr) {
-                queue.push(work->wanted.account, ticket);
+                queue.push(pending->request.account, id);
                 return;
             }
-            this->send(work, chosen);
+            this->send(pending, chosen);
         }
     }
 }
 
 /// The caller has to have its answer now.
-void balancer::run_out(const job_ptr& work) {
+void balancer::handle_deadline(const pending_request_ptr& pending) {
     const time_point now = boot_clock::now();
-    for (attempt& made : work->attempts) {
-        work->may_have_run = true;
-        this->targets.note_failure(*made.at, doubt_of_broken_exchange, now);
-    }
-    this->drop_attempts(*work);
-    if (work->may_have_run) {
-        this->refuse(work, {error_kind::deadline_exceeded, "no answer in time"}, std::nullopt);
+    for (attempt& current : pending->attempts) {
+        pending->may_have_run = true;
+        this->targets.record_failure(*current.target, doubt_of_broken_exchange, now);
+    }
+    this->cancel_attempts(*pending);
+    if (pending->may_have_run) {
+        this->finish_with_error(pending, {error_kind::deadline_exceeded, "no answer in time"},
+                                std::nullopt);
     } else {
-        this->refuse(work, {error_kind::overloaded, "no target was free in time"}, std::nullopt);
+        this->finish_with_error(pending, {error_kind::overloaded, "no target was free in time"},
+                                std::nullopt);
     }
 }
 
-void balancer::give_up_all() {
-    const std::map<balancer_ticket, job_ptr> running = this->jobs;
-    for (const auto& [ticket, work] : running) {
-        this->run_out(work);
+void balancer::fail_all() {
+    const std::map<balancer_request_id, pending_request_ptr> running = this->pending_requests;
+    for (const auto& [id, pending] : running) {
+        this->handle_deadline(pending);
     }
 }
 
 /// Ends a request without a target's answer. What is promised of it is true whatever \p problem
 /// came last: an earlier attempt may have run.
-void balancer::refuse(const job_ptr& work, const error& problem,
-                      std::optional<duration> retry_after) {
-    const duration waited = work->first_sent.value_or(boot_clock::now()) - work->wanted.arrived;
-    proxy_refusal refusal{problem,    execution::not_run, retry_after,
-                          work->sent, work->last_target,  waited};
-    if (work->may_have_run) {
-        refusal.outcome = execution::may_have_run;
-        refusal.retry_after.reset();
+void balancer::finish_with_error(const pending_request_ptr& pending, const error& problem,
+                                 std::optional<duration> retry_after) {
+    const duration queue_time =
+        pending->first_sent.value_or(boot_clock::now()) - pending->request.arrived_at;
+    proxy_failure failure{
+        problem,   execution::not_run, retry_after, pending->send_count, pending->last_target,
+        queue_time};
+    if (pending->may_have_run) {
+        failure.outcome = execution::may_have_run;
+        failure.retry_after.reset();
         if (answer_for(problem.kind).outcome == execution::not_run) {
-            refusal.problem.kind = error_kind::target_failed;
+            failure.problem.kind = error_kind::target_failed;
         }
     }
-    this->finish(work, tl::unexpected(std::move(refusal)));
+    this->finish(pending, tl::unexpected(std::move(failure)));
 }
 
-void balancer::finish(const job_ptr& work, proxy_outcome outcome) {
-    const auto found = this->jobs.find(work->ticket);
-    if (found == this->jobs.end()) {
+void balancer::finish(const pending_request_ptr& pending, proxy_outcome outcome) {
+    const auto found = this->pending_requests.find(pending->id);
+    if (found == this->pending_requests.end()) {
         return;
     }
-    this->jobs.erase(found);
-    work->due = timer();
-    this->drop_attempts(*work);
-    work->done(std::move(outcome));
+    this->pending_requests.erase(found);
+    pending->deadline_timer = timer();
+    this->cancel_attempts(*pending);
+    pending->on_done(std::move(outcome));
 }
 
 } // namespace knapweedknot
--- a/libs/proxy/src/edge_gateway.cpp
+++ b/libs/proxy/src/edge_gateway.cpp
@@ -18,10 +18,10 @@
 constexpr double serving_rate = 3;
 constexpr duration rate_window = seconds(2);
 // It goes on counting as serving for this long.
-constexpr duration serving_time = seconds(4);
+constexpr duration serving_hold_time = seconds(4);
 // All that a process of this age or less has admitted is recent.
 constexpr duration new_process_time = seconds(5);
-constexpr duration longest_wait_for_token = milliseconds(700);
+constexpr duration max_token_wait = milliseconds(700);
 // Time after which a caller may come again when the instance is not ready or out of touch.
 constexpr duration unready_retry_after = milliseconds(500);
 
@@ -34,8 +34,8 @@
     return taken;
 }
 
-resend_policy make_resend_policy(const fleet_bounds& bounds) {
-    resend_policy policy;
+retry_policy make_retry_policy(const fleet_bounds& bounds) {
+    retry_policy policy;
     policy.share = bounds.resend_share;
     policy.allowance = bounds.resend_allowance;
     policy.window = bounds.resend_window;
@@ -44,10 +44,9 @@
 
 /// How long a request may wait for its account's next token. A short wait serves the caller better
 /// than a refusal; a long one would take up the time that the target needs.
-duration longest_token_wait(const traffic_route& route) {
+duration token_wait_limit(const traffic_route& route) {
     constexpr int parts_of_latency_target = 4;
-    return std::min<duration>(longest_wait_for_token,
-                              route.latency_target / parts_of_latency_target);
+    return std::min<duration>(max_token_wait, route.latency_target / parts_of_latency_target);
 }
 
 /// \p value with two digits behind the point.
@@ -61,45 +60,45 @@
 
 } // namespace
 
-edge_gateway::edge_gateway(const parts& given)
+edge_gateway::edge_gateway(const dependencies& given)
     : owner(given.owner), settings(given.settings), headers(given.headers), policy(given.policy),
       directory(given.directory), reports(given.reports),
-      resends(make_resend_policy(given.settings.bounds)),
+      retries(make_retry_policy(given.settings.bounds)),
       accounts(shared_bucket_times{}, boot_clock::now()), started(boot_clock::now()),
-      callers(given.owner, server_limits(request_limits{}),
-              [this](const request_ptr& incoming) { this->handle(incoming); }) {
-    this->callers.make_refusal = [this](const error& problem) {
+      caller_server(given.owner, server_limits(request_limits{}),
+                    [this](const request_ptr& incoming) { this->handle(incoming); }) {
+    this->caller_server.make_refusal = [this](const error& problem) {
         ++this->metrics.requests[std::string(answer_for(problem.kind).name)];
         return this->make_refusal(problem, execution::not_run, std::nullopt);
     };
-    this->callers.may_overlap = [this](const http_request& request) {
+    this->caller_server.may_overlap = [this](const http_request& request) {
         return this->may_overlap(request);
     };
 }
 
 result<void> edge_gateway::listen() {
-    return this->callers.listen(this->settings.callers_address);
+    return this->caller_server.listen(this->settings.callers_address);
 }
 
 bool edge_gateway::is_serving(time_point now) const noexcept {
-    return this->last_busy && now - *this->last_busy < serving_time;
+    return this->last_serving && now - *this->last_serving < serving_hold_time;
 }
 
 double edge_gateway::request_rate_at(time_point now) const {
-    const double passed = to_seconds(now - this->rate_since);
+    const double passed = to_seconds(now - this->rate_updated_at);
     return this->request_rate * std::exp(-passed / to_seconds(rate_window));
 }
 
-void edge_gateway::note_request(time_point now) {
+void edge_gateway::record_request(time_point now) {
     this->request_rate = this->request_rate_at(now) + 1 / to_seconds(rate_window);
-    this->rate_since = now;
+    this->rate_updated_at = now;
     if (this->request_rate >= serving_rate) {
-        this->last_busy = now;
+        this->last_serving = now;
     }
 }
 
-void edge_gateway::take_policy() {
-    this->callers.set_limits(server_limits(this->policy.current()->limits()));
+void edge_gateway::apply_policy() {
+    this->caller_server.set_limits(server_limits(this->policy.current()->limits()));
 }
 
 void edge_gateway::update_targets(const service_id& service) {
@@ -108,9 +107,9 @@
     }
 }
 
-void edge_gateway::give_up_all() {
+void edge_gateway::fail_all() {
     for (const auto& [service, balanced] : this->balancers) {
-        balanced->give_up_all();
+        balanced->fail_all();
     }
 }
 
@@ -126,18 +125,19 @@
 }
 
 void edge_gateway::handle(const request_ptr& incoming) {
-    this->note_request(boot_clock::now());
+    this->record_request(boot_clock::now());
     if (this->policy.current() == nullptr || !this->directory.is_loaded()) {
         this->refuse(incoming, {error_kind::configuration_stale, "no policy is known yet"},
                      unready_retry_after);
         return;
     }
-    this->handle_with_proof(incoming, false);
+    this->handle_with_confirmation(incoming, false);
 }
 
 /// True when the answer depends on the policy being the newest one: a key that may have been
 /// withdrawn, or a refusal for what a newer policy may allow.
-bool edge_gateway::needs_proof(const result<matched_request>& matched, time_point now) const {
+bool edge_gateway::needs_confirmation(const result<matched_request>& matched,
+                                      time_point now) const {
     if (this->policy.is_fresh(now)) {
         return false;
     }
@@ -145,13 +145,14 @@
     return !matched || (uses_key && this->settings.bounds.strict_withdrawal);
 }
 
-void edge_gateway::handle_with_proof(const request_ptr& incoming, bool proof_was_awaited) {
+void edge_gateway::handle_with_confirmation(const request_ptr& incoming,
+                                            bool confirmation_awaited) {
     const time_point now = boot_clock::now();
     const auto matched = match_request(*incoming, *this->policy.current(), this->headers);
-    if (this->needs_proof(matched, now)) {
+    if (this->needs_confirmation(matched, now)) {
         // While the store is known to be away, nobody waits for the answer to the next question.
-        const bool is_hopeless = !this->policy.is_store_reachable();
-        if (proof_was_awaited || is_hopeless) {
+        const bool is_store_down = !this->policy.is_store_reachable();
+        if (confirmation_awaited || is_store_down) {
             this->refuse(incoming, {error_kind::configuration_stale, "the store does not answer"},
                          unready_retry_after);
             this->policy.keep_fresh(now, true);
@@ -159,7 +160,7 @@
         }
         this->policy.await_proof([this, incoming] {
             if (!incoming->is_caller_gone()) {
-                this->handle_with_proof(incoming, true);
+                this->handle_with_confirmation(incoming, true);
             }
         });
         return;
@@ -179,38 +180,38 @@
     }
     const time_point now = boot_clock::now();
     const serving_peers peers = this->reports.count_serving(now);
-    const account_ledger::peer_view view{
+    const account_rate_limiter::peer_summary view{
         refill_share(this->lost_peers, peers.heard, peers.unheard, lost_instance_policy{}, now),
         peers.oldest_report};
-    const auto verdict =
-        this->accounts.admit(*matched.account, view, longest_token_wait(*matched.route), now);
-    if (verdict.urgent) {
+    const auto decision =
+        this->accounts.admit(*matched.account, view, token_wait_limit(*matched.route), now);
+    if (decision.report_early) {
         this->reports.hurry();
     }
-    if (!verdict.admitted) {
+    if (!decision.admitted) {
         this->refuse(incoming,
                      {error_kind::rate_exceeded,
                       "account=" + matched.account->id.value +
                           " rate_per_s=" + number_text(matched.account->rate_per_s) +
                           " burst=" + number_text(matched.account->burst) +
-                          " tokens=" + number_text(verdict.tokens) +
+                          " tokens=" + number_text(decision.tokens) +
                           " refill_share=" + number_text(view.refill_share)},
-                     verdict.retry_after);
+                     decision.retry_after);
         return;
     }
-    if (verdict.wait == duration::zero()) {
+    if (decision.wait == duration::zero()) {
         this->start(incoming, matched);
         return;
     }
-    this->start_later(incoming, matched, verdict.wait);
+    this->start_after(incoming, matched, decision.wait);
 }
 
 /// Starts a request when its token has come.
-void edge_gateway::start_later(const request_ptr& incoming, const matched_request& matched,
+void edge_gateway::start_after(const request_ptr& incoming, const matched_request& matched,
                                duration wait) {
     const std::uint64_t id = ++this->last_delayed;
-    this->delayed[id] = this->owner.after(wait, [this, id, incoming, matched] {
-        this->delayed.erase(id);
+    this->delayed_starts[id] = this->owner.after(wait, [this, id, incoming, matched] {
+        this->delayed_starts.erase(id);
         if (!incoming->is_caller_gone()) {
             this->start(incoming, matched);
         }
@@ -222,19 +223,19 @@
         return route.split.front().service;
     }
     route_split& kept = this->splits[route.id];
-    const bool is_same = std::equal(kept.parts.begin(), kept.parts.end(), route.split.begin(),
+    const bool is_same = std::equal(kept.services.begin(), kept.services.end(), route.split.begin(),
                                     route.split.end(), [](const auto& a, const auto& b) {
                                         return a.service == b.service && a.weight == b.weight;
                                     });
     if (!is_same) {
-        kept.parts = route.split;
+        kept.services = route.split;
         std::vector<double> weights;
         for (const weighted_service& part : route.split) {
             weights.push_back(part.weight);
         }
         kept.split = make_weighted_split(std::move(weights));
     }
-    return kept.parts[next_part(kept.split)].service;
+    return kept.services[next_part(kept.split)].service;
 }
 
 balancer& edge_gateway::balancer_of(const service_id& service) {
@@ -247,7 +248,8 @@
         options.limits.connect_timeout = milliseconds(400);
         options.limits.accept_close_delimited = true;
         options.limits.echoed_header = this->headers.request_id;
-        const balancer_services shared{this->owner, this->directory, this->reports, this->resends};
+        const balancer_dependencies shared{this->owner, this->directory, this->reports,
+                                           this->retries};
         place->second = std::make_unique<balancer>(service, shared, options);
     }
     return *place->second;
@@ -255,7 +257,7 @@
 
 void edge_gateway::start(const request_ptr& incoming, const matched_request& matched) {
     proxied_request request = make_proxied_request(*incoming, matched, this->headers);
-    if (this->resends.is_quarantined(request.fingerprint, boot_clock::now())) {
+    if (this->retries.is_quarantined(request.fingerprint, boot_clock::now())) {
         this->refuse(incoming, {error_kind::request_quarantined, "targets crash on this request"},
                      std::nullopt);
         return;
@@ -264,20 +266,20 @@
     summary.id = request.id;
     summary.route = request.route;
     summary.account = request.account;
-    summary.arrived = request.arrived;
+    summary.arrived_at = request.arrived_at;
     balancer& chosen = this->balancer_of(this->choose_service(*matched.route));
     // The handler may be called before start returns.
-    const balancer_ticket ticket = chosen.start(
+    const balancer_request_id request_id = chosen.start(
         std::move(request),
         [this, incoming, kept = std::make_shared<proxied_request>(std::move(summary))](
             proxy_outcome outcome) { this->finish(incoming, *kept, std::move(outcome)); });
     if (!incoming->is_caller_gone()) {
-        incoming->on_caller_gone(
-            [this, &chosen, ticket, id = std::string(incoming->header(this->headers.request_id))] {
-                ++this->metrics.caller_gone;
-                log_event(log_level::info, "caller_gone", {{"id", id}});
-                chosen.cancel(ticket);
-            });
+        incoming->on_caller_gone([this, &chosen, request_id,
+                                  id = std::string(incoming->header(this->headers.request_id))] {
+            ++this->metrics.caller_gone;
+            log_event(log_level::info, "caller_gone", {{"id", id}});
+            chosen.cancel(request_id);
+        });
     }
 }
 
@@ -289,8 +291,8 @@
     const std::string kind =
         outcome ? "served" : std::string(answer_for(outcome.error().problem.kind).name);
     ++this->metrics.requests[kind];
-    this->metrics.total_time.note(now - summary.arrived);
-    this->metrics.waiting_time.note(outcome ? outcome->waited : outcome.error().waited);
+    this->metrics.total_time.record(now - summary.arrived_at);
+    this->metrics.queue_time.record(outcome ? outcome->queue_time : outcome.error().queue_time);
     const int status =
         outcome ? outcome->message.status : answer_for(outcome.error().problem.kind).http_status;
     log_event(
@@ -304,9 +306,9 @@
          {"status", std::to_string(status)},
          {"outcome", kind},
          {"detail", outcome ? "" : outcome.error().problem.detail},
-         {"total_ms", std::to_string(to_milliseconds(now - summary.arrived))},
-         {"waited_ms",
-          std::to_string(to_milliseconds(outcome ? outcome->waited : outcome.error().waited))},
+         {"total_ms", std::to_string(to_milliseconds(now - summary.arrived_at))},
+         {"waited_ms", std::to_string(to_milliseconds(outcome ? outcome->queue_time
+                                                              : outcome.error().queue_time))},
          {"policy", std::to_string(this->policy.current()->number().value)},
          {"proof_age_ms", std::to_string(age ? to_milliseconds(*age) : -1)},
          {"targets_age_ms", std::to_string(targets_age ? to_milliseconds(*targets_age) : -1)}});
@@ -314,13 +316,13 @@
         return;
     }
     if (outcome) {
-        this->metrics.target_time.note(outcome->spent);
+        this->metrics.response_time.record(outcome->response_time);
         incoming->answer(
-            make_passed_answer(std::move(outcome->message), incoming->method() == "HEAD"));
+            make_forwarded_response(std::move(outcome->message), incoming->method() == "HEAD"));
         return;
     }
-    const proxy_refusal& refusal = outcome.error();
-    incoming->answer(this->make_refusal(refusal.problem, refusal.outcome, refusal.retry_after));
+    const proxy_failure& failure = outcome.error();
+    incoming->answer(this->make_refusal(failure.problem, failure.outcome, failure.retry_after));
 }
 
 void edge_gateway::refuse(const request_ptr& incoming, const error& problem,
@@ -354,14 +356,14 @@
     return answer;
 }
 
-void edge_gateway::report(fleet_report& report, report_kind kind, time_point now) {
+void edge_gateway::add_to_report(fleet_report& report, report_kind kind, time_point now) {
     report.serving = this->is_serving(now);
     report.request_rate = this->request_rate_at(now);
     report.accounts = this->accounts.report(kind, now);
-    this->resends.report(report, now);
+    this->retries.add_to_report(report, now);
     if (kind == report_kind::full) {
         for (const auto& [service, balanced] : this->balancers) {
-            balanced->pool().report(report, now);
+            balanced->pool().add_to_report(report, now);
         }
     }
 }
@@ -371,16 +373,16 @@
     const bool is_new =
         peer.report->uptime < std::min<duration>(now - this->started, new_process_time);
     note_heard(this->lost_peers, peer.info.instance);
-    this->accounts.note_peer(*peer.report, before, is_new, now);
-    this->resends.note_peer(peer.info.incarnation, *peer.report, before, now);
+    this->accounts.apply_peer_report(*peer.report, before, is_new, now);
+    this->retries.apply_peer_report(peer.info.incarnation, *peer.report, before, now);
     for (const auto& [service, balanced] : this->balancers) {
-        balanced->pool().follow(*peer.report, now);
+        balanced->pool().adopt_ejections(*peer.report, now);
     }
 }
 
-void edge_gateway::handle_lost(const reporting_peer& peer) {
+void edge_gateway::handle_peer_lost(const reporting_peer& peer) {
     const time_point now = boot_clock::now();
-    this->resends.forget_peer(peer.info.incarnation);
+    this->retries.remove_peer(peer.info.incarnation);
     if (peer.report && peer.report->serving) {
         note_lost(this->lost_peers, peer.info.instance, now - peer.heard, lost_instance_policy{},
                   now);
@@ -393,20 +395,20 @@
     for (const auto& [service, balanced] : this->balancers) {
         const std::string label = "service=\"" + service.value + '"';
         const balancer_counts& counts = balanced->counts();
-        const auto [registered, out] = balanced->pool().rotation_size(now);
+        const auto [registered, ejected] = balanced->pool().rotation_counts(now);
         const auto write = [&](const char* name, auto value) {
             write_metric(text, name, label, static_cast<double>(value));
         };
         write("sends_total", counts.sent);
-        write("resends_total", counts.resent);
+        write("resends_total", counts.retried);
         write("target_connections_total", counts.new_connections);
-        write("target_refusals_total", counts.refused_by_targets);
-        write("attempts_failed_total", counts.failed);
-        write("targets_taken_out_total", balanced->pool().taken_out());
+        write("target_refusals_total", counts.not_executed);
+        write("attempts_failed_total", counts.failed_attempts);
+        write("targets_taken_out_total", balanced->pool().ejections());
         write("requests_running", balanced->running());
         write("requests_queued", balanced->queued());
         write("targets_registered", registered);
-        write("targets_out", out);
+        write("targets_out", ejected);
     }
     return text;
 }
--- a/libs/proxy/src/edge_metrics.cpp
+++ b/libs/proxy/src/edge_metrics.cpp
@@ -15,23 +15,23 @@
 
 } // namespace
 
-time_histogram::time_histogram()
+duration_histogram::duration_histogram()
     : buckets(boost::histogram::make_histogram(axis(bucket_edges_s()))) {}
 
-void time_histogram::note(duration value) {
+void duration_histogram::record(duration value) {
     this->buckets(to_seconds(value));
     this->sum_s += to_seconds(value);
     ++this->count;
 }
 
-void time_histogram::write(std::string& text, const std::string& name) const {
+void duration_histogram::write(std::string& text, const std::string& name) const {
     const axis& edges = this->buckets.axis();
-    double below = 0;
+    double cumulative = 0;
     for (int i = 0; i < edges.size(); ++i) {
-        below += this->buckets.at(i);
+        cumulative += this->buckets.at(i);
         std::ostringstream edge;
         edge << edges.bin(i).upper();
-        write_metric(text, name + "_bucket", "le=\"" + edge.str() + '"', below);
+        write_metric(text, name + "_bucket", "le=\"" + edge.str() + '"', cumulative);
     }
     write_metric(text, name + "_bucket", "le=\"+Inf\"", static_cast<double>(this->count));
     write_metric(text, name + "_sum", "", this->sum_s);
@@ -56,8 +56,8 @@
                      static_cast<double>(count));
     }
     metrics.total_time.write(text, "request_seconds");
-    metrics.target_time.write(text, "target_seconds");
-    metrics.waiting_time.write(text, "waiting_seconds");
+    metrics.response_time.write(text, "target_seconds");
+    metrics.queue_time.write(text, "waiting_seconds");
     write_metric(text, "callers_gone_total", "", static_cast<double>(metrics.caller_gone));
     write_metric(text, "address_answers_total", "", static_cast<double>(metrics.address_answers));
     return text;
--- a/libs/proxy/src/edge_settings.cpp
+++ b/libs/proxy/src/edge_settings.cpp
@@ -48,12 +48,12 @@
     return bounds;
 }
 
-machine_means read_machine(const nlohmann::json& source, std::vector<std::string>& problems) {
+machine_resources read_machine(const nlohmann::json& source, std::vector<std::string>& problems) {
     constexpr double most_cores = 1024;
     constexpr double most_mbit_per_s = 1e6;
     constexpr double bytes_per_mbit = 125'000;
     settings_reader reader(source, "/machine", problems);
-    machine_means means;
+    machine_resources means;
     means.cores = reader.number("cores", means.cores, 0.001, most_cores, "cores");
     means.link_bytes_per_s =
         bytes_per_mbit * reader.number("link_mbit_per_s", means.link_bytes_per_s / bytes_per_mbit,
--- a/libs/proxy/src/request_preparation.cpp
+++ b/libs/proxy/src/request_preparation.cpp
@@ -12,10 +12,10 @@
 
 /// True for headers of the caller that the proxy replaces or keeps to itself.
 bool is_own_header(std::string_view name, const header_names& names) {
-    return equal_ignoring_case(name, names.key) || equal_ignoring_case(name, names.account) ||
+    return equal_ignoring_case(name, names.api_key) || equal_ignoring_case(name, names.account) ||
            equal_ignoring_case(name, names.time_left_ms) ||
            equal_ignoring_case(name, names.intended_target) ||
-           equal_ignoring_case(name, names.not_run);
+           equal_ignoring_case(name, names.not_executed);
 }
 
 std::uint64_t fingerprint_of(const incoming_request& incoming, const account_id& account) {
@@ -33,7 +33,7 @@
     if (matched.route == nullptr) {
         return fail(error_kind::route_not_found, "no route for this host and path");
     }
-    const std::string key(incoming.header(names.key));
+    const std::string key(incoming.header(names.api_key));
     if (!key.empty()) {
         matched.account = policy.find_account(key);
     }
@@ -44,8 +44,8 @@
     return matched;
 }
 
-duration caller_patience(const incoming_request& incoming, const traffic_route& route,
-                         const header_names& names) {
+duration remaining_time(const incoming_request& incoming, const traffic_route& route,
+                        const header_names& names) {
     const std::string_view text = incoming.header(names.time_left_ms);
     long long value = 0;
     const char* const end = text.data() + text.size();
@@ -62,9 +62,10 @@
     request.id = std::string(incoming.header(names.request_id));
     request.route = matched.route;
     request.priority = matched.route->priority;
-    request.arrived = incoming.arrived();
-    request.due = request.arrived + std::min(matched.route->timeout,
-                                             caller_patience(incoming, *matched.route, names));
+    request.arrived_at = incoming.arrived();
+    request.deadline =
+        request.arrived_at +
+        std::min(matched.route->timeout, remaining_time(incoming, *matched.route, names));
     request.message.method = std::string(incoming.method());
     request.message.uri = incoming.uri();
     for (const auto& [name, value] : incoming.headers()) {
@@ -83,7 +84,7 @@
     return request;
 }
 
-http_answer make_passed_answer(http_answer&& answer, bool is_head) {
+http_answer make_forwarded_response(http_answer&& answer, bool is_head) {
     const http_headers all = answer.headers;
     std::erase_if(answer.headers, [&](const http_header& header) {
         const bool is_length_of_head =
--- a/libs/proxy/src/target_pool.cpp
+++ b/libs/proxy/src/target_pool.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 // Failures below this are not worth reporting.
-constexpr double negligible_doubt = 0.1;
+constexpr double negligible_suspicion = 0.1;
 
 /// \p value with one digit behind the point.
 std::string tenths_text(double value) {
@@ -21,17 +21,17 @@
 }
 
 /// Sum over what this instance runs at \p target of how unusual it is that it still runs.
-double own_silence(const pooled_target& target, time_point now) {
-    double silence = 0;
-    for (const running_attempt* made : target.running) {
-        silence -= std::log(made->model->survival(now - made->started));
+double local_overdue_suspicion(const pooled_target& target, time_point now) {
+    double suspicion = 0;
+    for (const running_attempt* attempt : target.running) {
+        suspicion -= std::log(attempt->model->survival(now - attempt->started));
     }
-    return silence;
+    return suspicion;
 }
 
 } // namespace
 
-bool pooled_target::takes_work(time_point now) const {
+bool pooled_target::accepts_requests(time_point now) const {
     return !this->removed && !this->misdirected && !this->known.vanished &&
            this->known.registration.state == target_state::ready && now >= this->known.seen;
 }
@@ -63,14 +63,14 @@
     }
 }
 
-target_standing target_pool::standing_of(const pooled_target& target, time_point now) const {
+target_standing target_pool::fleet_state_of(const pooled_target& target, time_point now) const {
     const target_use peers = this->reports.total_at(target.hash, now);
-    target_standing standing;
-    standing.running = static_cast<int>(target.running.size()) + peers.running;
-    standing.silence = own_silence(target, now) + peers.silence;
-    standing.failures =
+    target_standing fleet_state;
+    fleet_state.running = static_cast<int>(target.running.size()) + peers.running;
+    fleet_state.silence = local_overdue_suspicion(target, now) + peers.silence;
+    fleet_state.failures =
         failure_doubt(target.evidence, this->options.rotation, now) + peers.failures;
-    return standing;
+    return fleet_state;
 }
 
 std::vector<target_candidate> target_pool::candidates(const std::set<target_id>& tried,
@@ -81,9 +81,9 @@
         const registered_target& registration = target->known.registration;
         target_candidate candidate;
         candidate.evidence = &target->evidence;
-        candidate.standing = this->standing_of(*target, now);
+        candidate.standing = this->fleet_state_of(*target, now);
         candidate.slots = registration.slots;
-        candidate.registered = target->takes_work(now);
+        candidate.registered = target->accepts_requests(now);
         candidate.excluded = tried.contains(id);
         candidate.connected = !target->idle.empty();
         candidate.nearby = registration.failure_domain == this->options.failure_domain;
@@ -104,55 +104,55 @@
 
 bool target_pool::has_target(const std::set<target_id>& tried, time_point now) const {
     return std::any_of(this->targets.begin(), this->targets.end(), [&](const auto& item) {
-        return item.second->takes_work(now) && !tried.contains(item.first);
+        return item.second->accepts_requests(now) && !tried.contains(item.first);
     });
 }
 
 int target_pool::capacity(time_point now) const {
     int slots = 0;
     for (const auto& [id, target] : this->targets) {
-        slots += target->takes_work(now) ? target->known.registration.slots : 0;
+        slots += target->accepts_requests(now) ? target->known.registration.slots : 0;
     }
     return slots;
 }
 
-std::pair<std::size_t, std::size_t> target_pool::rotation_size(time_point now) const {
+std::pair<std::size_t, std::size_t> target_pool::rotation_counts(time_point now) const {
     std::size_t registered = 0;
-    std::size_t out = 0;
+    std::size_t ejected = 0;
     for (const auto& [id, target] : this->targets) {
-        registered += target->takes_work(now) ? 1 : 0;
-        out += target->takes_work(now) && now < target->evidence.out_until ? 1 : 0;
+        registered += target->accepts_requests(now) ? 1 : 0;
+        ejected += target->accepts_requests(now) && now < target->evidence.out_until ? 1 : 0;
     }
-    return {registered, out};
+    return {registered, ejected};
 }
 
-void target_pool::note_failure(pooled_target& target, double doubt, time_point now) {
-    knapweedknot::note_failure(target.evidence, doubt, this->options.rotation, now);
+void target_pool::record_failure(pooled_target& target, double suspicion, time_point now) {
+    knapweedknot::note_failure(target.evidence, suspicion, this->options.rotation, now);
 }
 
-void target_pool::note_success(pooled_target& target, time_point now) {
+void target_pool::record_success(pooled_target& target, time_point now) {
     knapweedknot::note_success(target.evidence, this->options.rotation, now);
 }
 
-void target_pool::judge_target(pooled_target& target, time_point now) {
-    const target_standing standing = this->standing_of(target, now);
-    if (!judge(target.evidence, standing, this->options.rotation, now)) {
+void target_pool::check_target(pooled_target& target, time_point now) {
+    const target_standing fleet_state = this->fleet_state_of(target, now);
+    if (!judge(target.evidence, fleet_state, this->options.rotation, now)) {
         return;
     }
-    ++this->taken_out_count;
+    ++this->ejection_count;
     log_event(log_level::warning, "target_taken_out",
               {{"service", this->service.value},
                {"target", target.id().value},
-               {"running", std::to_string(standing.running)},
-               {"silence", tenths_text(standing.silence)},
-               {"failures", tenths_text(standing.failures)},
+               {"running", std::to_string(fleet_state.running)},
+               {"silence", tenths_text(fleet_state.silence)},
+               {"failures", tenths_text(fleet_state.failures)},
                {"for_ms", std::to_string(to_milliseconds(target.evidence.out_until - now))}});
 }
 
-void target_pool::judge_running(time_point now) {
+void target_pool::check_running_targets(time_point now) {
     for (const auto& [id, target] : this->targets) {
         if (!target->running.empty()) {
-            this->judge_target(*target, now);
+            this->check_target(*target, now);
         }
     }
 }
@@ -177,24 +177,25 @@
     }
 }
 
-void target_pool::report(fleet_report& report, time_point now) const {
+void target_pool::add_to_report(fleet_report& report, time_point now) const {
     for (const auto& [id, target] : this->targets) {
-        target_use use;
-        use.running = static_cast<int>(target->running.size());
-        use.silence = own_silence(*target, now);
-        use.failures = failure_doubt(target->evidence, this->options.rotation, now);
-        use.out = std::max(duration::zero(), target->evidence.out_until - now);
-        if (use.running > 0 || use.failures > negligible_doubt || use.out > duration::zero()) {
-            report.targets[target->hash] = use;
+        target_use status;
+        status.running = static_cast<int>(target->running.size());
+        status.silence = local_overdue_suspicion(*target, now);
+        status.failures = failure_doubt(target->evidence, this->options.rotation, now);
+        status.out = std::max(duration::zero(), target->evidence.out_until - now);
+        if (status.running > 0 || status.failures > negligible_suspicion ||
+            status.out > duration::zero()) {
+            report.targets[target->hash] = status;
         }
     }
 }
 
-void target_pool::follow(const fleet_report& report, time_point now) {
+void target_pool::adopt_ejections(const fleet_report& report, time_point now) {
     for (const auto& [id, target] : this->targets) {
-        const auto told = report.targets.find(target->hash);
-        if (told != report.targets.end() &&
-            follow_judgement(target->evidence, report.targets_told + told->second.out, now)) {
+        const auto reported = report.targets.find(target->hash);
+        if (reported != report.targets.end() &&
+            follow_judgement(target->evidence, report.targets_told + reported->second.out, now)) {
             log_event(log_level::debug, "target_out_as_told",
                       {{"service", this->service.value}, {"target", id.value}});
         }
--- a/libs/proxy/tests/ledger_test.cpp
+++ b/libs/proxy/tests/limiter_test.cpp
@@ -5,9 +5,9 @@
 #include <vector>
 
 #include "base/digest.h"
-#include "proxy/account_ledger.h"
+#include "proxy/account_rate_limiter.h"
 #include "proxy/edge_settings.h"
-#include "proxy/resend_ledger.h"
+#include "proxy/retry_limiter.h"
 
 using namespace knapweedknot;
 
@@ -25,10 +25,10 @@
 }
 
 /// Requests admitted at once at \p now.
-int admit_all(account_ledger& ledger, const traffic_account& account, time_point now,
-              const account_ledger::peer_view& peers = {}) {
+int admit_all(account_rate_limiter& limiter, const traffic_account& account, time_point now,
+              const account_rate_limiter::peer_summary& peers = {}) {
     int admitted = 0;
-    while (ledger.admit(account, peers, duration::zero(), now).admitted) {
+    while (limiter.admit(account, peers, duration::zero(), now).admitted) {
         ++admitted;
     }
     return admitted;
@@ -39,36 +39,36 @@
 // Pattern: all processes are killed while one account presses; each new one knows nothing of what
 // was admitted before.
 BOOST_AUTO_TEST_CASE(a_young_process_does_not_admit_a_burst_anew) {
-    account_ledger young({}, start);
-    BOOST_TEST(admit_all(young, account_with(50, 50), start + milliseconds(100)) <= 8);
-    account_ledger old({}, start);
-    BOOST_TEST(admit_all(old, account_with(50, 50), start + seconds(60)) == 50);
+    account_rate_limiter fresh({}, start);
+    BOOST_TEST(admit_all(fresh, account_with(50, 50), start + milliseconds(100)) <= 8);
+    account_rate_limiter established({}, start);
+    BOOST_TEST(admit_all(established, account_with(50, 50), start + seconds(60)) == 50);
 }
 
 // Pattern: callers go on to an instance that has not served an account before, during a partition.
 BOOST_AUTO_TEST_CASE(an_account_that_is_new_here_begins_with_a_share_while_others_are_unheard) {
-    account_ledger ledger({}, start);
+    account_rate_limiter limiter({}, start);
     const time_point now = start + seconds(60);
-    BOOST_TEST(admit_all(ledger, account_with(40, 40), now, {0.25, {}}) <= 10);
+    BOOST_TEST(admit_all(limiter, account_with(40, 40), now, {0.25, {}}) <= 10);
 }
 
 // Pattern: an instance begins to serve an account on which others have been busy at its rate. What
 // they admitted since they last told of it was within the refill of that time.
 BOOST_AUTO_TEST_CASE(an_account_that_is_new_here_starts_at_the_level_that_peers_tell) {
-    account_ledger ledger({}, start);
+    account_rate_limiter limiter({}, start);
     const traffic_account account = account_with(36, 36);
     const time_point told = start + seconds(60);
     fleet_report before;
     before.serving = true;
     before.received = told;
     before.accounts[hash64("shop")] = {100, 20};
-    ledger.note_peer(before, nullptr, false, told);
+    limiter.apply_peer_report(before, nullptr, false, told);
     const time_point now = told + seconds(3);
-    BOOST_TEST(ledger.admit(account, {}, duration::zero(), now).admitted);
+    BOOST_TEST(limiter.admit(account, {}, duration::zero(), now).admitted);
     fleet_report after;
     after.accounts[hash64("shop")] = {208, 20};
-    ledger.note_peer(after, &before, false, now + milliseconds(100));
-    const auto next = ledger.admit(account, {}, duration::zero(), now + milliseconds(100));
+    limiter.apply_peer_report(after, &before, false, now + milliseconds(100));
+    const auto next = limiter.admit(account, {}, duration::zero(), now + milliseconds(100));
     BOOST_TEST(next.admitted);
     BOOST_TEST(next.tokens > 10);
 }
@@ -78,48 +78,48 @@
 BOOST_AUTO_TEST_CASE(a_level_told_long_ago_is_a_guess_until_a_peer_tells_a_new_one) {
     const traffic_account account = account_with(36, 36);
     for (const bool has_served : {false, true}) {
-        account_ledger ledger({}, start);
+        account_rate_limiter limiter({}, start);
         const time_point told = start + seconds(60);
         if (has_served) {
-            BOOST_TEST(ledger.admit(account, {}, duration::zero(), told).admitted);
+            BOOST_TEST(limiter.admit(account, {}, duration::zero(), told).admitted);
         }
         fleet_report before;
         before.received = told;
         before.accounts[hash64("shop")] = {100, 36};
-        ledger.note_peer(before, nullptr, false, told);
+        limiter.apply_peer_report(before, nullptr, false, told);
         const time_point now = told + seconds(2);
-        const account_ledger::peer_view stale{1, seconds(2)};
-        BOOST_TEST(admit_all(ledger, account, now, stale) <= 6);
-        BOOST_TEST(!ledger.admit(account, stale, milliseconds(500), now).admitted);
+        const account_rate_limiter::peer_summary stale{1, seconds(2)};
+        BOOST_TEST(admit_all(limiter, account, now, stale) <= 6);
+        BOOST_TEST(!limiter.admit(account, stale, milliseconds(500), now).admitted);
         fleet_report idle = before;
         idle.received = now;
         idle.accounts[hash64("shop")] = {101, 36};
-        ledger.note_peer(idle, &before, false, now);
-        BOOST_TEST(admit_all(ledger, account, now, stale) == 0);
+        limiter.apply_peer_report(idle, &before, false, now);
+        BOOST_TEST(admit_all(limiter, account, now, stale) == 0);
         fleet_report after;
         after.serving = true;
         after.received = now;
         after.accounts[hash64("shop")] = {208, 20};
-        ledger.note_peer(after, &before, false, now);
-        const int admitted = admit_all(ledger, account, now);
+        limiter.apply_peer_report(after, &before, false, now);
+        const int admitted = admit_all(limiter, account, now);
         BOOST_TEST(admitted >= 8);
         BOOST_TEST(admitted <= 20);
     }
 }
 
 BOOST_AUTO_TEST_CASE(what_peers_admitted_is_subtracted_once) {
-    account_ledger ledger({}, start);
+    account_rate_limiter limiter({}, start);
     const time_point now = start + seconds(60);
     const traffic_account account = account_with(10, 40);
-    BOOST_TEST(ledger.admit(account, {}, duration::zero(), now).admitted);
+    BOOST_TEST(limiter.admit(account, {}, duration::zero(), now).admitted);
     fleet_report before;
     before.received = now;
     before.accounts[hash64("shop")] = {100, 40};
     fleet_report after;
     after.accounts[hash64("shop")] = {130, 10};
-    ledger.note_peer(before, nullptr, false, now);
-    ledger.note_peer(after, &before, false, now);
-    BOOST_TEST(admit_all(ledger, account, now) <= 9);
+    limiter.apply_peer_report(before, nullptr, false, now);
+    limiter.apply_peer_report(after, &before, false, now);
+    BOOST_TEST(admit_all(limiter, account, now) <= 9);
 }
 
 // Pattern: an account presses on three instances when they lose sight of each other. Until they
@@ -130,16 +130,16 @@
     constexpr duration step = milliseconds(10);
     const duration noticed = milliseconds(650);
     const traffic_account account = account_with(26, 26);
-    std::vector<account_ledger> ledgers(copies, account_ledger({}, start));
+    std::vector<account_rate_limiter> limiters(copies, account_rate_limiter({}, start));
     std::vector<fleet_report> told(copies);
     const time_point begin = start + seconds(60);
     const time_point cut = begin + seconds(2);
     int admitted = 0;
     for (time_point now = begin; now < begin + seconds(5); now += step) {
         const duration age = std::clamp(now - cut, duration::zero(), noticed);
-        const account_ledger::peer_view view{age == noticed ? 1.0 / copies : 1.0, age};
-        for (account_ledger& ledger : ledgers) {
-            admitted += ledger.admit(account, view, duration::zero(), now).admitted ? 1 : 0;
+        const account_rate_limiter::peer_summary view{age == noticed ? 1.0 / copies : 1.0, age};
+        for (account_rate_limiter& limiter : limiters) {
+            admitted += limiter.admit(account, view, duration::zero(), now).admitted ? 1 : 0;
         }
         if (now >= cut || (now - begin) % milliseconds(250) != duration::zero()) {
             continue;
@@ -147,10 +147,10 @@
         for (std::size_t from = 0; from < copies; ++from) {
             fleet_report report;
             report.received = now;
-            report.accounts = ledgers[from].report(report_kind::full, now);
+            report.accounts = limiters[from].report(report_kind::full, now);
             for (std::size_t to = 0; to < copies; ++to) {
                 if (to != from) {
-                    ledgers[to].note_peer(report, &told[from], false, now);
+                    limiters[to].apply_peer_report(report, &told[from], false, now);
                 }
             }
             told[from] = report;
@@ -165,15 +165,15 @@
 // Pattern: a partition heals long after one side has admitted its last request. What it reports
 // then is no news for the other side, which left it its share of the refill.
 BOOST_AUTO_TEST_CASE(what_was_admitted_long_ago_beyond_a_partition_is_no_debt) {
-    account_ledger ledger({}, start);
-    account_ledger other({}, start);
+    account_rate_limiter limiter({}, start);
+    account_rate_limiter other({}, start);
     const traffic_account account = account_with(30, 30);
     const time_point cut = start + seconds(60);
     fleet_report before;
     before.received = cut;
     time_point now = cut;
     for (; now < cut + seconds(14); now += milliseconds(20)) {
-        static_cast<void>(ledger.admit(account, {0.4, {}}, duration::zero(), now));
+        static_cast<void>(limiter.admit(account, {0.4, {}}, duration::zero(), now));
         if (now < cut + seconds(4)) {
             static_cast<void>(other.admit(account, {0.4, {}}, duration::zero(), now));
         }
@@ -182,51 +182,51 @@
     after.received = now;
     after.accounts = other.report(report_kind::introduction, now);
     BOOST_TEST(after.accounts.at(hash64("shop")).admitted >= 45U);
-    ledger.note_peer(after, &before, false, now);
-    BOOST_TEST(admit_all(ledger, account, now + seconds(1)) >= 25);
+    limiter.apply_peer_report(after, &before, false, now);
+    BOOST_TEST(admit_all(limiter, account, now + seconds(1)) >= 25);
 }
 
 BOOST_AUTO_TEST_CASE(an_account_without_a_limit_is_always_admitted) {
-    account_ledger ledger({}, start);
+    account_rate_limiter limiter({}, start);
     for (int i = 0; i < 1000; ++i) {
-        BOOST_TEST(ledger.admit(account_with(0, 0), {}, duration::zero(), start).admitted);
+        BOOST_TEST(limiter.admit(account_with(0, 0), {}, duration::zero(), start).admitted);
     }
 }
 
 BOOST_AUTO_TEST_CASE(resends_keep_to_a_share_of_the_requests_and_the_allowance) {
-    resend_policy policy;
+    retry_policy policy;
     policy.share = 0.2;
     policy.allowance = 50;
-    resend_ledger ledger(policy);
-    int resent = 0;
+    retry_limiter limiter(policy);
+    int retried = 0;
     time_point now = start;
     for (int i = 0; i < 1000; ++i) {
         now += milliseconds(10);
-        ledger.note_request(service, now);
-        resent += ledger.take(service, now) ? 1 : 0;
+        limiter.record_request(service, now);
+        retried += limiter.take_retry(service, now) ? 1 : 0;
     }
     // Ten seconds, one window: a share of the requests and the allowance.
-    BOOST_TEST(resent <= 1000 * policy.share + policy.allowance);
-    BOOST_TEST(resent >= 100);
+    BOOST_TEST(retried <= 1000 * policy.share + policy.allowance);
+    BOOST_TEST(retried >= 100);
 }
 
 BOOST_AUTO_TEST_CASE(a_request_that_crashes_targets_is_quarantined_over_instances_for_a_while) {
-    resend_ledger ledger({});
+    retry_limiter limiter({});
     constexpr std::uint64_t fingerprint = 42;
-    ledger.note_crash(fingerprint, start);
-    BOOST_TEST(!ledger.is_quarantined(fingerprint, start));
+    limiter.record_crash(fingerprint, start);
+    BOOST_TEST(!limiter.is_quarantined(fingerprint, start));
     fleet_report peer;
     peer.crashes[fingerprint] = 2;
-    ledger.note_peer(incarnation_id{7}, peer, nullptr, start);
-    BOOST_TEST(ledger.is_quarantined(fingerprint, start));
-    ledger.forget_peer(incarnation_id{7});
-    BOOST_TEST(!ledger.is_quarantined(fingerprint, start));
-    ledger.note_crash(fingerprint, start);
-    ledger.note_crash(fingerprint, start);
-    BOOST_TEST(ledger.is_quarantined(fingerprint, start));
-    BOOST_TEST(!ledger.is_quarantined(fingerprint, start + seconds(30)));
-    ledger.note_survived(fingerprint);
-    BOOST_TEST(!ledger.is_quarantined(fingerprint, start));
+    limiter.apply_peer_report(incarnation_id{7}, peer, nullptr, start);
+    BOOST_TEST(limiter.is_quarantined(fingerprint, start));
+    limiter.remove_peer(incarnation_id{7});
+    BOOST_TEST(!limiter.is_quarantined(fingerprint, start));
+    limiter.record_crash(fingerprint, start);
+    limiter.record_crash(fingerprint, start);
+    BOOST_TEST(limiter.is_quarantined(fingerprint, start));
+    BOOST_TEST(!limiter.is_quarantined(fingerprint, start + seconds(30)));
+    limiter.clear_crashes(fingerprint);
+    BOOST_TEST(!limiter.is_quarantined(fingerprint, start));
 }
 
 BOOST_AUTO_TEST_CASE(settings_name_every_bad_value) {
--- a/libs/proxy/tests/target_pool_test.cpp
+++ b/libs/proxy/tests/target_pool_test.cpp
@@ -50,10 +50,10 @@
     fleet_report report;
     report.targets_told = told;
     report.targets[hash64("i-1")] = {0, 0, 0, milliseconds(4000)};
-    pool.follow(report, told);
-    BOOST_TEST(pool.rotation_size(told + milliseconds(3900)).second == 1U);
+    pool.adopt_ejections(report, told);
+    BOOST_TEST(pool.rotation_counts(told + milliseconds(3900)).second == 1U);
     // The same list, kept by reports of the next seconds.
-    pool.follow(report, told + milliseconds(3000));
-    pool.follow(report, told + milliseconds(3900));
-    BOOST_TEST(pool.rotation_size(told + milliseconds(4100)).second == 0U);
+    pool.adopt_ejections(report, told + milliseconds(3000));
+    pool.adopt_ejections(report, told + milliseconds(3900));
+    BOOST_TEST(pool.rotation_counts(told + milliseconds(4100)).second == 0U);
 }
--- a/programs/knapweedknotd/edge_instance.cpp
+++ b/programs/knapweedknotd/edge_instance.cpp
@@ -48,7 +48,7 @@
     return options;
 }
 
-report_times make_report_times(const machine_means& machine) {
+report_times make_report_times(const machine_resources& machine) {
     report_times times;
     times.full_report_bytes_per_s = machine.link_bytes_per_s * share_of_link_for_reports;
     return times;
@@ -87,7 +87,7 @@
       addresses(event_loop, {}, [this](const auto& request) { this->handle_directory(request); }),
       metrics(event_loop, {}, [this](const auto& request) { this->handle_metrics(request); }),
       started(boot_clock::now()) {
-    this->policy.on_adopted = [this] { this->gateway.take_policy(); };
+    this->policy.on_adopted = [this] { this->gateway.apply_policy(); };
     this->directory.on_changed = [this](const service_id& service) {
         this->gateway.update_targets(service);
     };
@@ -96,7 +96,9 @@
         this->policy.note_peer_number(peer.report->policy);
         this->gateway.handle_report(peer, before);
     };
-    this->reports.on_lost = [this](const reporting_peer& peer) { this->gateway.handle_lost(peer); };
+    this->reports.on_lost = [this](const reporting_peer& peer) {
+        this->gateway.handle_peer_lost(peer);
+    };
 }
 
 mesh_handlers edge_instance::make_mesh_handlers() {
@@ -156,7 +158,7 @@
     report.policy =
         this->policy.current() == nullptr ? config_number{} : this->policy.current()->number();
     report.targets_revision = this->directory.revision();
-    this->gateway.report(report, kind, now);
+    this->gateway.add_to_report(report, kind, now);
     return report;
 }
 
@@ -201,7 +203,7 @@
         answer_text(*request, 503, "no instance is ready\n", plain_text);
         return;
     }
-    ++this->gateway.measured().address_answers;
+    ++this->gateway.request_metrics().address_answers;
     request->answer(platform::make_address_answer(
         named, std::min(address_answer_lifetime, this->settings.bounds.address_lifetime)));
 }
@@ -256,7 +258,7 @@
     callers.close_idle_connections();
     if (passed >
         from_seconds(to_seconds(this->settings.bounds.stop_grace) * give_up_part) + drain_look) {
-        this->gateway.give_up_all();
+        this->gateway.fail_all();
     }
     const bool finished = callers.running_requests() == 0 && !callers.is_writing();
     if (finished || passed > this->settings.bounds.stop_grace - kill_margin) {
