Describe the proxy in plain technical English

The comments spoke of what instances tell, hear, judge and promise, and a reader had to translate them. They now state what the code does in terms of ejection, confirmation, retry budget, hedging and deadlines; reasons behind constants stay.

--- a/libs/proxy/include/proxy/account_rate_limiter.h
+++ b/libs/proxy/include/proxy/account_rate_limiter.h
@@ -10,46 +10,49 @@
 #include "fleet/fleet_reports.h"
 
 /// \file
-/// Admission of client accounts within their rates over all instances.
+/// Rate limiting of client accounts across all instances.
 
 namespace knapweedknot {
 
-/// Admits requests. Not thread safe.
+/// Admits requests within the rate and burst of their client account. Each instance admits from a
+/// local copy of the account's token bucket and corrects it by the reports of its peers. Not thread
+/// safe.
 class account_rate_limiter {
 public:
-    /// \param started when this process began to admit
+    /// \param started when this process began to admit requests
     account_rate_limiter(const shared_bucket_times& times, time_point started)
         : times(times), started(started) {}
 
-    /// What became of a request for admission.
+    /// Result of an admission check.
     struct decision {
         bool admitted{false};
-        /// Time after which an admitted request may be sent.
+        /// Delay before an admitted request may be sent.
         duration wait{duration::zero()};
-        /// When there will be a token, if it was not admitted.
+        /// Time until a token is available, if the request was not admitted.
         duration retry_after{duration::zero()};
-        /// True when the other instances should hear of it soon.
+        /// True when peers should get a report before the regular interval ends.
         bool report_early{false};
-        /// Tokens that were left, as this instance believes.
+        /// Tokens left in the local copy of the bucket.
         double tokens{0};
     };
-    /// What is known of the other serving instances.
+    /// State of the other serving instances, from their reports.
     struct peer_summary {
-        /// Part of the refill that this instance may count on.
+        /// Share of the refill, from 0 to 1, that this instance may use.
         double refill_share{1};
-        /// Age of the oldest of their newest reports.
+        /// Greatest age of a peer's latest report.
         duration oldest_report_age{duration::zero()};
     };
-    /// \param max_wait how long the request may wait for its token
+    /// Checks whether \p account may send a request now, and takes a token if so.
+    /// \param max_wait longest time that the request may wait for its token
     [[nodiscard]] decision admit(const traffic_account& account, const peer_summary& peers,
                                  duration max_wait, time_point now);
 
-    /// What this instance has admitted of accounts that it served lately, or ever if \p kind is an
+    /// Usage of each recently active account on this instance, or of every account if \p kind is
     /// introduction.
     [[nodiscard]] std::unordered_map<std::uint64_t, account_use> report(report_kind kind,
                                                                         time_point now) const;
-    /// Takes what a peer has admitted since its report \p before.
-    /// \param is_new true when all that the peer has admitted since its start is recent
+    /// Subtracts the requests that a peer has admitted since its report \p before.
+    /// \param is_new true when the peer started so recently that its total count applies
     void apply_peer_report(const fleet_report& report, const fleet_report* before, bool is_new,
                            time_point now);
 
@@ -57,26 +60,28 @@
     struct account_state {
         shared_bucket bucket;
         time_point created;
-        /// True while the level is a guess, and what was admitted before it became one.
+        /// True while the bucket level is an estimate made without current reports.
+        /// admitted_before_estimate is the value of admitted when that began.
         bool is_estimate{false};
         std::uint32_t admitted_before_estimate{0};
-        /// Requests admitted since the process started, and how many of them the others know of.
+        /// Requests admitted since the process started, and the part of them that an early report
+        /// was requested for.
         std::uint32_t admitted{0};
         std::uint32_t reported{0};
         time_point last_admitted;
     };
 
-    /// What a report newly says of an account.
+    /// Admissions of one account that a peer's report adds.
     struct peer_admissions {
-        /// Admissions that are not in the bucket yet.
+        /// Admissions not yet subtracted from the bucket.
         double count{0};
-        /// Whether the peer could not be heard meanwhile.
+        /// True when the peer's report was overdue, so that its refill share was withheld.
         bool was_overdue{false};
-        /// Whether the peer serves, so that its level can be relied on.
+        /// True when the peer is serving. Only then is its bucket level reliable.
         bool is_serving{false};
     };
 
-    /// Tokens that a peer believed to be left.
+    /// Bucket level of an account as a peer reported it.
     struct reported_level {
         double tokens{0};
         time_point reported_at;
@@ -91,7 +96,7 @@
     shared_bucket_times times;
     time_point started;
     std::unordered_map<std::uint64_t, account_state> states;
-    /// What serving peers told last, for accounts that were not seen here yet.
+    /// Latest levels from serving peers. They initialise accounts that are new on this instance.
     std::unordered_map<std::uint64_t, reported_level> reported_levels;
 };
 
--- a/libs/proxy/include/proxy/balancer.h
+++ b/libs/proxy/include/proxy/balancer.h
@@ -19,22 +19,23 @@
 #include "proxy/target_pool.h"
 
 /// \file
-/// Sends the requests for one service to its targets: chooses, queues, sends once more, cancels.
+/// Load balancing of one service: target choice, queueing, retries, hedging and cancellation.
 
 namespace knapweedknot {
 
-/// Parameters of a balancer that do not depend on its service.
+/// Options shared by the balancers of all services.
 struct balancer_options {
     header_names headers;
     target_pool_options targets;
     http_client_limits limits;
-    /// An idle connection is not used again after this time.
+    /// Connections that were idle for longer are not reused.
     duration idle_limit{milliseconds(9000)};
-    /// The same for requests that must not run twice: they lose more by a closed connection.
+    /// The same for requests that are not idempotent, which cannot be retried when the target has
+    /// closed the connection.
     duration idle_limit_once_only{milliseconds(8000)};
 };
 
-/// What a balancer shares with the others of its instance. All must outlive it.
+/// Components shared by the balancers of an instance. All must outlive the balancer.
 struct balancer_dependencies {
     loop& owner;
     const target_directory& directory;
@@ -42,10 +43,10 @@
     retry_limiter& retries;
 };
 
-/// Identifies a request so that it can be cancelled.
+/// Identifies a request for cancellation.
 using balancer_request_id = detail::strong_id<struct balancer_request_id_tag, std::uint64_t>;
 
-/// Counters of a balancer.
+/// Counters of a balancer since its creation.
 struct balancer_counts {
     std::uint64_t sent{0};
     std::uint64_t retried{0};
@@ -54,7 +55,7 @@
     std::uint64_t failed_attempts{0};
 };
 
-/// Balances one service. Not thread safe.
+/// Balances the requests for one service over its targets. Not thread safe.
 class balancer {
 public:
     balancer(service_id service, const balancer_dependencies& shared,
@@ -63,13 +64,14 @@
     balancer(const balancer&) = delete;
     balancer& operator=(const balancer&) = delete;
 
-    /// Sends \p request and calls \p done once, at once or later.
+    /// Sends or queues \p request. Calls \p done exactly once, possibly before this returns, unless
+    /// the request is cancelled.
     balancer_request_id start(proxied_request&& request, proxy_handler done);
-    /// Cancels a request whose caller has gone; its handler is not called.
+    /// Cancels a request whose caller has disconnected. Its handler is not called.
     void cancel(balancer_request_id id);
-    /// Ends every request without a target's answer.
+    /// Ends every request as if its deadline had passed.
     void fail_all();
-    /// Takes the directory's newest targets.
+    /// Replaces the targets by those that the directory now lists, and sends queued requests.
     void update_targets();
     [[nodiscard]] const balancer_counts& counts() const noexcept { return this->counters; }
     [[nodiscard]] std::size_t queued() const noexcept;
--- a/libs/proxy/include/proxy/edge_gateway.h
+++ b/libs/proxy/include/proxy/edge_gateway.h
@@ -23,15 +23,15 @@
 #include "proxy/retry_limiter.h"
 
 /// \file
-/// The path of a request at an edge: match, authenticate, prove the policy, admit, split, balance,
-/// answer.
+/// Request processing of an edge: routing, authentication, policy confirmation, rate limiting,
+/// traffic splitting and load balancing.
 
 namespace knapweedknot {
 
-/// Serves callers by the newest traffic policy. Not thread safe.
+/// Serves callers under the newest traffic policy. Not thread safe.
 class edge_gateway {
 public:
-    /// What the gateway works with. All must outlive it.
+    /// Components that the gateway uses. All must outlive it.
     struct dependencies {
         loop& owner;
         const edge_settings& settings;
@@ -43,20 +43,24 @@
 
     explicit edge_gateway(const dependencies& given);
 
+    /// Starts to listen on the callers' address.
     [[nodiscard]] result<void> listen();
-    /// Takes the limits and services of a policy that was adopted.
+    /// Applies the request limits of the newly adopted policy.
     void apply_policy();
+    /// Takes over the directory's targets of \p service.
     void update_targets(const service_id& service);
-    /// Ends every request that has no answer yet, so that answers behind it can be delivered.
+    /// Ends every request that has no response yet, so that the responses queued behind it on its
+    /// connection can be sent.
     void fail_all();
-    /// Adds what this gateway knows to the own report.
+    /// Adds the state of the gateway to the report of this instance.
     void add_to_report(fleet_report& report, report_kind kind, time_point now);
+    /// Applies a peer's report; \p before is its previous one, null for the first.
     void handle_report(const reporting_peer& peer, const fleet_report* before);
     void handle_peer_lost(const reporting_peer& peer);
 
-    /// True when callers lately sent requests at more than a trickle.
+    /// True when the recent request rate was high enough to exchange reports at the short interval.
     [[nodiscard]] bool is_serving(time_point now) const noexcept;
-    /// Requests per second, averaged over the last seconds.
+    /// Requests per second, as an exponential moving average.
     [[nodiscard]] double request_rate_at(time_point now) const;
     [[nodiscard]] http_server& server() noexcept { return this->caller_server; }
     [[nodiscard]] const http_server& server() const noexcept { return this->caller_server; }
@@ -99,13 +103,13 @@
         weighted_split split;
     };
     std::unordered_map<route_id, route_split> splits;
-    /// Serving peers that were lost and may still admit requests.
+    /// Serving peers that are disconnected and may still admit requests.
     lost_instances lost_peers;
-    /// Requests that wait for a token, by number.
+    /// Timers of admitted requests that wait for their token.
     std::unordered_map<std::uint64_t, timer> delayed_starts;
     std::uint64_t last_delayed{0};
     time_point started;
-    /// Requests per second, averaged over the last seconds, at rate_updated_at.
+    /// Requests per second at rate_updated_at, as an exponential moving average.
     double request_rate{0};
     time_point rate_updated_at;
     std::optional<time_point> last_serving;
--- a/libs/proxy/include/proxy/edge_metrics.h
+++ b/libs/proxy/include/proxy/edge_metrics.h
@@ -10,16 +10,16 @@
 #include "base/clock.h"
 
 /// \file
-/// Counters and latency histograms of an edge, in the usual text exposition format.
+/// Request counters and latency histograms of an edge in the Prometheus text exposition format.
 
 namespace knapweedknot {
 
-/// Times of one kind, in buckets. Not thread safe.
+/// Histogram of durations with fixed buckets. Not thread safe.
 class duration_histogram {
 public:
     duration_histogram();
     void record(duration value);
-    /// Appends the buckets, sum and count of the metric \p name.
+    /// Appends the buckets, sum and count as the metric \p name.
     void write(std::string& text, const std::string& name) const;
 
 private:
@@ -29,13 +29,13 @@
     std::uint64_t count{0};
 };
 
-/// What an edge measures of requests. Not thread safe.
+/// Request metrics of an edge. Not thread safe.
 struct edge_metrics {
     /// Requests by outcome: "served", or the name of an error kind.
     std::map<std::string, std::uint64_t> requests;
     duration_histogram total_time;
     duration_histogram response_time;
-    /// From the arrival to the first send.
+    /// Time from the arrival to the first send.
     duration_histogram queue_time;
     std::uint64_t caller_gone{0};
     std::uint64_t address_answers{0};
@@ -45,7 +45,7 @@
 void write_metric(std::string& text, const std::string& name, const std::string& label,
                   double value);
 
-/// Text form of \p metrics.
+/// Formats \p metrics as text.
 [[nodiscard]] std::string to_text(const edge_metrics& metrics);
 
 } // namespace knapweedknot
--- a/libs/proxy/include/proxy/header_names.h
+++ b/libs/proxy/include/proxy/header_names.h
@@ -3,28 +3,29 @@
 #include <string>
 
 /// \file
-/// Names of the headers that the proxy reads and writes. They belong to the deployment, so the
-/// adapter of the deployment supplies them.
+/// Names of the HTTP headers that the proxy reads and writes. They differ between platforms, so the
+/// platform adapter supplies them.
 
 namespace knapweedknot {
 
-/// Header names of one deployment.
+/// Header names of one platform.
 struct header_names {
-    /// Caller to target and back: id of one try of a caller.
+    /// Caller to target and back: id of one attempt by the caller.
     std::string request_id;
-    /// Caller to instance and instance to target: milliseconds that are left.
+    /// Caller to instance and instance to target: milliseconds left until the deadline.
     std::string time_left_ms;
-    /// Caller to instance: the key. Never sent on.
+    /// Caller to instance: the API key. Never forwarded.
     std::string api_key;
     /// Instance to target: client account of the request.
     std::string account;
-    /// Instance to target: the only target that may run the request.
+    /// Instance to target: id of the only target that may run the request.
     std::string intended_target;
     /// Target to instance: the request was not run.
     std::string not_executed;
-    /// Target to caller: digest of the answer. An answer without it is not the target's own.
+    /// Target to caller: digest of the response. A response without it did not come from the
+    /// target itself.
     std::string signature;
-    /// Instance to caller: seconds after which to come again.
+    /// Instance to caller: seconds to wait before the next attempt.
     std::string retry_after;
 };
 
--- a/libs/proxy/include/proxy/proxied_request.h
+++ b/libs/proxy/include/proxy/proxied_request.h
@@ -12,50 +12,50 @@
 #include "event/http_message.h"
 
 /// \file
-/// A request on its way through the proxy, and what became of it.
+/// A request that the proxy forwards, and its outcome.
 
 namespace knapweedknot {
 
-/// A request that was admitted.
+/// An admitted request.
 struct proxied_request {
-    /// What to send, without the headers that depend on the target.
+    /// The message to send, without the headers that depend on the target.
     http_request message;
-    /// The caller's id of the request; for logs.
+    /// The caller's request id, used in logs.
     std::string id;
     traffic_route_ptr route;
     /// Empty on open routes.
     account_id account;
     int priority{0};
     time_point arrived_at;
-    /// When the caller has to have its answer.
+    /// Time by which the caller must have its response.
     time_point deadline;
-    /// Same for requests that ask for the same work.
+    /// Hash of the method, URI, account and body.
     std::uint64_t fingerprint{0};
 };
 
-/// A target's whole answer.
+/// A target's complete response.
 struct proxied_response {
     http_answer message;
     target_id target;
-    /// Targets that the request was sent to.
+    /// Number of times the request was sent.
     int attempts{0};
-    /// Time from the last send to the whole answer.
+    /// Time from the start of the attempt to its complete response.
     duration response_time{duration::zero()};
     /// Time from the arrival to the first send.
     duration queue_time{duration::zero()};
 };
 
-/// Why a request has no answer of a target.
+/// Why a request has no response from a target.
 struct proxy_failure {
     error problem;
-    /// Whether the caller may be promised that the request did not and will not run.
+    /// Whether the request was not run, for certain, or may have run.
     execution outcome{execution::not_run};
-    /// When to come again, if that is known.
+    /// Time after which the caller may retry, if known.
     std::optional<duration> retry_after;
     int attempts{0};
-    /// Target of the last attempt; empty when there was none.
+    /// Target of the last attempt; empty if there was none.
     target_id target;
-    /// Time from the arrival to the first send, or to the end when there was none.
+    /// Time from the arrival to the first send, or to the failure if nothing was sent.
     duration queue_time{duration::zero()};
 };
 
--- a/libs/proxy/include/proxy/request_preparation.h
+++ b/libs/proxy/include/proxy/request_preparation.h
@@ -9,33 +9,36 @@
 #include "proxy/proxied_request.h"
 
 /// \file
-/// The steps from a caller's message to a request for a service. All functions are thread safe.
+/// Route matching, authentication and header rewriting. All functions are thread safe.
 
 namespace knapweedknot {
 
-/// What the policy says of a request.
+/// Route and client account of a request under a traffic policy.
 struct matched_request {
     traffic_route_ptr route;
-    /// Owner of the presented key; null without one on an open route.
+    /// Account of the presented API key; null for a request without a valid key on an open route.
     traffic_account_ptr account;
 };
 
-/// Finds the route and the account. The error is route_not_found, key_missing or key_unknown.
+/// Finds the route and the account of a request. The error is route_not_found, key_missing or
+/// key_unknown.
 [[nodiscard]] result<matched_request> match_request(const incoming_request& incoming,
                                                     const traffic_policy& policy,
                                                     const header_names& names);
 
-/// Time that the caller still waits; the route's timeout when it does not say.
+/// Time left until the caller's deadline, by its header; the route's timeout if the header is
+/// missing or invalid.
 [[nodiscard]] duration remaining_time(const incoming_request& incoming, const traffic_route& route,
                                       const header_names& names);
 
-/// The request to send: the caller's, without its key, the headers that belong to its connection
-/// and those that the proxy sets itself, and with the account's name.
+/// Builds the request to send. Removes the API key, hop-by-hop headers and headers that the proxy
+/// sets itself, and adds the account's name.
 [[nodiscard]] proxied_request make_proxied_request(const incoming_request& incoming,
                                                    const matched_request& matched,
                                                    const header_names& names);
 
-/// The answer to pass on: the target's, without the headers that belong to its connection.
+/// Builds the response to forward: the target's response without hop-by-hop headers. The response
+/// to a HEAD request keeps its Content-Length.
 [[nodiscard]] http_answer make_forwarded_response(http_answer&& answer, bool is_head);
 
 } // namespace knapweedknot
--- a/libs/proxy/include/proxy/retry_limiter.h
+++ b/libs/proxy/include/proxy/retry_limiter.h
@@ -9,52 +9,55 @@
 #include "fleet/fleet_reports.h"
 
 /// \file
-/// The budget of all instances together for sending a request to a second target, and the memory
-/// of requests after which targets crash.
+/// Fleet-wide retry budget, and quarantine of requests that crash targets.
 
 namespace knapweedknot {
 
-/// The budget, as the deployment states it.
+/// Limits on retries and on requests that crash targets.
 struct retry_policy {
-    /// Resends allowed for each request.
+    /// Retries allowed per request.
     double share{0.2};
-    /// Resends allowed beyond that in any window.
+    /// Retries allowed in addition to that in any window.
     double allowance{20};
     duration window{seconds(10)};
-    /// Broken connections after which a request is not run for a while.
+    /// Number of broken connections after which a request is quarantined.
     std::uint32_t crashes_to_quarantine{3};
-    /// Time after the last broken connection in which they count.
+    /// Broken connections are forgotten this long after the latest one.
     duration crash_window{seconds(20)};
 };
 
-/// Counts requests and resends by service. Not thread safe.
+/// Enforces the retry budget of each service over all instances, and records requests that break
+/// the connections of targets. Hedged sends also count as retries. Not thread safe.
 class retry_limiter {
 public:
     explicit retry_limiter(const retry_policy& policy) : policy(policy) {}
 
     void set_policy(const retry_policy& changed) noexcept { this->policy = changed; }
     void record_request(const service_id& service, time_point now);
-    /// Takes one resend from the budget. False when none is left.
+    /// Takes one retry from the budget of \p service. Returns false when the budget is exhausted.
     [[nodiscard]] bool take_retry(const service_id& service, time_point now);
 
-    /// Notes that a target's connection broke while it ran the request \p fingerprint.
+    /// Records that a target's connection broke while it ran the request \p fingerprint.
     void record_crash(std::uint64_t fingerprint, time_point now);
-    /// Notes that a target ran the request \p fingerprint and lives.
+    /// Clears the local crash record of \p fingerprint after a target has run it without a crash.
     void clear_crashes(std::uint64_t fingerprint);
-    /// True when the request has broken too many connections, here and elsewhere.
+    /// True when the request has broken too many connections, counted over all instances.
     [[nodiscard]] bool is_quarantined(std::uint64_t fingerprint, time_point now) const;
 
-    /// Adds what this instance has counted to its report.
+    /// Adds the local counts to the report of this instance.
     void add_to_report(fleet_report& report, time_point now) const;
-    /// Takes what a peer has counted since its report \p before.
+    /// Applies the counts that a peer has added since its report \p before; null for its first
+    /// report.
     void apply_peer_report(incarnation_id peer, const fleet_report& report,
                            const fleet_report* before, time_point now);
+    /// Discards the crash counts of a peer.
     void remove_peer(incarnation_id peer);
 
 private:
     struct service_state {
         shared_bucket bucket;
-        /// Requests per second over all instances, averaged over the window.
+        /// Requests per second over all instances, as an exponential moving average over the
+        /// window.
         double request_rate{0};
         time_point rate_updated_at;
         service_use usage;
--- a/libs/proxy/include/proxy/target_pool.h
+++ b/libs/proxy/include/proxy/target_pool.h
@@ -16,32 +16,33 @@
 #include "fleet/target_directory.h"
 
 /// \file
-/// The targets of one service at one instance: evidence, idle connections, and the choice between
-/// them.
+/// The targets of one service as one instance sees them: health state, idle connections and load
+/// balancing.
 
 namespace knapweedknot {
 
-/// A request that runs at a target.
+/// An attempt that a target is running.
 struct running_attempt {
     time_point started;
-    /// Answer times of its route.
+    /// Response times of the attempt's route.
     const latency_model* model{nullptr};
 };
 
-/// A target and what this instance has to do with it.
+/// A registered target with its health state, connections and running attempts.
 struct pooled_target {
     known_target known;
     std::uint64_t hash{0};
     target_evidence evidence;
     std::vector<std::unique_ptr<http_connection>> idle;
-    /// Attempts of this instance that run there.
+    /// Attempts of this instance that the target is running.
     std::vector<const running_attempt*> running;
     /// True when the directory no longer lists it.
     bool removed{false};
-    /// Set when another target answered at its address; its registration is out of date.
+    /// Set after another target has responded at this address: the registration is out of date.
     bool misdirected{false};
 
     [[nodiscard]] const target_id& id() const noexcept { return this->known.registration.id; }
+    /// True when the target is registered, ready and reachable at its address.
     [[nodiscard]] bool accepts_requests(time_point now) const;
 };
 
@@ -51,46 +52,51 @@
 struct target_pool_options {
     failure_domain_id failure_domain;
     rotation_policy rotation;
-    /// Idle connections kept for each target.
+    /// Idle connections kept per target.
     std::size_t idle_connections{3};
 };
 
-/// The targets of a service. Not thread safe.
+/// Chooses targets of one service and tracks their health. Not thread safe.
 class target_pool {
 public:
     /// \p directory and \p reports must outlive the pool.
     target_pool(service_id service, const target_directory& directory, const fleet_reports& reports,
                 const target_pool_options& options);
 
-    /// Takes the directory's newest targets.
+    /// Replaces the targets by those that the directory now lists.
     void update();
 
-    /// The target that should get the next request, other than those \p tried; null when none has
-    /// a free slot.
+    /// Chooses the target for the next attempt, other than those \p tried. Null when none has a
+    /// free slot.
+    /// \param if_lost whether the request can still be retried if this attempt fails
     [[nodiscard]] target_ptr choose(const std::set<target_id>& tried, loss if_lost, time_point now);
-    /// True when a target other than those \p tried takes work, now or later.
+    /// True when a target other than those \p tried accepts requests, even if it has no free slot.
     [[nodiscard]] bool has_target(const std::set<target_id>& tried, time_point now) const;
-    /// Requests that all targets can run at once.
+    /// Number of requests that all targets together can run concurrently.
     [[nodiscard]] int capacity(time_point now) const;
-    /// Targets that are registered, and those of them that are taken out.
+    /// Number of targets that accept requests, and how many of them are ejected.
     [[nodiscard]] std::pair<std::size_t, std::size_t> rotation_counts(time_point now) const;
+    /// Ejections that this instance has decided since its start.
     [[nodiscard]] std::uint64_t ejections() const noexcept { return this->ejection_count; }
 
     void record_failure(pooled_target& target, double suspicion, time_point now);
     void record_success(pooled_target& target, time_point now);
-    /// Takes \p target out of rotation if the evidence of all instances gives reason to.
+    /// Ejects \p target if its state over all instances makes it suspect.
     void check_target(pooled_target& target, time_point now);
-    /// The same for each target at which something runs.
+    /// Calls check_target for each target with running attempts of this instance.
     void check_running_targets(time_point now);
 
-    /// An idle connection that was used within \p limit; null when there is none.
+    /// Takes the most recently used idle connection that was idle for less than \p limit; null if
+    /// there is none.
     [[nodiscard]] static std::unique_ptr<http_connection> take_connection(pooled_target& target,
                                                                           duration limit);
+    /// Returns a connection to the idle ones, or closes it if it is not reusable or there are
+    /// enough.
     void keep_connection(pooled_target& target, std::unique_ptr<http_connection> connection) const;
 
-    /// Adds what runs at the targets to the own report.
+    /// Adds the state of the targets to the report of this instance.
     void add_to_report(fleet_report& report, time_point now) const;
-    /// Takes the judgements of a peer.
+    /// Adopts the ejections that a peer reports.
     void adopt_ejections(const fleet_report& report, time_point now);
 
 private:
--- a/libs/proxy/src/account_rate_limiter.cpp
+++ b/libs/proxy/src/account_rate_limiter.cpp
@@ -8,21 +8,23 @@
 
 namespace {
 
-// Others are told soon once this share of the burst was admitted since they last heard.
+// An early report is requested each time this share of the burst has been admitted.
 constexpr double early_report_share = 0.1;
-// For this long after a start, what others and the process before admitted may still count.
+// For this long after the start, recent admissions by peers and by the previous process of this
+// instance may be unknown.
 constexpr duration unknown_history_time = seconds(5);
-// Part of the burst to begin with where the level is not known.
+// Initial level of a bucket whose true level is unknown, as a share of the burst.
 constexpr double initial_share = 0.15;
-// Counts are reported for this long after their last change, so that a lost report is made up for.
+// Counts are reported for this long after their last change, so that later reports replace a lost
+// one.
 constexpr duration reporting_period = seconds(7);
-// A serving peer between whose reports more time has passed could not be heard.
+// A greater gap between two reports of a serving peer means that its reports were overdue.
 constexpr duration max_report_gap = milliseconds(450);
-// A peer that has told nothing new for this long has admitted nothing since.
+// If the last reported level is older than this, peers have admitted nothing since.
 constexpr duration idle_peer_threshold = milliseconds(3500);
 
-/// Part of the time since the report \p before that lies after \p created: a bucket's first level
-/// covers what was admitted before it was made.
+/// Share of the time since the report \p before that lies after \p created. Admissions before
+/// \p created are already part of the bucket's initial level.
 double fraction_since(time_point created, const fleet_report* before, time_point now) {
     if (before == nullptr || before->received >= created || before->received >= now) {
         return 1;
@@ -32,8 +34,8 @@
 
 } // namespace
 
-/// An account that was not seen here yet. Where it is not known what others, or the process before,
-/// have lately admitted, it begins with little.
+/// Creates the state of an account that is new on this instance. The level starts low while recent
+/// admissions by peers or by the previous process may be unknown.
 account_rate_limiter::account_state
 account_rate_limiter::make_account_state(std::uint64_t account, const rate_limit& limit,
                                          const peer_summary& peers, time_point now) const {
@@ -55,8 +57,9 @@
     return state;
 }
 
-/// An instance that has just begun to serve does not know the levels of accounts until the others
-/// tell it at the short interval. Until then it admits little and promises nothing.
+/// An instance that has just begun to serve still has old reports, as peers report to it at the
+/// short interval only from then on. Until they do, the level is capped at a small share of the
+/// burst, and no future tokens are reserved.
 void account_rate_limiter::mark_stale_level(account_state& state, const peer_summary& peers) {
     const bool is_stale = peers.oldest_report_age > max_report_gap && peers.refill_share == 1;
     if (is_stale && !state.is_estimate) {
@@ -128,13 +131,13 @@
             const auto reported = before->accounts.find(id);
             previous = reported == before->accounts.end() ? 0 : reported->second.admitted;
         } else if (!is_new) {
-            // What another peer admitted before we heard of it is not known by time.
+            // The first report of an older peer does not tell when its requests were admitted.
             previous = usage.admitted;
         }
         if (usage.admitted == previous && before != nullptr) {
             continue;
         }
-        // Who serves nobody hears of admissions late and believes in levels that are too high.
+        // A peer that is not serving gets reports at the long interval, so its levels are too high.
         if (report.serving) {
             this->reported_levels[id] = {usage.tokens, now};
         }
@@ -147,7 +150,7 @@
     }
 }
 
-/// Subtracts what a peer has newly admitted, or takes its level where the own one is a guess.
+/// Subtracts a peer's new admissions, or adopts the peer's level if the local one is an estimate.
 void account_rate_limiter::apply_peer_usage(account_state& state, const account_use& usage,
                                             const peer_admissions& admissions, time_point now) {
     if (state.is_estimate && admissions.is_serving) {
--- a/libs/proxy/src/balancer.cpp
+++ b/libs/proxy/src/balancer.cpp
@@ -10,9 +10,9 @@
 namespace {
 
 constexpr duration check_interval = milliseconds(40);
-// Work with less time left than this is not started.
+// Requests with less time left than this are not sent.
 constexpr duration min_time_left = milliseconds(5);
-// A caller that was refused for want of room may find some after this time, at the earliest.
+// Bounds of the retry delay sent to a caller that was refused because no target was free.
 constexpr duration min_retry_after = milliseconds(300);
 constexpr duration max_retry_after = milliseconds(3000);
 constexpr int status_ok_first = 200;
@@ -30,14 +30,14 @@
 
 } // namespace
 
-/// One send of a request.
+/// One attempt at a request on one target.
 struct balancer::attempt : running_attempt {
     target_ptr target;
     std::unique_ptr<http_connection> connection;
     bool reused{false};
 };
 
-/// A request and its attempts.
+/// A request without a final outcome, and its running attempts.
 struct balancer::pending_request {
     balancer_request_id id;
     proxied_request request;
@@ -45,7 +45,7 @@
     std::list<attempt> attempts;
     std::set<target_id> tried_targets;
     int send_count{0};
-    /// True when a target may have run it.
+    /// True when a target may have run the request.
     bool may_have_run{false};
     target_id last_target;
     std::optional<time_point> first_sent;
@@ -80,8 +80,8 @@
     return this->latency_models.try_emplace(route.id, route.latency_target).first->second;
 }
 
-/// Time after which a request that may run twice is sent to a second target: when most answers
-/// would have come, but early enough for the second one to be in time.
+/// Time after which an idempotent request is also sent to a second target. It is late enough for
+/// most responses to have arrived, and early enough for the second one to meet the latency target.
 duration balancer::hedging_delay(const traffic_route& route) {
     constexpr double p93 = 0.93;
     constexpr double p75 = 0.75;
@@ -131,7 +131,7 @@
     pending.attempts.clear();
 }
 
-/// Sends a request that has no attempt running, lets it wait, or refuses it.
+/// Sends, queues or refuses a request that has no running attempt.
 void balancer::dispatch(const pending_request_ptr& pending) {
     const time_point now = boot_clock::now();
     if (pending->request.deadline - now < min_time_left) {
@@ -200,7 +200,7 @@
                {"attempt", std::to_string(pending->send_count)},
                {"reused", current.reused ? "yes" : "no"},
                {"left_ms", ms_text(left)}});
-    // The attempt stays where it is until it has ended.
+    // The list of attempts keeps this address valid until the attempt has ended.
     current.connection->send(message, left + check_interval,
                              [this, pending, sent = &current](http_outcome outcome) {
                                  this->handle_outcome(pending, *sent, std::move(outcome));
@@ -246,7 +246,7 @@
         this->targets.record_failure(*target, doubt_of_error_answer, now);
         this->targets.check_target(*target, now);
         if (!pending->attempts.empty()) {
-            // Another target still runs it and may do better.
+            // A second attempt is still running and may succeed.
             return;
         }
         if (this->may_retry(*pending, now)) {
@@ -262,7 +262,7 @@
                                            *pending->first_sent - pending->request.arrived_at});
 }
 
-/// A target has said that it did not run the request.
+/// Handles a response which says that the target did not run the request.
 void balancer::handle_not_executed(const pending_request_ptr& pending, const target_ptr& target,
                                    const http_answer& answer) {
     const time_point now = boot_clock::now();
@@ -295,7 +295,7 @@
     const time_point now = boot_clock::now();
     ++this->counters.failed_attempts;
     const bool is_unsent = failure.progress == send_progress::not_connected;
-    // Other idle connections may have died in the same way.
+    // The other idle connections to this target may be broken too.
     target->idle.clear();
     log_event(log_level::info, "attempt_failed",
               {{"id", pending->request.id},
@@ -330,7 +330,7 @@
     this->retry_or_fail(pending, failure.problem);
 }
 
-/// Sends a request once more after its last attempt has failed, or gives it up.
+/// Retries a request after its last running attempt has failed, or ends it with \p problem.
 void balancer::retry_or_fail(const pending_request_ptr& pending, const error& problem) {
     if (!pending->attempts.empty()) {
         return;
@@ -349,14 +349,14 @@
     this->finish_with_error(pending, problem, std::nullopt);
 }
 
-/// True when the request may go to one more target, budget aside.
+/// True when the request may be sent to another target. Does not check the retry budget.
 bool balancer::may_retry(const pending_request& pending, time_point now) {
     return pending.request.route->idempotent &&
            pending.send_count < pending.request.route->max_attempts &&
            pending.request.deadline - now > min_time_left;
 }
 
-/// Looks for targets that have gone silent and for requests that should go to a second one.
+/// Ejects targets whose responses are overdue, and hedges slow requests.
 void balancer::check_running_requests() {
     const time_point now = boot_clock::now();
     this->targets.check_running_targets(now);
@@ -400,7 +400,8 @@
     this->send(pending, next);
 }
 
-/// Time until a waiting request would be sent, by what the targets usually take.
+/// Expected queueing time of a new request, from the mean response time and the capacity of the
+/// targets.
 duration balancer::expected_wait(time_point now) {
     duration mean = milliseconds(500);
     if (!this->latency_models.empty()) {
@@ -429,7 +430,7 @@
         while (left-- > 0) {
             const balancer_request_id id = *queue.pop();
             const auto found = this->pending_requests.find(id);
-            // A ticket without a job was cancelled or ran out of time.
+            // The request was cancelled, or its deadline has passed.
             if (found == this->pending_requests.end()) {
                 continue;
             }
@@ -444,7 +445,7 @@
     }
 }
 
-/// The caller has to have its answer now.
+/// Ends a request at its deadline.
 void balancer::handle_deadline(const pending_request_ptr& pending) {
     const time_point now = boot_clock::now();
     for (attempt& current : pending->attempts) {
@@ -468,8 +469,8 @@
     }
 }
 
-/// Ends a request without a target's answer. What is promised of it is true whatever \p problem
-/// came last: an earlier attempt may have run.
+/// Ends a request without a target's response. The outcome covers all attempts: if one of them may
+/// have run, it is may_have_run whatever the last \p problem says.
 void balancer::finish_with_error(const pending_request_ptr& pending, const error& problem,
                                  std::optional<duration> retry_after) {
     const duration queue_time =
--- a/libs/proxy/src/edge_gateway.cpp
+++ b/libs/proxy/src/edge_gateway.cpp
@@ -13,16 +13,16 @@
 
 namespace {
 
-// An instance counts as serving from this rate on, in requests per second. Below it there is not
-// enough to tell others of.
+// Request rate in requests per second from which an instance counts as serving. Below it, reports
+// at the short interval are not worth their cost.
 constexpr double serving_rate = 3;
 constexpr duration rate_window = seconds(2);
-// It goes on counting as serving for this long.
+// An instance still counts as serving for this long after its rate has dropped.
 constexpr duration serving_hold_time = seconds(4);
-// All that a process of this age or less has admitted is recent.
+// All admissions of a process up to this age are recent.
 constexpr duration new_process_time = seconds(5);
 constexpr duration max_token_wait = milliseconds(700);
-// Time after which a caller may come again when the instance is not ready or out of touch.
+// Retry delay sent to callers while the instance has no policy or cannot confirm it.
 constexpr duration unready_retry_after = milliseconds(500);
 
 http_server_limits server_limits(const request_limits& limits) {
@@ -42,14 +42,14 @@
     return policy;
 }
 
-/// How long a request may wait for its account's next token. A short wait serves the caller better
-/// than a refusal; a long one would take up the time that the target needs.
+/// Longest time that a request may wait for its account's next token. A short wait is better for
+/// the caller than a refusal; a long one would use up the time that the target needs.
 duration token_wait_limit(const traffic_route& route) {
     constexpr int parts_of_latency_target = 4;
     return std::min<duration>(max_token_wait, route.latency_target / parts_of_latency_target);
 }
 
-/// \p value with two digits behind the point.
+/// Formats \p value with two decimal places.
 std::string number_text(double value) {
     constexpr std::size_t longest = 32;
     std::string text(longest, '\0');
@@ -113,7 +113,8 @@
     }
 }
 
-/// Only requests that may run twice overlap: those behind a closed connection are sent again.
+/// Only idempotent requests may overlap on a connection, since callers resend them when it is
+/// closed.
 bool edge_gateway::may_overlap(const http_request& request) const {
     if (this->policy.current() == nullptr) {
         return false;
@@ -134,8 +135,8 @@
     this->handle_with_confirmation(incoming, false);
 }
 
-/// True when the answer depends on the policy being the newest one: a key that may have been
-/// withdrawn, or a refusal for what a newer policy may allow.
+/// True when the result depends on the policy being the newest one: the key may have been
+/// withdrawn, or a newer policy may allow what this one refuses.
 bool edge_gateway::needs_confirmation(const result<matched_request>& matched,
                                       time_point now) const {
     if (this->policy.is_fresh(now)) {
@@ -150,7 +151,7 @@
     const time_point now = boot_clock::now();
     const auto matched = match_request(*incoming, *this->policy.current(), this->headers);
     if (this->needs_confirmation(matched, now)) {
-        // While the store is known to be away, nobody waits for the answer to the next question.
+        // While the store is known to be unreachable, requests do not wait for a confirmation.
         const bool is_store_down = !this->policy.is_store_reachable();
         if (confirmation_awaited || is_store_down) {
             this->refuse(incoming, {error_kind::configuration_stale, "the store does not answer"},
@@ -206,7 +207,7 @@
     this->start_after(incoming, matched, decision.wait);
 }
 
-/// Starts a request when its token has come.
+/// Starts a request once its token is available, after \p wait.
 void edge_gateway::start_after(const request_ptr& incoming, const matched_request& matched,
                                duration wait) {
     const std::uint64_t id = ++this->last_delayed;
--- a/libs/proxy/src/request_preparation.cpp
+++ b/libs/proxy/src/request_preparation.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-/// True for headers of the caller that the proxy replaces or keeps to itself.
+/// True for headers that the proxy consumes or sets itself, so that the caller's are not forwarded.
 bool is_own_header(std::string_view name, const header_names& names) {
     return equal_ignoring_case(name, names.api_key) || equal_ignoring_case(name, names.account) ||
            equal_ignoring_case(name, names.time_left_ms) ||
--- a/libs/proxy/src/retry_limiter.cpp
+++ b/libs/proxy/src/retry_limiter.cpp
@@ -8,9 +8,9 @@
 
 namespace {
 
-// Part of the allowance that is used; the rest covers resends that peers have not told of yet.
+// Usable share of the allowance; the rest covers retries that peers have not reported yet.
 constexpr double usable_allowance_share = 0.6;
-// Fingerprints that are remembered at most.
+// Number of fingerprints at which expired crash records are removed.
 constexpr std::size_t max_crash_records = 256;
 
 } // namespace
--- a/libs/proxy/src/target_pool.cpp
+++ b/libs/proxy/src/target_pool.cpp
@@ -10,17 +10,18 @@
 
 namespace {
 
-// Failures below this are not worth reporting.
+// Failure suspicion below this is not reported.
 constexpr double negligible_suspicion = 0.1;
 
-/// \p value with one digit behind the point.
+/// Formats \p value with one decimal place.
 std::string tenths_text(double value) {
     constexpr long parts = 10;
     const long tenths = std::lround(value * parts);
     return std::to_string(tenths / parts) + '.' + std::to_string(tenths % parts);
 }
 
-/// Sum over what this instance runs at \p target of how unusual it is that it still runs.
+/// Sum of -ln(survival probability) over the attempts of this instance at \p target. Attempts that
+/// run for unusually long increase it.
 double local_overdue_suspicion(const pooled_target& target, time_point now) {
     double suspicion = 0;
     for (const running_attempt* attempt : target.running) {
