Say which failure each test of the proxy guards against

The heads of the tests told scenes ("an account presses"), and names were riddles. Each head now states the failure and how it comes about; cases and local variables are renamed, for example a_level_told_long_ago_is_a_guess_until_a_peer_tells_a_new_one -> a_stale_level_is_an_estimate_until_a_serving_peer_reports. Checks, bounds and inputs are unchanged.

--- a/libs/proxy/tests/limiter_test.cpp
+++ b/libs/proxy/tests/limiter_test.cpp
@@ -24,7 +24,7 @@
     return account;
 }
 
-/// Requests admitted at once at \p now.
+/// Number of requests admitted at \p now until the first refusal.
 int admit_all(account_rate_limiter& limiter, const traffic_account& account, time_point now,
               const account_rate_limiter::peer_summary& peers = {}) {
     int admitted = 0;
@@ -36,34 +36,36 @@
 
 } // namespace
 
-// Pattern: all processes are killed while one account presses; each new one knows nothing of what
-// was admitted before.
-BOOST_AUTO_TEST_CASE(a_young_process_does_not_admit_a_burst_anew) {
+// Guards against a full burst after a restart: when all processes are killed under load, the new
+// ones do not know what was admitted before.
+BOOST_AUTO_TEST_CASE(a_restarted_process_does_not_admit_a_second_burst) {
     account_rate_limiter fresh({}, start);
     BOOST_TEST(admit_all(fresh, account_with(50, 50), start + milliseconds(100)) <= 8);
     account_rate_limiter established({}, start);
     BOOST_TEST(admit_all(established, account_with(50, 50), start + seconds(60)) == 50);
 }
 
-// Pattern: callers go on to an instance that has not served an account before, during a partition.
-BOOST_AUTO_TEST_CASE(an_account_that_is_new_here_begins_with_a_share_while_others_are_unheard) {
+// Guards against excess admission in a partition: callers fail over to an instance that has not
+// served the account before, while the peers that have are unreachable.
+BOOST_AUTO_TEST_CASE(a_new_account_starts_with_a_share_while_peers_are_unreachable) {
     account_rate_limiter limiter({}, start);
     const time_point now = start + seconds(60);
     BOOST_TEST(admit_all(limiter, account_with(40, 40), now, {0.25, {}}) <= 10);
 }
 
-// Pattern: an instance begins to serve an account on which others have been busy at its rate. What
-// they admitted since they last told of it was within the refill of that time.
-BOOST_AUTO_TEST_CASE(an_account_that_is_new_here_starts_at_the_level_that_peers_tell) {
+// Guards against counting admissions twice: an instance begins to serve an account that peers have
+// served at its full rate. What they admitted since their last report was within the refill of that
+// time and must not be subtracted from the level once more.
+BOOST_AUTO_TEST_CASE(a_new_account_starts_at_the_level_that_peers_report) {
     account_rate_limiter limiter({}, start);
     const traffic_account account = account_with(36, 36);
-    const time_point told = start + seconds(60);
+    const time_point reported_at = start + seconds(60);
     fleet_report before;
     before.serving = true;
-    before.received = told;
+    before.received = reported_at;
     before.accounts[hash64("shop")] = {100, 20};
-    limiter.apply_peer_report(before, nullptr, false, told);
-    const time_point now = told + seconds(3);
+    limiter.apply_peer_report(before, nullptr, false, reported_at);
+    const time_point now = reported_at + seconds(3);
     BOOST_TEST(limiter.admit(account, {}, duration::zero(), now).admitted);
     fleet_report after;
     after.accounts[hash64("shop")] = {208, 20};
@@ -73,21 +75,22 @@
     BOOST_TEST(next.tokens > 10);
 }
 
-// Pattern: an account presses, and one more instance begins to serve it. What it heard of the level
-// was told at long intervals, before the burst was used up; it may have served the account before.
-BOOST_AUTO_TEST_CASE(a_level_told_long_ago_is_a_guess_until_a_peer_tells_a_new_one) {
+// Guards against excess admission from a stale level: an instance begins to serve an account under
+// load, and the latest report that it has, sent at the long interval, is from before the burst was
+// used up. It may or may not have served the account before.
+BOOST_AUTO_TEST_CASE(a_stale_level_is_an_estimate_until_a_serving_peer_reports) {
     const traffic_account account = account_with(36, 36);
     for (const bool has_served : {false, true}) {
         account_rate_limiter limiter({}, start);
-        const time_point told = start + seconds(60);
+        const time_point reported_at = start + seconds(60);
         if (has_served) {
-            BOOST_TEST(limiter.admit(account, {}, duration::zero(), told).admitted);
+            BOOST_TEST(limiter.admit(account, {}, duration::zero(), reported_at).admitted);
         }
         fleet_report before;
-        before.received = told;
+        before.received = reported_at;
         before.accounts[hash64("shop")] = {100, 36};
-        limiter.apply_peer_report(before, nullptr, false, told);
-        const time_point now = told + seconds(2);
+        limiter.apply_peer_report(before, nullptr, false, reported_at);
+        const time_point now = reported_at + seconds(2);
         const account_rate_limiter::peer_summary stale{1, seconds(2)};
         BOOST_TEST(admit_all(limiter, account, now, stale) <= 6);
         BOOST_TEST(!limiter.admit(account, stale, milliseconds(500), now).admitted);
@@ -107,7 +110,7 @@
     }
 }
 
-BOOST_AUTO_TEST_CASE(what_peers_admitted_is_subtracted_once) {
+BOOST_AUTO_TEST_CASE(peer_admissions_are_subtracted_once) {
     account_rate_limiter limiter({}, start);
     const time_point now = start + seconds(60);
     const traffic_account account = account_with(10, 40);
@@ -122,22 +125,23 @@
     BOOST_TEST(admit_all(limiter, account, now) <= 9);
 }
 
-// Pattern: an account presses on three instances when they lose sight of each other. Until they
-// notice, each of them counts on the whole refill; the reserve for the others grows with their
-// silence.
-BOOST_AUTO_TEST_CASE(instances_that_lose_sight_of_each_other_admit_little_too_much) {
+// Guards against excess admission when three instances under load are partitioned from each other.
+// Until they detect it, each uses the whole refill. The reserve for peer admissions, which grows
+// with the age of the reports, must bound the excess.
+BOOST_AUTO_TEST_CASE(partitioned_instances_admit_little_over_the_limit) {
     constexpr std::size_t copies = 3;
     constexpr duration step = milliseconds(10);
-    const duration noticed = milliseconds(650);
+    const duration detection_time = milliseconds(650);
     const traffic_account account = account_with(26, 26);
     std::vector<account_rate_limiter> limiters(copies, account_rate_limiter({}, start));
-    std::vector<fleet_report> told(copies);
+    std::vector<fleet_report> last_reports(copies);
     const time_point begin = start + seconds(60);
     const time_point cut = begin + seconds(2);
     int admitted = 0;
     for (time_point now = begin; now < begin + seconds(5); now += step) {
-        const duration age = std::clamp(now - cut, duration::zero(), noticed);
-        const account_rate_limiter::peer_summary view{age == noticed ? 1.0 / copies : 1.0, age};
+        const duration age = std::clamp(now - cut, duration::zero(), detection_time);
+        const account_rate_limiter::peer_summary view{age == detection_time ? 1.0 / copies : 1.0,
+                                                      age};
         for (account_rate_limiter& limiter : limiters) {
             admitted += limiter.admit(account, view, duration::zero(), now).admitted ? 1 : 0;
         }
@@ -150,21 +154,22 @@
             report.accounts = limiters[from].report(report_kind::full, now);
             for (std::size_t to = 0; to < copies; ++to) {
                 if (to != from) {
-                    limiters[to].apply_peer_report(report, &told[from], false, now);
+                    limiters[to].apply_peer_report(report, &last_reports[from], false, now);
                 }
             }
-            told[from] = report;
+            last_reports[from] = report;
         }
     }
     constexpr double window_s = 5;
-    // The users' rule for any 5 s: a tenth and 20 requests over rate and burst.
+    // Requirement for any 5 s: at most 10 % and 20 requests over rate and burst.
     BOOST_TEST(admitted <= (account.rate_per_s * window_s + account.burst) * 1.1 + 20);
     BOOST_TEST(admitted >= account.rate_per_s * window_s);
 }
 
-// Pattern: a partition heals long after one side has admitted its last request. What it reports
-// then is no news for the other side, which left it its share of the refill.
-BOOST_AUTO_TEST_CASE(what_was_admitted_long_ago_beyond_a_partition_is_no_debt) {
+// Guards against subtracting admissions twice after a partition. The instance withheld the peer's
+// share of the refill during the partition; what the peer then reports as admitted is covered by
+// it.
+BOOST_AUTO_TEST_CASE(admissions_during_a_partition_are_covered_by_the_withheld_refill) {
     account_rate_limiter limiter({}, start);
     account_rate_limiter other({}, start);
     const traffic_account account = account_with(30, 30);
@@ -193,7 +198,7 @@
     }
 }
 
-BOOST_AUTO_TEST_CASE(resends_keep_to_a_share_of_the_requests_and_the_allowance) {
+BOOST_AUTO_TEST_CASE(retries_stay_within_the_share_and_the_allowance) {
     retry_policy policy;
     policy.share = 0.2;
     policy.allowance = 50;
@@ -205,12 +210,12 @@
         limiter.record_request(service, now);
         retried += limiter.take_retry(service, now) ? 1 : 0;
     }
-    // Ten seconds, one window: a share of the requests and the allowance.
+    // The 10 s of this test are one window.
     BOOST_TEST(retried <= 1000 * policy.share + policy.allowance);
     BOOST_TEST(retried >= 100);
 }
 
-BOOST_AUTO_TEST_CASE(a_request_that_crashes_targets_is_quarantined_over_instances_for_a_while) {
+BOOST_AUTO_TEST_CASE(a_request_that_crashes_targets_is_quarantined_on_all_instances_until_expiry) {
     retry_limiter limiter({});
     constexpr std::uint64_t fingerprint = 42;
     limiter.record_crash(fingerprint, start);
@@ -229,7 +234,7 @@
     BOOST_TEST(!limiter.is_quarantined(fingerprint, start));
 }
 
-BOOST_AUTO_TEST_CASE(settings_name_every_bad_value) {
+BOOST_AUTO_TEST_CASE(settings_errors_name_every_invalid_value) {
     const auto settings = parse_edge_settings(R"({
         "instance": "a", "failure_domain": "z", "callers_address": "10.0.0.1:80",
         "readiness_address": "nowhere", "peers_address": "10.0.0.1:81",
@@ -241,7 +246,7 @@
     }
 }
 
-BOOST_AUTO_TEST_CASE(the_link_of_a_machine_is_read_in_mbit_and_held_in_bytes) {
+BOOST_AUTO_TEST_CASE(the_link_rate_is_converted_from_mbit_to_bytes_per_second) {
     const auto settings = parse_edge_settings(R"({"instance": "a", "failure_domain": "d",
         "callers_address": "127.0.0.1:1", "readiness_address": "127.0.0.1:2",
         "metrics_address": "127.0.0.1:3", "peers_address": "127.0.0.1:4",
--- a/libs/proxy/tests/target_pool_test.cpp
+++ b/libs/proxy/tests/target_pool_test.cpp
@@ -13,7 +13,7 @@
 const endpoint store_address{"127.0.0.1", 18965};
 const service_id service{"s"};
 
-/// One registered target in a store of this process, and a pool that knows it.
+/// A store in this process with one registered target, and the components that a pool needs.
 struct pool_fixture {
     loop events;
     standin::platform_service store{events, duration::zero(), 1};
@@ -41,19 +41,20 @@
 
 } // namespace
 
-// Guards against a broken floor of targets: each report that left out what runs at the targets
-// prolonged the time that the last full one had told.
-BOOST_AUTO_TEST_CASE(a_judgement_that_was_told_once_ends_in_its_time) {
+// Guards against ejections that never end, which broke the minimum share of targets in rotation:
+// each report without the targets' state applied the ejection time of the last full report again,
+// counted from its own arrival.
+BOOST_AUTO_TEST_CASE(a_reported_ejection_ends_at_its_time) {
     pool_fixture fixture;
     target_pool pool(service, fixture.directory, fixture.reports, target_pool_options{});
-    const time_point told = boot_clock::now();
+    const time_point reported_at = boot_clock::now();
     fleet_report report;
-    report.targets_told = told;
+    report.targets_told = reported_at;
     report.targets[hash64("i-1")] = {0, 0, 0, milliseconds(4000)};
-    pool.adopt_ejections(report, told);
-    BOOST_TEST(pool.rotation_counts(told + milliseconds(3900)).second == 1U);
-    // The same list, kept by reports of the next seconds.
-    pool.adopt_ejections(report, told + milliseconds(3000));
-    pool.adopt_ejections(report, told + milliseconds(3900));
-    BOOST_TEST(pool.rotation_counts(told + milliseconds(4100)).second == 0U);
+    pool.adopt_ejections(report, reported_at);
+    BOOST_TEST(pool.rotation_counts(reported_at + milliseconds(3900)).second == 1U);
+    // Later reports without targets keep the list of the last full one.
+    pool.adopt_ejections(report, reported_at + milliseconds(3000));
+    pool.adopt_ejections(report, reported_at + milliseconds(3900));
+    BOOST_TEST(pool.rotation_counts(reported_at + milliseconds(4100)).second == 0U);
 }
