Name the limits and formatters of the proxy plainly

most_x, longest_x and x_text read as prose rather than as what they are. Now max_x and format_x; handle_with_confirmation -> route_and_admit with a doc comment; idle_limit_once_only -> idle_limit_non_idempotent.

--- a/libs/proxy/include/proxy/balancer.h
+++ b/libs/proxy/include/proxy/balancer.h
@@ -32,7 +32,7 @@
     duration idle_limit{milliseconds(9000)};
     /// The same for requests that are not idempotent, which cannot be retried when the target has
     /// closed the connection.
-    duration idle_limit_once_only{milliseconds(8000)};
+    duration idle_limit_non_idempotent{milliseconds(8000)};
 };
 
 /// Components shared by the balancers of an instance. All must outlive the balancer.
--- a/libs/proxy/include/proxy/edge_gateway.h
+++ b/libs/proxy/include/proxy/edge_gateway.h
@@ -58,7 +58,7 @@
     void handle_report(const reporting_peer& peer, const fleet_report* before);
     void handle_peer_lost(const reporting_peer& peer);
 
-    /// True when the recent request rate was high enough to exchange reports at the short interval.
+    /// True when the recent request rate was high enough to count as serving.
     [[nodiscard]] bool is_serving(time_point now) const noexcept;
     /// Requests per second, as an exponential moving average.
     [[nodiscard]] double request_rate_at(time_point now) const;
@@ -72,7 +72,10 @@
     struct running_request;
 
     void handle(const request_ptr& incoming);
-    void handle_with_confirmation(const request_ptr& incoming, bool confirmation_awaited);
+    /// Matches the request and starts it if it is admitted. Waits once for a confirmation of the
+    /// policy where one is needed.
+    /// \param confirmation_awaited true when the wait is over
+    void route_and_admit(const request_ptr& incoming, bool confirmation_awaited);
     [[nodiscard]] bool needs_confirmation(const result<matched_request>& matched,
                                           time_point now) const;
     void admit(const request_ptr& incoming, const matched_request& matched);
--- a/libs/proxy/src/balancer.cpp
+++ b/libs/proxy/src/balancer.cpp
@@ -18,13 +18,13 @@
 constexpr int status_ok_first = 200;
 constexpr int status_ok_last = 299;
 constexpr int status_misdirected = 421;
-constexpr int lowest_server_error = 500;
+constexpr int first_server_error = 500;
 
 bool is_success(int status) {
     return status >= status_ok_first && status <= status_ok_last;
 }
 
-std::string ms_text(duration value) {
+std::string format_ms(duration value) {
     return std::to_string(to_milliseconds(value));
 }
 
@@ -166,7 +166,7 @@
     current.model = &this->latency_model_of(*pending->request.route);
     current.connection = target_pool::take_connection(
         *target, pending->request.route->idempotent ? this->options.idle_limit
-                                                    : this->options.idle_limit_once_only);
+                                                    : this->options.idle_limit_non_idempotent);
     current.reused = current.connection != nullptr;
     if (current.connection == nullptr) {
         const registered_target& where = target->known.registration;
@@ -192,14 +192,14 @@
     message.headers = pending->request.message.headers;
     message.body = copy_body(pending->request.message.body.get());
     const duration left = pending->request.deadline - current.started;
-    message.headers.push_back({names.time_left_ms, ms_text(left)});
+    message.headers.push_back({names.time_left_ms, format_ms(left)});
     message.headers.push_back({names.intended_target, current.target->id().value});
     log_event(log_level::debug, "request_sent",
               {{"id", pending->request.id},
                {"target", current.target->id().value},
                {"attempt", std::to_string(pending->send_count)},
                {"reused", current.reused ? "yes" : "no"},
-               {"left_ms", ms_text(left)}});
+               {"left_ms", format_ms(left)}});
     // The list of attempts keeps this address valid until the attempt has ended.
     current.connection->send(message, left + check_interval,
                              [this, pending, sent = &current](http_outcome outcome) {
@@ -242,7 +242,7 @@
         return;
     }
     this->shared.retries.clear_crashes(pending->request.fingerprint);
-    if (answer.status >= lowest_server_error) {
+    if (answer.status >= first_server_error) {
         this->targets.record_failure(*target, doubt_of_error_answer, now);
         this->targets.check_target(*target, now);
         if (!pending->attempts.empty()) {
@@ -395,7 +395,7 @@
               {{"id", pending->request.id},
                {"from", current.target->id().value},
                {"to", next->id().value},
-               {"age_ms", ms_text(age)},
+               {"age_ms", format_ms(age)},
                {"suspect", target_ejected ? "yes" : "no"}});
     this->send(pending, next);
 }
--- a/libs/proxy/src/edge_gateway.cpp
+++ b/libs/proxy/src/edge_gateway.cpp
@@ -13,8 +13,8 @@
 
 namespace {
 
-// Request rate in requests per second from which an instance counts as serving. Below it, reports
-// at the short interval are not worth their cost.
+// Request rate in requests per second from which an instance counts as serving. Below it there is
+// too little usage to report to peers at the short interval.
 constexpr double serving_rate = 3;
 constexpr duration rate_window = seconds(2);
 // An instance still counts as serving for this long after its rate has dropped.
@@ -50,7 +50,7 @@
 }
 
 /// Formats \p value with two decimal places.
-std::string number_text(double value) {
+std::string format_decimal(double value) {
     constexpr std::size_t longest = 32;
     std::string text(longest, '\0');
     const int size = std::snprintf(text.data(), text.size(), "%.2f", value);
@@ -132,7 +132,7 @@
                      unready_retry_after);
         return;
     }
-    this->handle_with_confirmation(incoming, false);
+    this->route_and_admit(incoming, false);
 }
 
 /// True when the result depends on the policy being the newest one: the key may have been
@@ -146,8 +146,7 @@
     return !matched || (uses_key && this->settings.bounds.strict_withdrawal);
 }
 
-void edge_gateway::handle_with_confirmation(const request_ptr& incoming,
-                                            bool confirmation_awaited) {
+void edge_gateway::route_and_admit(const request_ptr& incoming, bool confirmation_awaited) {
     const time_point now = boot_clock::now();
     const auto matched = match_request(*incoming, *this->policy.current(), this->headers);
     if (this->needs_confirmation(matched, now)) {
@@ -161,7 +160,7 @@
         }
         this->policy.await_proof([this, incoming] {
             if (!incoming->is_caller_gone()) {
-                this->handle_with_confirmation(incoming, true);
+                this->route_and_admit(incoming, true);
             }
         });
         return;
@@ -193,10 +192,10 @@
         this->refuse(incoming,
                      {error_kind::rate_exceeded,
                       "account=" + matched.account->id.value +
-                          " rate_per_s=" + number_text(matched.account->rate_per_s) +
-                          " burst=" + number_text(matched.account->burst) +
-                          " tokens=" + number_text(decision.tokens) +
-                          " refill_share=" + number_text(view.refill_share)},
+                          " rate_per_s=" + format_decimal(matched.account->rate_per_s) +
+                          " burst=" + format_decimal(matched.account->burst) +
+                          " tokens=" + format_decimal(decision.tokens) +
+                          " refill_share=" + format_decimal(view.refill_share)},
                      decision.retry_after);
         return;
     }
@@ -351,7 +350,7 @@
     answer.headers.push_back({"Knapweedknot-Outcome", std::string(to_string(outcome))});
     if (retry_after) {
         answer.headers.push_back(
-            {this->headers.retry_after, number_text(to_seconds(*retry_after))});
+            {this->headers.retry_after, format_decimal(to_seconds(*retry_after))});
     }
     answer.body = make_body(problem.detail + '\n');
     return answer;
--- a/libs/proxy/src/edge_settings.cpp
+++ b/libs/proxy/src/edge_settings.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr long long longest_time_ms = 3'600'000;
+constexpr long long max_time_ms = 3'600'000;
 
 endpoint read_endpoint(settings_reader& reader, std::string_view name) {
     const auto parsed = parse_endpoint(reader.required_text(name));
@@ -21,16 +21,16 @@
 }
 
 duration read_ms(settings_reader& reader, std::string_view name, duration fallback) {
-    return milliseconds(reader.integer(name, to_milliseconds(fallback), 1, longest_time_ms, "ms"));
+    return milliseconds(reader.integer(name, to_milliseconds(fallback), 1, max_time_ms, "ms"));
 }
 
 duration read_s(settings_reader& reader, std::string_view name, duration fallback) {
-    constexpr double longest_s = 3600;
-    return from_seconds(reader.number(name, to_seconds(fallback), 0.001, longest_s, "s"));
+    constexpr double max_s = 3600;
+    return from_seconds(reader.number(name, to_seconds(fallback), 0.001, max_s, "s"));
 }
 
 fleet_bounds read_bounds(const nlohmann::json& source, std::vector<std::string>& problems) {
-    constexpr double most_requests = 1e9;
+    constexpr double max_requests = 1e9;
     settings_reader reader(source, "/bounds", problems);
     fleet_bounds bounds;
     bounds.key_withdrawal = read_ms(reader, "key_withdrawal_ms", bounds.key_withdrawal);
@@ -41,7 +41,7 @@
     bounds.resend_share =
         reader.number("resend_share", bounds.resend_share, 0, 1, "requests for each request");
     bounds.resend_allowance =
-        reader.number("resend_allowance", bounds.resend_allowance, 0, most_requests, "requests");
+        reader.number("resend_allowance", bounds.resend_allowance, 0, max_requests, "requests");
     bounds.resend_window = read_s(reader, "resend_window_s", bounds.resend_window);
     bounds.floor_share = reader.number("floor_share", bounds.floor_share, 0, 1, "of the targets");
     reader.reject_unknown_fields();
@@ -49,17 +49,18 @@
 }
 
 machine_resources read_machine(const nlohmann::json& source, std::vector<std::string>& problems) {
-    constexpr double most_cores = 1024;
-    constexpr double most_mbit_per_s = 1e6;
+    constexpr double max_cores = 1024;
+    constexpr double max_mbit_per_s = 1e6;
     constexpr double bytes_per_mbit = 125'000;
     settings_reader reader(source, "/machine", problems);
-    machine_resources means;
-    means.cores = reader.number("cores", means.cores, 0.001, most_cores, "cores");
-    means.link_bytes_per_s =
-        bytes_per_mbit * reader.number("link_mbit_per_s", means.link_bytes_per_s / bytes_per_mbit,
-                                       0.1, most_mbit_per_s, "Mbit/s");
+    machine_resources resources;
+    resources.cores = reader.number("cores", resources.cores, 0.001, max_cores, "cores");
+    resources.link_bytes_per_s =
+        bytes_per_mbit * reader.number("link_mbit_per_s",
+                                       resources.link_bytes_per_s / bytes_per_mbit, 0.1,
+                                       max_mbit_per_s, "Mbit/s");
     reader.reject_unknown_fields();
-    return means;
+    return resources;
 }
 
 } // namespace
--- a/libs/proxy/src/target_pool.cpp
+++ b/libs/proxy/src/target_pool.cpp
@@ -14,7 +14,7 @@
 constexpr double negligible_suspicion = 0.1;
 
 /// Formats \p value with one decimal place.
-std::string tenths_text(double value) {
+std::string format_tenths(double value) {
     constexpr long parts = 10;
     const long tenths = std::lround(value * parts);
     return std::to_string(tenths / parts) + '.' + std::to_string(tenths % parts);
@@ -145,8 +145,8 @@
               {{"service", this->service.value},
                {"target", target.id().value},
                {"running", std::to_string(fleet_state.running)},
-               {"silence", tenths_text(fleet_state.silence)},
-               {"failures", tenths_text(fleet_state.failures)},
+               {"silence", format_tenths(fleet_state.silence)},
+               {"failures", format_tenths(fleet_state.failures)},
                {"for_ms", std::to_string(to_milliseconds(target.evidence.out_until - now))}});
 }
 
