Name outlier ejection of targets by the terms of the field

Doubt, silence, judging, times out and trials hid that this is outlier ejection with an accrual failure detector and half-open targets. target_evidence -> local_target_state, target_standing -> fleet_target_state, doubt -> suspicion, silence -> overdue_suspicion, out_until -> ejected_until, on_trial -> half_open, judge -> eject_if_suspect, loss -> attempt_kind, risk_of -> failure_probability; latency_model::note -> record. Comments reworded.

--- a/libs/decide/include/decide/latency_model.h
+++ b/libs/decide/include/decide/latency_model.h
@@ -5,24 +5,24 @@
 #include "base/clock.h"
 
 /// \file
-/// What a route's answer times usually are, learnt from those that were seen, so that a request
-/// that takes unusually long can be told from one that is merely running.
+/// Estimates the distribution of a route's response times from observed ones, to detect requests
+/// that run for unusually long.
 
 namespace knapweedknot {
 
-/// Distribution of answer times. Old observations fade. Not thread safe.
+/// Distribution of response times. The weight of observations decays. Not thread safe.
 class latency_model {
 public:
-    /// Starts from a guess: answers take about a quarter of \p latency_target.
+    /// Starts from a prior distribution around a quarter of \p latency_target.
     /// \pre latency_target is greater than zero
     explicit latency_model(duration latency_target);
 
-    /// Notes the time that a healthy target took.
-    void note(duration taken);
-    /// Probability that a healthy target has not answered after \p age. Never zero.
+    /// Records the response time of a healthy target.
+    void record(duration response_time);
+    /// Probability that a healthy target takes longer than \p age. Never zero.
     [[nodiscard]] double survival(duration age) const;
-    /// Time within which the share \p part of the answers arrives, for example 0.9.
-    [[nodiscard]] duration quantile(double part) const;
+    /// Time within which the share \p probability of the responses arrives, for example 0.9.
+    [[nodiscard]] duration quantile(double probability) const;
     [[nodiscard]] duration mean() const;
 
 private:
--- a/libs/decide/src/latency_model.cpp
+++ b/libs/decide/src/latency_model.cpp
@@ -7,22 +7,22 @@
 
 namespace {
 
-constexpr double lowest_ms = 1;
-constexpr double highest_ms = 120'000;
+constexpr double min_ms = 1;
+constexpr double max_ms = 120'000;
 constexpr int bucket_count = 96;
-// The guess counts as much as this many observations.
-constexpr double guess_weight = 8;
-// Share of the latency target that answers typically take, and the spread of the guess in natural
+// The prior counts as much as this many observations.
+constexpr double prior_weight = 8;
+// Median of the prior as a share of the latency target, and its standard deviation in natural
 // logarithms.
-constexpr double typical_share = 0.25;
-constexpr double guess_spread = 0.8;
-// Each observation leaves this share of the weight of the earlier ones.
-constexpr double memory = 0.998;
-constexpr double least_survival = 0.0005;
+constexpr double prior_median_share = 0.25;
+constexpr double prior_log_sigma = 0.8;
+// Each observation multiplies the weight of the earlier ones by this factor.
+constexpr double decay_factor = 0.998;
+constexpr double min_survival = 0.0005;
 
 double to_ms(duration value) {
     constexpr double ms_per_s = 1000;
-    return std::clamp(to_seconds(value) * ms_per_s, lowest_ms, highest_ms * 0.999);
+    return std::clamp(to_seconds(value) * ms_per_s, min_ms, max_ms * 0.999);
 }
 
 duration from_ms(double value) {
@@ -34,50 +34,50 @@
 
 latency_model::latency_model(duration latency_target)
     : counts(boost::histogram::make_histogram_with(boost::histogram::dense_storage<double>(),
-                                                   axis(bucket_count, lowest_ms, highest_ms))) {
-    const double centre = std::log(to_ms(latency_target) * typical_share);
+                                                   axis(bucket_count, min_ms, max_ms))) {
+    const double log_median = std::log(to_ms(latency_target) * prior_median_share);
     const axis& scale = this->counts.axis();
     double sum = 0;
     for (int i = 0; i < scale.size(); ++i) {
-        const double distance = (std::log(scale.bin(i).center()) - centre) / guess_spread;
+        const double distance = (std::log(scale.bin(i).center()) - log_median) / prior_log_sigma;
         this->counts.at(i) = std::exp(-distance * distance / 2);
         sum += this->counts.at(i);
     }
-    this->counts *= guess_weight / sum;
-    this->total = guess_weight;
+    this->counts *= prior_weight / sum;
+    this->total = prior_weight;
 }
 
-void latency_model::note(duration taken) {
-    this->counts *= memory;
-    this->counts(to_ms(taken));
-    this->total = this->total * memory + 1;
+void latency_model::record(duration response_time) {
+    this->counts *= decay_factor;
+    this->counts(to_ms(response_time));
+    this->total = this->total * decay_factor + 1;
 }
 
 double latency_model::survival(duration age) const {
     const axis& scale = this->counts.axis();
-    const double reached_ms = to_ms(age);
-    const int place = scale.index(reached_ms);
+    const double age_ms = to_ms(age);
+    const int bucket_index = scale.index(age_ms);
     double longer = 0;
-    for (int i = scale.size() - 1; i > place; --i) {
+    for (int i = scale.size() - 1; i > bucket_index; --i) {
         longer += this->counts.at(i);
     }
-    // Within the bucket the observations count as evenly spread.
-    const auto bucket = scale.bin(place);
-    const double passed = (reached_ms - bucket.lower()) / (bucket.upper() - bucket.lower());
-    longer += this->counts.at(place) * (1 - passed);
-    return std::max(least_survival, longer / this->total);
+    // Observations within a bucket count as evenly distributed.
+    const auto bucket = scale.bin(bucket_index);
+    const double elapsed_share = (age_ms - bucket.lower()) / (bucket.upper() - bucket.lower());
+    longer += this->counts.at(bucket_index) * (1 - elapsed_share);
+    return std::max(min_survival, longer / this->total);
 }
 
-duration latency_model::quantile(double part) const {
+duration latency_model::quantile(double probability) const {
     const axis& scale = this->counts.axis();
-    double reached = 0;
+    double cumulative = 0;
     for (int i = 0; i < scale.size(); ++i) {
-        reached += this->counts.at(i);
-        if (reached >= part * this->total) {
+        cumulative += this->counts.at(i);
+        if (cumulative >= probability * this->total) {
             return from_ms(scale.bin(i).upper());
         }
     }
-    return from_ms(highest_ms);
+    return from_ms(max_ms);
 }
 
 duration latency_model::mean() const {
--- a/libs/decide/src/target_rotation.cpp
+++ b/libs/decide/src/target_rotation.cpp
@@ -8,163 +8,172 @@
 
 namespace {
 
-// Preferences of the choice, in parts of a target's capacity.
-constexpr double worth_of_connection = 0.25;
-constexpr double worth_of_nearness = 0.25;
-constexpr double cost_of_warm_up = 0.25;
-// What a request that is not answered costs, in parts of a target's capacity.
-constexpr double cost_of_repeatable_loss = 1.0;
-constexpr double cost_of_final_loss = 3.0;
-// A target that has had no request for a while gets one soon: it stays known, one that has joined
-// becomes known, and little traffic still reaches the floor of targets.
-constexpr double worth_of_long_rest = 0.8;
-constexpr duration long_rest = milliseconds(1500);
-// The rest of a target on trial counts up to this many times as much, to outweigh its risk.
-constexpr double longest_rest_on_trial = 3;
-// Probability that a target has turned bad when nothing has been heard of it for long, and how
-// fast it grows after a good answer.
-constexpr double risk_unheard = 0.06;
-constexpr double risk_just_heard = 0.01;
-constexpr double risk_on_trial = 0.4;
-constexpr duration risk_growth = milliseconds(3000);
-// What a request that runs at a healthy target adds to the silence by itself, on average.
-constexpr double usual_silence = 0.7;
-// Keeps instances that see the same loads from choosing the same target.
-constexpr double random_spread = 0.1;
-
-double doubt_of(const target_candidate& candidate) {
-    return candidate.standing.silence / (1 + candidate.standing.running) +
-           candidate.standing.failures;
+// Terms of the cost of a choice, as a share of a target's slots.
+constexpr double connection_bonus = 0.25;
+constexpr double locality_bonus = 0.25;
+constexpr double warm_up_penalty = 0.25;
+// Cost of a request that gets no answer, in the same unit.
+constexpr double retryable_failure_cost = 1.0;
+constexpr double final_failure_cost = 3.0;
+// A target that has been idle for a while gets a request soon. This keeps its state current, probes
+// targets that have just joined, and lets little traffic reach the floor of targets.
+constexpr double idle_bonus = 0.8;
+constexpr duration full_bonus_idle_time = milliseconds(1500);
+// The idle bonus of a half-open target may grow to this multiple, to outweigh its failure
+// probability.
+constexpr double max_half_open_idle_factor = 3;
+// Prior probability that a target does not answer: long after its last success, right after it, and
+// while it is half-open; and the time constant of the growth from the second to the first.
+constexpr double stale_failure_probability = 0.06;
+constexpr double fresh_failure_probability = 0.01;
+constexpr double half_open_failure_probability = 0.4;
+constexpr duration staleness_time_constant = milliseconds(3000);
+// Mean overdue suspicion of one request that runs at a healthy target.
+constexpr double expected_overdue_suspicion = 0.7;
+// Random jitter keeps instances that see the same loads from choosing the same target.
+constexpr double max_cost_jitter = 0.1;
+
+double total_suspicion(const target_candidate& candidate) {
+    return candidate.fleet_state.overdue_suspicion / (1 + candidate.fleet_state.running) +
+           candidate.fleet_state.failure_suspicion;
 }
 
-bool is_out(const target_evidence& target, time_point now) {
-    return now < target.out_until;
+bool is_ejected(const local_target_state& target, time_point now) {
+    return now < target.ejected_until;
 }
 
-bool has_room(const target_candidate& candidate, time_point now) {
-    const bool on_trial = candidate.evidence->on_trial && !is_out(*candidate.evidence, now);
-    const int limit = on_trial ? 1 : candidate.slots;
-    return candidate.standing.running < limit;
+bool has_free_slot(const target_candidate& candidate, time_point now) {
+    const bool is_half_open =
+        candidate.local_state->half_open && !is_ejected(*candidate.local_state, now);
+    const int limit = is_half_open ? 1 : candidate.slots;
+    return candidate.fleet_state.running < limit;
 }
 
-double cost_of(const target_candidate& candidate, loss if_lost, time_point now) {
+double cost_of(const target_candidate& candidate, attempt_kind attempt, time_point now) {
     const double load =
-        static_cast<double>(candidate.standing.running) / static_cast<double>(candidate.slots);
-    const double limit = candidate.evidence->on_trial ? longest_rest_on_trial : 1;
-    const double rest =
-        std::min(limit, to_seconds(now - candidate.evidence->last_used) / to_seconds(long_rest));
-    const double cost_of_loss =
-        if_lost == loss::final ? cost_of_final_loss : cost_of_repeatable_loss;
-    return load + cost_of_loss * risk_of(candidate, now) -
-           (candidate.connected ? worth_of_connection : 0) -
-           (candidate.nearby ? worth_of_nearness : 0) - worth_of_long_rest * rest +
-           (candidate.warming_up ? cost_of_warm_up : 0);
+        static_cast<double>(candidate.fleet_state.running) / static_cast<double>(candidate.slots);
+    const double max_idle = candidate.local_state->half_open ? max_half_open_idle_factor : 1;
+    const double idle = std::min(max_idle, to_seconds(now - candidate.local_state->last_used) /
+                                               to_seconds(full_bonus_idle_time));
+    const double failure_cost =
+        attempt == attempt_kind::final ? final_failure_cost : retryable_failure_cost;
+    return load + failure_cost * failure_probability(candidate, now) -
+           (candidate.connected ? connection_bonus : 0) -
+           (candidate.same_failure_domain ? locality_bonus : 0) - idle_bonus * idle +
+           (candidate.warming_up ? warm_up_penalty : 0);
 }
 
 } // namespace
 
-double failure_doubt(const target_evidence& target, const rotation_policy& policy,
-                     time_point now) noexcept {
-    const double passed = to_seconds(now - target.failures_at);
-    return target.failures * std::exp2(-passed / to_seconds(policy.failure_half_life));
+double decayed_failure_suspicion(const local_target_state& target, const rotation_policy& policy,
+                                 time_point now) noexcept {
+    const double elapsed = to_seconds(now - target.failure_suspicion_at);
+    return target.failure_suspicion * std::exp2(-elapsed / to_seconds(policy.failure_half_life));
 }
 
-void note_failure(target_evidence& target, double doubt, const rotation_policy& policy,
-                  time_point now) noexcept {
-    target.failures = failure_doubt(target, policy, now) + doubt;
-    target.failures_at = now;
+void record_failure(local_target_state& target, double suspicion, const rotation_policy& policy,
+                    time_point now) noexcept {
+    target.failure_suspicion = decayed_failure_suspicion(target, policy, now) + suspicion;
+    target.failure_suspicion_at = now;
 }
 
-void note_success(target_evidence& target, const rotation_policy& policy, time_point now) noexcept {
-    target.failures = failure_doubt(target, policy, now) * doubt_left_after_success;
-    target.failures_at = now;
+void record_success(local_target_state& target, const rotation_policy& policy,
+                    time_point now) noexcept {
+    target.failure_suspicion =
+        decayed_failure_suspicion(target, policy, now) * success_suspicion_factor;
+    target.failure_suspicion_at = now;
     target.last_success = now;
-    target.on_trial = false;
+    target.half_open = false;
 }
 
-bool judge(target_evidence& target, const target_standing& standing, const rotation_policy& policy,
-           time_point now) noexcept {
-    if (is_out(target, now)) {
+bool eject_if_suspect(local_target_state& target, const fleet_target_state& fleet_state,
+                      const rotation_policy& policy, time_point now) noexcept {
+    if (is_ejected(target, now)) {
         return false;
     }
-    const double silence_limit =
-        policy.silence_limit + policy.silence_limit_per_request * standing.running;
-    if (standing.silence <= silence_limit && standing.failures <= policy.failure_limit) {
+    const double overdue_suspicion_limit =
+        policy.overdue_suspicion_limit +
+        policy.overdue_suspicion_limit_per_request * fleet_state.running;
+    if (fleet_state.overdue_suspicion <= overdue_suspicion_limit &&
+        fleet_state.failure_suspicion <= policy.failure_suspicion_limit) {
         return false;
     }
-    if (now - target.last_out > policy.good_conduct) {
-        target.times_out = 0;
+    if (now - target.last_ejection > policy.ejection_reset_time) {
+        target.ejections = 0;
     }
-    const double factor = std::exp2(target.times_out);
-    const duration length = std::min<duration>(policy.longest_time_out,
-                                               from_seconds(to_seconds(policy.time_out) * factor));
-    ++target.times_out;
-    target.last_out = now;
-    target.out_until = now + length;
-    target.on_trial = true;
+    const double factor = std::exp2(target.ejections);
+    const duration length = std::min<duration>(
+        policy.max_ejection_time, from_seconds(to_seconds(policy.ejection_time) * factor));
+    ++target.ejections;
+    target.last_ejection = now;
+    target.ejected_until = now + length;
+    target.half_open = true;
     return true;
 }
 
-bool follow_judgement(target_evidence& target, time_point until, time_point now) noexcept {
-    if (until <= now || target.out_until >= until) {
+bool adopt_ejection(local_target_state& target, time_point until, time_point now) noexcept {
+    if (until <= now || target.ejected_until >= until) {
         return false;
     }
-    const bool is_news = !is_out(target, now);
-    target.out_until = until;
-    target.last_out = now;
-    target.on_trial = true;
-    return is_news;
+    const bool newly_ejected = !is_ejected(target, now);
+    target.ejected_until = until;
+    target.last_ejection = now;
+    target.half_open = true;
+    return newly_ejected;
 }
 
 std::vector<std::size_t> in_rotation(const std::vector<target_candidate>& candidates,
                                      const rotation_policy& policy, time_point now) {
     std::vector<std::size_t> rotation;
-    std::vector<std::size_t> out;
+    std::vector<std::size_t> ejected;
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         if (candidates[i].registered) {
-            (is_out(*candidates[i].evidence, now) ? out : rotation).push_back(i);
+            (is_ejected(*candidates[i].local_state, now) ? ejected : rotation).push_back(i);
         }
     }
-    const auto registered = static_cast<double>(rotation.size() + out.size());
+    const auto registered = static_cast<double>(rotation.size() + ejected.size());
     const auto floor = static_cast<std::size_t>(std::ceil(registered * policy.floor_share));
-    std::sort(out.begin(), out.end(), [&candidates](std::size_t a, std::size_t b) {
-        return doubt_of(candidates[a]) < doubt_of(candidates[b]);
+    std::sort(ejected.begin(), ejected.end(), [&candidates](std::size_t a, std::size_t b) {
+        return total_suspicion(candidates[a]) < total_suspicion(candidates[b]);
     });
-    for (std::size_t i = 0; i < out.size() && rotation.size() < floor; ++i) {
-        rotation.push_back(out[i]);
+    for (std::size_t i = 0; i < ejected.size() && rotation.size() < floor; ++i) {
+        rotation.push_back(ejected[i]);
     }
     return rotation;
 }
 
-double risk_of(const target_candidate& candidate, time_point now) {
-    const target_evidence& evidence = *candidate.evidence;
-    const double unheard =
-        1 - std::exp(-to_seconds(now - evidence.last_success) / to_seconds(risk_growth));
-    const double before = evidence.on_trial
-                              ? risk_on_trial
-                              : risk_just_heard + (risk_unheard - risk_just_heard) * unheard;
-    const target_standing& standing = candidate.standing;
-    const double evidence_against =
-        standing.silence - usual_silence * standing.running + standing.failures;
-    const double odds = before / (1 - before) * std::exp(std::clamp(evidence_against, -3.0, 12.0));
+double failure_probability(const target_candidate& candidate, time_point now) {
+    const local_target_state& local_state = *candidate.local_state;
+    const double staleness = 1 - std::exp(-to_seconds(now - local_state.last_success) /
+                                          to_seconds(staleness_time_constant));
+    const double prior =
+        local_state.half_open
+            ? half_open_failure_probability
+            : fresh_failure_probability +
+                  (stale_failure_probability - fresh_failure_probability) * staleness;
+    const fleet_target_state& fleet_state = candidate.fleet_state;
+    const double log_evidence = fleet_state.overdue_suspicion -
+                                expected_overdue_suspicion * fleet_state.running +
+                                fleet_state.failure_suspicion;
+    const double odds = prior / (1 - prior) * std::exp(std::clamp(log_evidence, -3.0, 12.0));
     return odds / (1 + odds);
 }
 
 std::optional<std::size_t> choose_target(const std::vector<target_candidate>& candidates,
-                                         const rotation_policy& policy, loss if_lost,
+                                         const rotation_policy& policy, attempt_kind attempt,
                                          std::minstd_rand& random, time_point now) {
-    std::uniform_real_distribution<double> spread(0, random_spread);
+    std::uniform_real_distribution<double> cost_jitter(0, max_cost_jitter);
     std::optional<std::size_t> best;
-    double least = 0;
-    for (const std::size_t place : in_rotation(candidates, policy, now)) {
-        const target_candidate& candidate = candidates[place];
-        if (candidate.excluded || !has_room(candidate, now)) {
+    double min_cost = 0;
+    for (const std::size_t index : in_rotation(candidates, policy, now)) {
+        const target_candidate& candidate = candidates[index];
+        if (candidate.excluded || !has_free_slot(candidate, now)) {
             continue;
         }
-        const double cost = cost_of(candidate, if_lost, now) + spread(random);
-        if (!best || cost < least) {
-            best = place;
-            least = cost;
+        const double cost = cost_of(candidate, attempt, now) + cost_jitter(random);
+        if (!best || cost < min_cost) {
+            best = index;
+            min_cost = cost;
         }
     }
     return best;
--- a/libs/decide/tests/many_targets_test.cpp
+++ b/libs/decide/tests/many_targets_test.cpp
@@ -15,12 +15,12 @@
 constexpr std::size_t domains = 4;
 constexpr int slots = 4;
 constexpr double requests_per_s = 181;
-constexpr duration work_time = milliseconds(830);
+constexpr duration service_time = milliseconds(830);
 constexpr duration report_interval = milliseconds(250);
 constexpr duration idle_limit = seconds(9);
 
-/// One run of a service's requests over all instances, each of which judges by itself and hears of
-/// the others by reports. All targets are sound.
+/// Simulates the requests of a service on all instances. Each instance chooses targets by its own
+/// state and periodic reports of the others. All targets are healthy.
 struct fleet_model {
     struct request {
         std::size_t instance;
@@ -28,9 +28,9 @@
         time_point ends;
     };
 
-    std::vector<std::vector<target_evidence>> evidence{instances,
-                                                       std::vector<target_evidence>(targets)};
-    /// What runs at each target, by instance, and the same as the last reports said.
+    std::vector<std::vector<local_target_state>> local_states{
+        instances, std::vector<local_target_state>(targets)};
+    /// Requests in flight, by instance and target: now, and as of the last reports.
     std::vector<std::vector<int>> running{instances, std::vector<int>(targets)};
     std::vector<std::vector<int>> reported{instances, std::vector<int>(targets)};
     std::vector<request> requests;
@@ -41,7 +41,7 @@
         for (const request& item : this->requests) {
             if (item.ends <= now) {
                 --this->running[item.instance][item.target];
-                note_success(this->evidence[item.instance][item.target], {}, now);
+                record_success(this->local_states[item.instance][item.target], {}, now);
             }
         }
         std::erase_if(this->requests, [now](const request& item) { return item.ends <= now; });
@@ -51,13 +51,14 @@
         std::vector<target_candidate> all(targets);
         for (std::size_t target = 0; target < targets; ++target) {
             target_candidate& candidate = all[target];
-            candidate.evidence = &this->evidence[instance][target];
+            candidate.local_state = &this->local_states[instance][target];
             candidate.slots = slots;
-            candidate.nearby = target % domains == instance % domains;
-            candidate.connected = now - candidate.evidence->last_used < idle_limit;
-            candidate.standing.running = this->running[instance][target];
+            candidate.same_failure_domain = target % domains == instance % domains;
+            candidate.connected = now - candidate.local_state->last_used < idle_limit;
+            candidate.fleet_state.running = this->running[instance][target];
             for (std::size_t peer = 0; peer < instances; ++peer) {
-                candidate.standing.running += peer == instance ? 0 : this->reported[peer][target];
+                candidate.fleet_state.running +=
+                    peer == instance ? 0 : this->reported[peer][target];
             }
         }
         return all;
@@ -65,15 +66,15 @@
     void arrive(time_point now) {
         const std::size_t instance =
             std::uniform_int_distribution<std::size_t>(0, instances - 1)(this->random);
-        const auto chosen = choose_target(this->candidates_of(instance, now), {}, loss::repeatable,
-                                          this->random, now);
+        const auto chosen = choose_target(this->candidates_of(instance, now), {},
+                                          attempt_kind::retryable, this->random, now);
         if (!chosen) {
             return;
         }
-        this->evidence[instance][*chosen].last_used = now;
+        this->local_states[instance][*chosen].last_used = now;
         ++this->running[instance][*chosen];
         this->last_arrival[*chosen] = now;
-        this->requests.push_back({instance, *chosen, now + work_time});
+        this->requests.push_back({instance, *chosen, now + service_time});
     }
     [[nodiscard]] std::size_t idle_targets(time_point now, duration window) const {
         return static_cast<std::size_t>(
@@ -84,8 +85,9 @@
 
 } // namespace
 
-// Pattern: none of many instances has lately used most of the many targets. Those that are far and
-// not connected must still get requests from some instance.
+// Guards against idle targets: with many instances and targets, no instance has recently used most
+// of the targets. Those in other failure domains without an open connection must still get requests
+// from some instance.
 BOOST_AUTO_TEST_CASE(with_many_targets_each_gets_requests_from_some_instance) {
     constexpr duration window = seconds(2);
     constexpr double floor_share = 0.7;
--- a/libs/decide/tests/target_rotation_test.cpp
+++ b/libs/decide/tests/target_rotation_test.cpp
@@ -13,70 +13,72 @@
 const time_point start{std::chrono::hours(1)};
 const rotation_policy policy;
 
-/// Targets of one service at one instance.
+/// The targets of one service, as seen by one instance.
 struct service_fixture {
-    std::vector<target_evidence> evidence;
+    std::vector<local_target_state> local_states;
     std::vector<target_candidate> candidates;
     std::minstd_rand random{7};
 
-    explicit service_fixture(std::size_t count) : evidence(count), candidates(count) {
+    explicit service_fixture(std::size_t count) : local_states(count), candidates(count) {
         for (std::size_t i = 0; i < count; ++i) {
-            this->evidence[i].last_success = start;
-            this->evidence[i].last_used = start;
-            this->candidates[i].evidence = &this->evidence[i];
+            this->local_states[i].last_success = start;
+            this->local_states[i].last_used = start;
+            this->candidates[i].local_state = &this->local_states[i];
             this->candidates[i].slots = 6;
         }
     }
-    std::optional<std::size_t> choose(loss if_lost, time_point now = start) {
-        return choose_target(this->candidates, policy, if_lost, this->random, now);
+    std::optional<std::size_t> choose(attempt_kind attempt, time_point now = start) {
+        return choose_target(this->candidates, policy, attempt, this->random, now);
     }
 };
 
 } // namespace
 
-BOOST_AUTO_TEST_CASE(a_silent_target_is_avoided_before_it_is_taken_out) {
+BOOST_AUTO_TEST_CASE(a_hanging_target_is_avoided_before_it_is_ejected) {
     service_fixture service(4);
-    service.candidates[0].standing = {1, 2.5, 0};
-    BOOST_TEST(risk_of(service.candidates[0], start) > risk_of(service.candidates[1], start));
+    service.candidates[0].fleet_state = {1, 2.5, 0};
+    BOOST_TEST(failure_probability(service.candidates[0], start) >
+               failure_probability(service.candidates[1], start));
     for (int i = 0; i < 100; ++i) {
-        BOOST_TEST(*service.choose(loss::final) != 0U);
+        BOOST_TEST(*service.choose(attempt_kind::final) != 0U);
     }
-    BOOST_TEST(!judge(service.evidence[0], service.candidates[0].standing, policy, start));
+    BOOST_TEST(!eject_if_suspect(service.local_states[0], service.candidates[0].fleet_state, policy,
+                                 start));
 }
 
-BOOST_AUTO_TEST_CASE(ages_of_what_runs_take_a_target_out_without_any_answer) {
+BOOST_AUTO_TEST_CASE(ages_of_running_requests_eject_a_target_that_never_answers) {
     latency_model model(milliseconds(2000));
     for (int i = 0; i < 200; ++i) {
-        model.note(milliseconds(300 + i % 200));
+        model.record(milliseconds(300 + i % 200));
     }
-    target_evidence target;
-    const auto silence_after = [&](duration age) { return -std::log(model.survival(age)); };
-    const target_standing usual{3, 3 * silence_after(milliseconds(350)), 0};
-    BOOST_TEST(!judge(target, usual, policy, start));
-    const target_standing silent{2, 2 * silence_after(milliseconds(1200)), 0};
-    BOOST_TEST(judge(target, silent, policy, start));
-    BOOST_TEST((target.out_until == start + policy.time_out));
-    BOOST_TEST(target.on_trial);
+    local_target_state target;
+    const auto suspicion_after = [&](duration age) { return -std::log(model.survival(age)); };
+    const fleet_target_state healthy{3, 3 * suspicion_after(milliseconds(350)), 0};
+    BOOST_TEST(!eject_if_suspect(target, healthy, policy, start));
+    const fleet_target_state hanging{2, 2 * suspicion_after(milliseconds(1200)), 0};
+    BOOST_TEST(eject_if_suspect(target, hanging, policy, start));
+    BOOST_TEST((target.ejected_until == start + policy.ejection_time));
+    BOOST_TEST(target.half_open);
 }
 
-BOOST_AUTO_TEST_CASE(a_time_out_grows_with_repeats_and_is_forgotten_after_good_conduct) {
-    target_evidence target;
-    const target_standing failing{0, 0, 10};
-    BOOST_TEST(judge(target, failing, policy, start));
-    BOOST_TEST(!judge(target, failing, policy, start + milliseconds(100)));
-    const time_point again = target.out_until;
-    BOOST_TEST(judge(target, failing, policy, again));
-    BOOST_TEST((target.out_until - again == policy.longest_time_out));
-    const time_point much_later = target.last_out + policy.good_conduct + seconds(1);
-    BOOST_TEST(judge(target, failing, policy, much_later));
-    BOOST_TEST((target.out_until - much_later == policy.time_out));
+BOOST_AUTO_TEST_CASE(ejections_grow_longer_and_start_over_after_the_reset_time) {
+    local_target_state target;
+    const fleet_target_state failing{0, 0, 10};
+    BOOST_TEST(eject_if_suspect(target, failing, policy, start));
+    BOOST_TEST(!eject_if_suspect(target, failing, policy, start + milliseconds(100)));
+    const time_point again = target.ejected_until;
+    BOOST_TEST(eject_if_suspect(target, failing, policy, again));
+    BOOST_TEST((target.ejected_until - again == policy.max_ejection_time));
+    const time_point much_later = target.last_ejection + policy.ejection_reset_time + seconds(1);
+    BOOST_TEST(eject_if_suspect(target, failing, policy, much_later));
+    BOOST_TEST((target.ejected_until - much_later == policy.ejection_time));
 }
 
-BOOST_AUTO_TEST_CASE(the_floor_brings_back_the_least_doubtful) {
+BOOST_AUTO_TEST_CASE(the_floor_keeps_the_least_suspect_ejected_targets_in_rotation) {
     service_fixture service(10);
     for (std::size_t i = 0; i < 6; ++i) {
-        service.evidence[i].out_until = start + seconds(1);
-        service.candidates[i].standing.failures = static_cast<double>(10 - i);
+        service.local_states[i].ejected_until = start + seconds(1);
+        service.candidates[i].fleet_state.failure_suspicion = static_cast<double>(10 - i);
     }
     const auto rotation = in_rotation(service.candidates, policy, start);
     BOOST_TEST(rotation.size() == 7U);
@@ -87,21 +89,21 @@
     BOOST_TEST(in_rotation(service.candidates, policy, start).size() == 7U);
 }
 
-BOOST_AUTO_TEST_CASE(a_target_on_trial_gets_one_request_at_a_time) {
+BOOST_AUTO_TEST_CASE(a_half_open_target_gets_one_request_at_a_time) {
     service_fixture service(1);
-    service.evidence[0].on_trial = true;
-    BOOST_TEST(service.choose(loss::repeatable).has_value());
-    service.candidates[0].standing.running = 1;
-    BOOST_TEST(!service.choose(loss::repeatable).has_value());
-    note_success(service.evidence[0], policy, start);
-    BOOST_TEST(service.choose(loss::repeatable).has_value());
+    service.local_states[0].half_open = true;
+    BOOST_TEST(service.choose(attempt_kind::retryable).has_value());
+    service.candidates[0].fleet_state.running = 1;
+    BOOST_TEST(!service.choose(attempt_kind::retryable).has_value());
+    record_success(service.local_states[0], policy, start);
+    BOOST_TEST(service.choose(attempt_kind::retryable).has_value());
 }
 
-// Pattern: little traffic, and preferences for some targets. Every target has to be used within
-// two seconds all the same, or the service would in effect run below its floor.
+// Guards against little traffic going only to the targets with a connection or locality bonus.
+// Every target must be used within two seconds, or the service would in effect run below its floor.
 BOOST_AUTO_TEST_CASE(little_traffic_reaches_every_target) {
     service_fixture service(6);
-    service.candidates[0].nearby = true;
+    service.candidates[0].same_failure_domain = true;
     service.candidates[0].connected = true;
     service.candidates[1].connected = true;
     time_point now = start;
@@ -109,34 +111,34 @@
     constexpr int requests = 20;
     for (int i = 0; i < requests; ++i) {
         now += milliseconds(100);
-        const std::size_t chosen = *service.choose(loss::repeatable, now);
-        service.evidence[chosen].last_used = now;
-        service.evidence[chosen].last_success = now;
+        const std::size_t chosen = *service.choose(attempt_kind::retryable, now);
+        service.local_states[chosen].last_used = now;
+        service.local_states[chosen].last_success = now;
         used.insert(chosen);
     }
     BOOST_TEST(used.size() == 6U);
 }
 
-// Pattern: a target that was silent for a while has recovered, and the others have room for all the
-// traffic. It has to be tried soon all the same: it counts for the floor.
-BOOST_AUTO_TEST_CASE(a_target_whose_time_out_has_ended_is_tried_although_others_have_room) {
+// Guards against a recovered target that gets no requests because the other targets have free slots
+// for all the traffic. It must be tried soon after its ejection, as it counts for the floor.
+BOOST_AUTO_TEST_CASE(a_target_whose_ejection_has_ended_is_tried_although_others_have_free_slots) {
     service_fixture service(4);
-    const time_point now = start + policy.time_out;
+    const time_point now = start + policy.ejection_time;
     for (std::size_t i = 1; i < 4; ++i) {
-        service.evidence[i].last_used = now;
-        service.evidence[i].last_success = now;
+        service.local_states[i].last_used = now;
+        service.local_states[i].last_success = now;
         service.candidates[i].connected = true;
     }
-    service.evidence[0].on_trial = true;
-    service.evidence[0].out_until = now;
-    BOOST_TEST(*service.choose(loss::final, now) == 0U);
-    BOOST_TEST(*service.choose(loss::repeatable, now) == 0U);
+    service.local_states[0].half_open = true;
+    service.local_states[0].ejected_until = now;
+    BOOST_TEST(*service.choose(attempt_kind::final, now) == 0U);
+    BOOST_TEST(*service.choose(attempt_kind::retryable, now) == 0U);
 }
 
-BOOST_AUTO_TEST_CASE(the_latency_model_learns_and_never_excludes_an_answer) {
+BOOST_AUTO_TEST_CASE(the_latency_model_adapts_and_its_survival_is_never_zero) {
     latency_model model(milliseconds(4000));
     for (int i = 0; i < 500; ++i) {
-        model.note(milliseconds(100));
+        model.record(milliseconds(100));
     }
     BOOST_TEST((model.quantile(0.5) < milliseconds(130)));
     BOOST_TEST(model.survival(milliseconds(10)) > 0.95);
--- a/libs/proxy/include/proxy/target_pool.h
+++ b/libs/proxy/include/proxy/target_pool.h
@@ -32,7 +32,7 @@
 struct pooled_target {
     known_target known;
     std::uint64_t hash{0};
-    target_evidence evidence;
+    local_target_state evidence;
     std::vector<std::unique_ptr<http_connection>> idle;
     /// Attempts of this instance that the target is running.
     std::vector<const running_attempt*> running;
@@ -69,7 +69,8 @@
     /// Chooses the target for the next attempt, other than those \p tried. Null when none has a
     /// free slot.
     /// \param if_lost whether the request can still be retried if this attempt fails
-    [[nodiscard]] target_ptr choose(const std::set<target_id>& tried, loss if_lost, time_point now);
+    [[nodiscard]] target_ptr choose(const std::set<target_id>& tried, attempt_kind if_lost,
+                                    time_point now);
     /// True when a target other than those \p tried accepts requests, even if it has no free slot.
     [[nodiscard]] bool has_target(const std::set<target_id>& tried, time_point now) const;
     /// Number of requests that all targets together can run concurrently.
@@ -102,7 +103,8 @@
 private:
     [[nodiscard]] std::vector<target_candidate> candidates(const std::set<target_id>& tried,
                                                            time_point now) const;
-    [[nodiscard]] target_standing fleet_state_of(const pooled_target& target, time_point now) const;
+    [[nodiscard]] fleet_target_state fleet_state_of(const pooled_target& target,
+                                                    time_point now) const;
 
     service_id service;
     const target_directory& directory;
--- a/libs/proxy/src/balancer.cpp
+++ b/libs/proxy/src/balancer.cpp
@@ -155,7 +155,7 @@
     const bool is_retryable = pending.request.route->idempotent &&
                               pending.send_count + 1 < pending.request.route->max_attempts;
     return this->targets.choose(pending.tried_targets,
-                                is_retryable ? loss::repeatable : loss::final, now);
+                                is_retryable ? attempt_kind::retryable : attempt_kind::final, now);
 }
 
 void balancer::send(const pending_request_ptr& pending, const target_ptr& target) {
@@ -236,14 +236,14 @@
     pending->may_have_run = true;
     const bool is_signed = find_header(answer.headers, names.signature) != nullptr;
     if (is_success(answer.status) && !is_signed) {
-        this->targets.record_failure(*target, doubt_of_broken_exchange, now);
+        this->targets.record_failure(*target, exchange_failure_suspicion, now);
         this->targets.check_target(*target, now);
         this->retry_or_fail(pending, {error_kind::target_failed, "an answer without a signature"});
         return;
     }
     this->shared.retries.clear_crashes(pending->request.fingerprint);
     if (answer.status >= first_server_error) {
-        this->targets.record_failure(*target, doubt_of_error_answer, now);
+        this->targets.record_failure(*target, error_response_suspicion, now);
         this->targets.check_target(*target, now);
         if (!pending->attempts.empty()) {
             // A second attempt is still running and may succeed.
@@ -255,7 +255,7 @@
         }
     } else {
         this->targets.record_success(*target, now);
-        this->latency_model_of(*pending->request.route).note(response_time);
+        this->latency_model_of(*pending->request.route).record(response_time);
     }
     this->finish(pending, proxied_response{std::move(answer), target->id(), pending->send_count,
                                            response_time,
@@ -273,7 +273,7 @@
         log_event(log_level::warning, "target_misdirected",
                   {{"id", pending->request.id}, {"target", target->id().value}});
     } else {
-        this->targets.record_failure(*target, doubt_of_error_answer, now);
+        this->targets.record_failure(*target, error_response_suspicion, now);
         this->targets.check_target(*target, now);
     }
     if (!pending->attempts.empty()) {
@@ -306,12 +306,12 @@
                {"reused", reused ? "yes" : "no"}});
     if (is_unsent) {
         if (!reused) {
-            this->targets.record_failure(*target, doubt_of_failed_connection, now);
+            this->targets.record_failure(*target, connect_failure_suspicion, now);
         }
         --pending->send_count;
     } else {
         pending->may_have_run = true;
-        this->targets.record_failure(*target, doubt_of_broken_exchange, now);
+        this->targets.record_failure(*target, exchange_failure_suspicion, now);
         if (!reused && failure.problem.kind != error_kind::deadline_exceeded) {
             this->shared.retries.record_crash(pending->request.fingerprint, now);
         }
@@ -381,7 +381,7 @@
     }
     const attempt& current = pending->attempts.front();
     const duration age = now - current.started;
-    const bool target_ejected = now < current.target->evidence.out_until &&
+    const bool target_ejected = now < current.target->evidence.ejected_until &&
                                 age > this->latency_model_of(*pending->request.route).quantile(0.5);
     if (!target_ejected && age < this->hedging_delay(*pending->request.route)) {
         return;
@@ -450,7 +450,7 @@
     const time_point now = boot_clock::now();
     for (attempt& current : pending->attempts) {
         pending->may_have_run = true;
-        this->targets.record_failure(*current.target, doubt_of_broken_exchange, now);
+        this->targets.record_failure(*current.target, exchange_failure_suspicion, now);
     }
     this->cancel_attempts(*pending);
     if (pending->may_have_run) {
--- a/libs/proxy/src/target_pool.cpp
+++ b/libs/proxy/src/target_pool.cpp
@@ -64,13 +64,13 @@
     }
 }
 
-target_standing target_pool::fleet_state_of(const pooled_target& target, time_point now) const {
+fleet_target_state target_pool::fleet_state_of(const pooled_target& target, time_point now) const {
     const target_use peers = this->reports.total_at(target.hash, now);
-    target_standing fleet_state;
+    fleet_target_state fleet_state;
     fleet_state.running = static_cast<int>(target.running.size()) + peers.running;
-    fleet_state.silence = local_overdue_suspicion(target, now) + peers.silence;
-    fleet_state.failures =
-        failure_doubt(target.evidence, this->options.rotation, now) + peers.failures;
+    fleet_state.overdue_suspicion = local_overdue_suspicion(target, now) + peers.silence;
+    fleet_state.failure_suspicion =
+        decayed_failure_suspicion(target.evidence, this->options.rotation, now) + peers.failures;
     return fleet_state;
 }
 
@@ -81,20 +81,21 @@
     for (const auto& [id, target] : this->targets) {
         const registered_target& registration = target->known.registration;
         target_candidate candidate;
-        candidate.evidence = &target->evidence;
-        candidate.standing = this->fleet_state_of(*target, now);
+        candidate.local_state = &target->evidence;
+        candidate.fleet_state = this->fleet_state_of(*target, now);
         candidate.slots = registration.slots;
         candidate.registered = target->accepts_requests(now);
         candidate.excluded = tried.contains(id);
         candidate.connected = !target->idle.empty();
-        candidate.nearby = registration.failure_domain == this->options.failure_domain;
+        candidate.same_failure_domain = registration.failure_domain == this->options.failure_domain;
         candidate.warming_up = now - target->known.seen < registration.warm_up_left;
         all.push_back(candidate);
     }
     return all;
 }
 
-target_ptr target_pool::choose(const std::set<target_id>& tried, loss if_lost, time_point now) {
+target_ptr target_pool::choose(const std::set<target_id>& tried, attempt_kind if_lost,
+                               time_point now) {
     const auto chosen = choose_target(this->candidates(tried, now), this->options.rotation, if_lost,
                                       this->random, now);
     if (!chosen) {
@@ -122,22 +123,22 @@
     std::size_t ejected = 0;
     for (const auto& [id, target] : this->targets) {
         registered += target->accepts_requests(now) ? 1 : 0;
-        ejected += target->accepts_requests(now) && now < target->evidence.out_until ? 1 : 0;
+        ejected += target->accepts_requests(now) && now < target->evidence.ejected_until ? 1 : 0;
     }
     return {registered, ejected};
 }
 
 void target_pool::record_failure(pooled_target& target, double suspicion, time_point now) {
-    knapweedknot::note_failure(target.evidence, suspicion, this->options.rotation, now);
+    knapweedknot::record_failure(target.evidence, suspicion, this->options.rotation, now);
 }
 
 void target_pool::record_success(pooled_target& target, time_point now) {
-    knapweedknot::note_success(target.evidence, this->options.rotation, now);
+    knapweedknot::record_success(target.evidence, this->options.rotation, now);
 }
 
 void target_pool::check_target(pooled_target& target, time_point now) {
-    const target_standing fleet_state = this->fleet_state_of(target, now);
-    if (!judge(target.evidence, fleet_state, this->options.rotation, now)) {
+    const fleet_target_state fleet_state = this->fleet_state_of(target, now);
+    if (!eject_if_suspect(target.evidence, fleet_state, this->options.rotation, now)) {
         return;
     }
     ++this->ejection_count;
@@ -145,9 +146,9 @@
               {{"service", this->service.value},
                {"target", target.id().value},
                {"running", std::to_string(fleet_state.running)},
-               {"silence", format_tenths(fleet_state.silence)},
-               {"failures", format_tenths(fleet_state.failures)},
-               {"for_ms", std::to_string(to_milliseconds(target.evidence.out_until - now))}});
+               {"silence", format_tenths(fleet_state.overdue_suspicion)},
+               {"failures", format_tenths(fleet_state.failure_suspicion)},
+               {"for_ms", std::to_string(to_milliseconds(target.evidence.ejected_until - now))}});
 }
 
 void target_pool::check_running_targets(time_point now) {
@@ -183,8 +184,8 @@
         target_use status;
         status.running = static_cast<int>(target->running.size());
         status.silence = local_overdue_suspicion(*target, now);
-        status.failures = failure_doubt(target->evidence, this->options.rotation, now);
-        status.out = std::max(duration::zero(), target->evidence.out_until - now);
+        status.failures = decayed_failure_suspicion(target->evidence, this->options.rotation, now);
+        status.out = std::max(duration::zero(), target->evidence.ejected_until - now);
         if (status.running > 0 || status.failures > negligible_suspicion ||
             status.out > duration::zero()) {
             report.targets[target->hash] = status;
@@ -196,7 +197,7 @@
     for (const auto& [id, target] : this->targets) {
         const auto reported = report.targets.find(target->hash);
         if (reported != report.targets.end() &&
-            follow_judgement(target->evidence, report.targets_told + reported->second.out, now)) {
+            adopt_ejection(target->evidence, report.targets_told + reported->second.out, now)) {
             log_event(log_level::debug, "target_out_as_told",
                       {{"service", this->service.value}, {"target", id.value}});
         }
