--- a/libs/decide/include/decide/target_health.h
+++ b/libs/decide/include/decide/target_health.h
@@ -7,51 +7,53 @@
 #include "base/clock.h"
 
 /// \file
-/// One instance's judgement of a service's targets from the requests it sent to them. All
-/// functions are pure but for their first argument. Not thread safe.
+/// Outlier ejection of a service's targets by the results of one instance's own requests. Functions
+/// modify nothing but their first argument. Not thread safe.
 
 namespace knapweedknot {
 
-/// When a target is taken out of rotation.
+/// When and for how long a target is ejected.
 struct health_policy {
-    /// Consecutive failures after which a target is taken out.
+    /// Consecutive failures after which a target is ejected.
     int failures_to_eject{3};
-    /// A target whose typical latency is this many times that of the others is taken out.
+    /// A target is ejected when its average latency is at least this multiple of the median of the
+    /// others.
     double slow_factor{4};
-    /// First time out of rotation; doubled for each repeat.
+    /// Length of the first ejection; doubles with each further one up to the limit.
     duration ejection_time{milliseconds(2000)};
     duration ejection_limit{milliseconds(60000)};
 };
 
-/// Evidence on one target.
+/// Health of one target.
 struct target_health {
     int consecutive_failures{0};
-    /// Moving average of answer times, in milliseconds.
+    /// Exponential moving average of the response times, in milliseconds.
     double latency_ms{0};
     int latency_samples{0};
     /// Out of rotation until then.
     time_point ejected_until;
-    /// Ejections without a healthy spell between them.
+    /// Ejections since the length last started over.
     int ejections{0};
-    /// Why it was last taken out: "failures" or "slow"; empty when it never was.
+    /// Reason for the last ejection: "failures" or "slow"; empty when there was none.
     std::string reason;
 };
 
-/// Notes an answer that arrived after \p latency.
-void note_answer(target_health& target, duration latency, time_point now);
+/// Records a response that arrived after \p latency.
+void record_response(target_health& target, duration latency, time_point now);
 
-/// Notes a failure: an error answer, a broken connection or a time-out. Returns true when it takes
-/// the target out of rotation.
-bool note_failure(target_health& target, const health_policy& policy, time_point now);
+/// Records a failure: an error response, a broken connection or a time-out. True if this call
+/// ejected the target.
+bool record_failure(target_health& target, const health_policy& policy, time_point now);
 
-/// Takes \p target out when it is slow compared with the median of \p others. Returns true then.
-bool judge_latency(target_health& target, const std::vector<double>& others_ms,
+/// Ejects \p target if it is slow compared with the median of \p others_ms, the average latencies
+/// of the other targets in milliseconds. True if this call ejected it.
+bool eject_if_slow(target_health& target, const std::vector<double>& others_ms,
                    const health_policy& policy, time_point now);
 
 [[nodiscard]] bool is_ejected(const target_health& target, time_point now) noexcept;
 
-/// Positions of the targets in rotation: those not ejected, and while these are fewer than
-/// \p floor, the ones whose ejection ends first.
+/// Indices of the targets in rotation: those not ejected, and, while these are fewer than \p floor,
+/// the ones whose ejection ends first.
 [[nodiscard]] std::vector<std::size_t> in_rotation(const std::vector<const target_health*>& targets,
                                                    std::size_t floor, time_point now);
 
--- a/libs/decide/src/target_health.cpp
+++ b/libs/decide/src/target_health.cpp
@@ -7,15 +7,15 @@
 
 namespace {
 
-constexpr double average_weight = 0.2;
+constexpr double smoothing_factor = 0.2;
 constexpr int min_latency_samples = 5;
 constexpr std::size_t min_compared_targets = 2;
-// A healthy spell of this many times the last ejection clears the record.
-constexpr int forgiving_factor = 5;
-// Differences below this are noise even when the factor is exceeded.
-constexpr double min_slow_ms = 2;
+// The ejection length starts over after a time in rotation of this multiple of the next length.
+constexpr int ejection_reset_factor = 5;
+// Smaller latency differences are noise even when the slow factor is exceeded.
+constexpr double min_slow_difference_ms = 2;
 
-duration ejection_of(const target_health& target, const health_policy& policy) {
+duration ejection_length(const target_health& target, const health_policy& policy) {
     duration length = policy.ejection_time;
     for (int i = 0; i < target.ejections && length < policy.ejection_limit; ++i) {
         length *= 2;
@@ -24,10 +24,10 @@
 }
 
 void eject(target_health& target, const health_policy& policy, time_point now, const char* reason) {
-    if (now - target.ejected_until > forgiving_factor * ejection_of(target, policy)) {
+    if (now - target.ejected_until > ejection_reset_factor * ejection_length(target, policy)) {
         target.ejections = 0;
     }
-    target.ejected_until = now + ejection_of(target, policy);
+    target.ejected_until = now + ejection_length(target, policy);
     ++target.ejections;
     target.reason = reason;
     target.consecutive_failures = 0;
@@ -43,17 +43,18 @@
 
 } // namespace
 
-void note_answer(target_health& target, duration latency, time_point /*now*/) {
+void record_response(target_health& target, duration latency, time_point /*now*/) {
     constexpr double ms_per_second = 1000;
     const double latency_ms = to_seconds(latency) * ms_per_second;
     target.consecutive_failures = 0;
-    target.latency_ms = target.latency_samples == 0
-                            ? latency_ms
-                            : target.latency_ms + average_weight * (latency_ms - target.latency_ms);
+    target.latency_ms =
+        target.latency_samples == 0
+            ? latency_ms
+            : target.latency_ms + smoothing_factor * (latency_ms - target.latency_ms);
     ++target.latency_samples;
 }
 
-bool note_failure(target_health& target, const health_policy& policy, time_point now) {
+bool record_failure(target_health& target, const health_policy& policy, time_point now) {
     ++target.consecutive_failures;
     if (target.consecutive_failures < policy.failures_to_eject || is_ejected(target, now)) {
         return false;
@@ -62,7 +63,7 @@
     return true;
 }
 
-bool judge_latency(target_health& target, const std::vector<double>& others_ms,
+bool eject_if_slow(target_health& target, const std::vector<double>& others_ms,
                    const health_policy& policy, time_point now) {
     if (target.latency_samples < min_latency_samples || others_ms.size() < min_compared_targets ||
         is_ejected(target, now)) {
@@ -70,7 +71,7 @@
     }
     const double typical = median(others_ms);
     if (target.latency_ms < policy.slow_factor * typical ||
-        target.latency_ms - typical < min_slow_ms) {
+        target.latency_ms - typical < min_slow_difference_ms) {
         return false;
     }
     eject(target, policy, now, "slow");
--- a/libs/decide/tests/target_health_test.cpp
+++ b/libs/decide/tests/target_health_test.cpp
@@ -17,33 +17,33 @@
     target_health target;
     time_point now = start;
     for (const int expected_ms : {2000, 4000, 8000}) {
-        BOOST_TEST(!note_failure(target, policy, now));
-        BOOST_TEST(!note_failure(target, policy, now));
-        BOOST_TEST(note_failure(target, policy, now));
+        BOOST_TEST(!record_failure(target, policy, now));
+        BOOST_TEST(!record_failure(target, policy, now));
+        BOOST_TEST(record_failure(target, policy, now));
         BOOST_TEST(to_milliseconds(target.ejected_until - now) == expected_ms);
         now = target.ejected_until;
     }
 }
 
-BOOST_AUTO_TEST_CASE(an_answer_between_failures_keeps_the_target_in) {
+BOOST_AUTO_TEST_CASE(a_response_between_failures_keeps_the_target_in_rotation) {
     target_health target;
     for (int i = 0; i < 10; ++i) {
-        BOOST_TEST(!note_failure(target, policy, start));
-        BOOST_TEST(!note_failure(target, policy, start));
-        note_answer(target, milliseconds(5), start);
+        BOOST_TEST(!record_failure(target, policy, start));
+        BOOST_TEST(!record_failure(target, policy, start));
+        record_response(target, milliseconds(5), start);
     }
 }
 
 BOOST_AUTO_TEST_CASE(a_target_slower_than_the_others_is_ejected) {
     target_health target;
     for (int i = 0; i < 5; ++i) {
-        note_answer(target, milliseconds(50), start);
+        record_response(target, milliseconds(50), start);
     }
-    BOOST_TEST(!judge_latency(target, {45, 40, 55}, policy, start));
-    BOOST_TEST(judge_latency(target, {5, 6, 4}, policy, start));
+    BOOST_TEST(!eject_if_slow(target, {45, 40, 55}, policy, start));
+    BOOST_TEST(eject_if_slow(target, {5, 6, 4}, policy, start));
 }
 
-BOOST_AUTO_TEST_CASE(the_floor_brings_back_those_whose_ejection_ends_first) {
+BOOST_AUTO_TEST_CASE(the_floor_keeps_targets_in_rotation_whose_ejection_ends_first) {
     target_health healthy;
     target_health soon;
     target_health late;
@@ -68,13 +68,13 @@
     BOOST_TEST((order == std::vector<int>{0, 9, 1, 2}));
 }
 
-BOOST_AUTO_TEST_CASE(a_full_queue_has_room_for_an_account_below_its_part) {
+BOOST_AUTO_TEST_CASE(a_full_queue_accepts_an_account_below_its_even_share) {
     fair_queue<int> queue;
     for (int i = 0; i < 10; ++i) {
         queue.push(account_id{"large"}, i);
     }
-    BOOST_TEST(!may_wait(queue, account_id{"large"}, 10));
-    BOOST_TEST(may_wait(queue, account_id{"small"}, 10));
+    BOOST_TEST(!may_enqueue(queue, account_id{"large"}, 10));
+    BOOST_TEST(may_enqueue(queue, account_id{"small"}, 10));
 }
 
 BOOST_AUTO_TEST_CASE(retries_are_a_share_of_attempts) {
@@ -82,7 +82,7 @@
     BOOST_TEST(take_retry(budget));
     BOOST_TEST(!take_retry(budget));
     for (int i = 0; i < 11; ++i) {
-        note_attempt(budget, 0.1);
+        record_attempt(budget, 0.1);
     }
     BOOST_TEST(take_retry(budget));
 }
--- a/libs/entry/src/service_dispatcher.cpp
+++ b/libs/entry/src/service_dispatcher.cpp
@@ -55,7 +55,7 @@
     work->wanted = std::move(request);
     work->done = std::move(done);
     this->jobs[ticket] = work;
-    note_attempt(this->retries, this->current->policy.retry_budget);
+    record_attempt(this->retries, this->current->policy.retry_budget);
     this->start(ticket, work);
     return ticket;
 }
@@ -94,7 +94,7 @@
 
 void service_dispatcher::wait(dispatch_ticket ticket, const job_ptr& work) {
     const auto limit = static_cast<std::size_t>(this->current->policy.queue_limit);
-    if (limit == 0 || !may_wait(this->waiting, work->wanted.account, limit)) {
+    if (limit == 0 || !may_enqueue(this->waiting, work->wanted.account, limit)) {
         this->finish(ticket, fail(error_kind::overloaded, "the service's queue is full"));
         return;
     }
@@ -239,14 +239,14 @@
     }
     if (answer.status >= lowest_server_error) {
         ++at->failures;
-        if (note_failure(at->health, this->policy(), now)) {
+        if (record_failure(at->health, this->policy(), now)) {
             log_event(log_level::warning, "target_ejected",
                       {{"service", this->current->id.value},
                        {"target", at->definition.id.value},
                        {"reason", at->health.reason}});
         }
     } else {
-        note_answer(at->health, now - work->sent, now);
+        record_response(at->health, now - work->sent, now);
         this->judge(*at, now);
     }
     this->finish(ticket, service_answer{std::move(answer), at->definition.id, now - work->sent});
@@ -259,7 +259,7 @@
             others.push_back(state->health.latency_ms);
         }
     }
-    if (judge_latency(judged.health, others, this->policy(), now)) {
+    if (eject_if_slow(judged.health, others, this->policy(), now)) {
         log_event(log_level::warning, "target_ejected",
                   {{"service", this->current->id.value},
                    {"target", judged.definition.id.value},
@@ -272,7 +272,7 @@
     const target_ptr at = work->at;
     this->release(work, false);
     ++at->failures;
-    if (note_failure(at->health, this->policy(), boot_clock::now())) {
+    if (record_failure(at->health, this->policy(), boot_clock::now())) {
         // Idle connections may have failed in the same way.
         at->idle.clear();
         log_event(log_level::warning, "target_ejected",
