Reword idempotency keys; the code of a prefix is its MAC

key_table and key_state did not say which keys; "code" and "lose" hid a message authentication code and an unknown outcome. key_table -> idempotency_key_table, key_state -> idempotency_key_state, unknown -> outcome_unknown, lose -> mark_outcome_unknown, code -> mac, idempotency_prefix_life -> idempotency_prefix_lifetime.

--- a/libs/decide/src/idempotency.cpp
+++ b/libs/decide/src/idempotency.cpp
@@ -8,14 +8,14 @@
 
 namespace {
 
-constexpr std::size_t code_bytes = 12;
+constexpr std::size_t mac_bytes = 12;
 constexpr std::size_t max_key_bytes = 256;
 constexpr int hexadecimal = 16;
 
 bool parse_hex(std::string_view text, std::uint64_t& value) noexcept {
     const char* const end = text.data() + text.size();
-    const auto [stop, code] = std::from_chars(text.data(), end, value, hexadecimal);
-    return !text.empty() && code == std::errc{} && stop == end;
+    const auto [stop, error] = std::from_chars(text.data(), end, value, hexadecimal);
+    return !text.empty() && error == std::errc{} && stop == end;
 }
 
 std::string hex_of(std::uint64_t value) {
@@ -27,11 +27,11 @@
     return text;
 }
 
-std::string code_of(std::string_view secret, incarnation_id issuer, std::uint64_t issued_ms,
-                    const account_id& account) {
+std::string prefix_mac(std::string_view secret, incarnation_id issuer, std::uint64_t issued_ms,
+                       const account_id& account) {
     std::string text = hex_of(issuer.value);
     text.append("-").append(hex_of(issued_ms)).append("-").append(account.value);
-    return to_hex(hmac_sha256(secret, text).substr(0, code_bytes));
+    return to_hex(hmac_sha256(secret, text).substr(0, mac_bytes));
 }
 
 } // namespace
@@ -48,7 +48,7 @@
         !parse_hex(text.substr(first + 1, second - first - 1), key.issued_ms)) {
         return std::nullopt;
     }
-    key.code = text.substr(second + 1, dot - second - 1);
+    key.mac = text.substr(second + 1, dot - second - 1);
     key.unique = text.substr(dot + 1);
     return key;
 }
@@ -57,55 +57,58 @@
                                     std::uint64_t issued_ms, const account_id& account) {
     std::string prefix = hex_of(issuer.value);
     prefix.append("-").append(hex_of(issued_ms)).append("-");
-    return prefix + code_of(secret, issuer, issued_ms, account);
+    return prefix + prefix_mac(secret, issuer, issued_ms, account);
 }
 
 result<void> check_idempotency_key(const idempotency_key& key, std::string_view secret,
                                    const account_id& account, std::uint64_t now_ms) {
-    if (!equal_constant_time(key.code, code_of(secret, key.issuer, key.issued_ms, account)) ||
+    if (!equal_constant_time(key.mac, prefix_mac(secret, key.issuer, key.issued_ms, account)) ||
         key.issued_ms > now_ms) {
         return fail(error_kind::idempotency_key_invalid,
                     "the prefix was not issued to this account; ask /v1/addresses for one");
     }
-    if (milliseconds(now_ms - key.issued_ms) >= idempotency_prefix_life) {
+    if (milliseconds(now_ms - key.issued_ms) >= idempotency_prefix_lifetime) {
         return fail(error_kind::idempotency_key_expired,
                     "the prefix is too old to tell whether the request ran before");
     }
     return {};
 }
 
-key_state key_table::begin(const std::string& key, std::uint64_t fingerprint,
-                           time_point forget_at) {
-    const auto [place, is_new] = this->entries.try_emplace(key);
-    entry& found = place->second;
+idempotency_key_state idempotency_key_table::begin(const std::string& key,
+                                                   std::uint64_t fingerprint,
+                                                   time_point expires_at) {
+    const auto [position, is_new] = this->entries.try_emplace(key);
+    entry& found = position->second;
     if (is_new) {
         found.fingerprint = fingerprint;
-        found.forget_at = forget_at;
-        return key_state::first;
+        found.expires_at = expires_at;
+        return idempotency_key_state::first;
     }
-    return found.fingerprint == fingerprint ? found.state : key_state::reused;
+    return found.fingerprint == fingerprint ? found.state : idempotency_key_state::reused;
 }
 
-void key_table::finish(const std::string& key) {
-    this->entries.at(key).state = key_state::done;
+void idempotency_key_table::finish(const std::string& key) {
+    this->entries.at(key).state = idempotency_key_state::done;
 }
 
-void key_table::lose(const std::string& key) {
-    this->entries.at(key).state = key_state::unknown;
+void idempotency_key_table::mark_outcome_unknown(const std::string& key) {
+    this->entries.at(key).state = idempotency_key_state::outcome_unknown;
 }
 
-void key_table::release(const std::string& key) {
+void idempotency_key_table::release(const std::string& key) {
     this->entries.erase(key);
 }
 
-void key_table::expire(time_point now, const std::function<void(const std::string&)>& forgotten) {
-    for (auto place = this->entries.begin(); place != this->entries.end();) {
-        // A running request is remembered until it has ended, however late.
-        if (place->second.forget_at <= now && place->second.state != key_state::running) {
-            forgotten(place->first);
-            place = this->entries.erase(place);
+void idempotency_key_table::expire(time_point now,
+                                   const std::function<void(const std::string&)>& on_expired) {
+    for (auto position = this->entries.begin(); position != this->entries.end();) {
+        // A running key is kept until its request ends, even after it expires.
+        if (position->second.expires_at <= now &&
+            position->second.state != idempotency_key_state::running) {
+            on_expired(position->first);
+            position = this->entries.erase(position);
         } else {
-            ++place;
+            ++position;
         }
     }
 }
--- a/libs/decide/tests/idempotency_test.cpp
+++ b/libs/decide/tests/idempotency_test.cpp
@@ -36,24 +36,24 @@
 }
 
 BOOST_AUTO_TEST_CASE(a_key_runs_once_and_is_free_again_only_when_it_did_not_run) {
-    key_table table;
+    idempotency_key_table table;
     const time_point later = start + seconds(10);
-    BOOST_TEST((table.begin("k", 1, later) == key_state::first));
-    BOOST_TEST((table.begin("k", 1, later) == key_state::running));
-    BOOST_TEST((table.begin("k", 2, later) == key_state::reused));
+    BOOST_TEST((table.begin("k", 1, later) == idempotency_key_state::first));
+    BOOST_TEST((table.begin("k", 1, later) == idempotency_key_state::running));
+    BOOST_TEST((table.begin("k", 2, later) == idempotency_key_state::reused));
     table.release("k");
-    BOOST_TEST((table.begin("k", 1, later) == key_state::first));
+    BOOST_TEST((table.begin("k", 1, later) == idempotency_key_state::first));
     table.finish("k");
-    BOOST_TEST((table.begin("k", 1, later) == key_state::done));
-    BOOST_TEST((table.begin("lost", 1, later) == key_state::first));
-    table.lose("lost");
-    BOOST_TEST((table.begin("lost", 1, later) == key_state::unknown));
+    BOOST_TEST((table.begin("k", 1, later) == idempotency_key_state::done));
+    BOOST_TEST((table.begin("lost", 1, later) == idempotency_key_state::first));
+    table.mark_outcome_unknown("lost");
+    BOOST_TEST((table.begin("lost", 1, later) == idempotency_key_state::outcome_unknown));
 }
 
 BOOST_AUTO_TEST_CASE(keys_are_remembered_while_they_run_or_can_be_accepted) {
-    key_table table;
-    BOOST_TEST((table.begin("running", 1, start) == key_state::first));
-    BOOST_TEST((table.begin("done", 1, start) == key_state::first));
+    idempotency_key_table table;
+    BOOST_TEST((table.begin("running", 1, start) == idempotency_key_state::first));
+    BOOST_TEST((table.begin("done", 1, start) == idempotency_key_state::first));
     table.finish("done");
     table.expire(start - milliseconds(1), [](const auto&) {});
     BOOST_TEST(table.size() == 2U);
--- a/libs/entry/include/entry/once_keeper.h
+++ b/libs/entry/include/entry/once_keeper.h
@@ -48,7 +48,7 @@
     incarnation_id issuer;
     std::string secret;
     time_point epoch;
-    key_table table;
+    idempotency_key_table table;
     std::unordered_map<std::string, remembered> outcomes;
     std::size_t answer_bytes{0};
     timer expiry;
--- a/libs/entry/src/once_keeper.cpp
+++ b/libs/entry/src/once_keeper.cpp
@@ -65,28 +65,28 @@
         return;
     }
     const time_point forget_at =
-        this->epoch + milliseconds(key->issued_ms) + idempotency_prefix_life;
+        this->epoch + milliseconds(key->issued_ms) + idempotency_prefix_lifetime;
     switch (this->table.begin(presented, fingerprint, forget_at)) {
-    case key_state::first:
+    case idempotency_key_state::first:
         this->outcomes[presented].waiting.push_back(std::move(done));
         start([this, presented](result<service_answer> outcome) {
             this->settle(presented, std::move(outcome));
         });
         return;
-    case key_state::running:
+    case idempotency_key_state::running:
         this->outcomes[presented].waiting.push_back(std::move(done));
         return;
-    case key_state::done:
+    case idempotency_key_state::done:
         if (const auto found = this->outcomes.find(presented); found->second.answer != nullptr) {
             done(copy_of(*found->second.answer));
             return;
         }
         done(unknown_outcome());
         return;
-    case key_state::unknown:
+    case idempotency_key_state::outcome_unknown:
         done(unknown_outcome());
         return;
-    case key_state::reused:
+    case idempotency_key_state::reused:
         done(fail(error_kind::idempotency_key_reused, "the key was used for another request"));
         return;
     }
@@ -107,7 +107,7 @@
         this->table.release(key);
         this->outcomes.erase(key);
     } else {
-        this->table.lose(key);
+        this->table.mark_outcome_unknown(key);
     }
     for (const handler& done : waiting) {
         if (outcome) {
