Name the weighted round robin; reword the choice of instances

weighted_split -> weighted_round_robin (with its header), next_part -> pick_next, credits -> current_weights; choice_policy -> instance_choice_policy, weak_part -> strong_capacity_share, most_load_of_strong -> max_strong_load, settling_time -> warm_up_time. traffic_test, decide_test: comments and case names say what they guard.

--- a/libs/decide/tests/traffic_test.cpp
+++ b/libs/decide/tests/traffic_test.cpp
@@ -6,7 +6,7 @@
 
 #include "decide/instance_choice.h"
 #include "decide/shared_bucket.h"
-#include "decide/weighted_split.h"
+#include "decide/weighted_round_robin.h"
 
 using namespace knapweedknot;
 
@@ -25,7 +25,7 @@
     return made;
 }
 
-/// Two strong instances and twenty weak ones, with \p rate requests per second at the first.
+/// Two strong instances and twenty weak ones; the first receives \p rate requests per second.
 std::vector<instance_candidate> unequal_domain(double rate) {
     std::vector<instance_candidate> all;
     for (int i = 0; i < 22; ++i) {
@@ -36,7 +36,7 @@
     return all;
 }
 
-/// Greatest number of \p times in any window of \p length.
+/// Maximum number of \p times in any window of \p length.
 std::size_t busiest_window(const std::vector<time_point>& times, duration length) {
     std::size_t most = 0;
     std::size_t first = 0;
@@ -49,23 +49,23 @@
     return most;
 }
 
-/// Admissions of several instances that hear of each other after a delay.
-std::vector<time_point> admit_on_copies(std::size_t copies, const rate_limit& limit,
-                                        double requests_per_s, unsigned seed) {
+/// Times of admitted requests at several instances that report to each other with a delay.
+std::vector<time_point> admit_on_instances(std::size_t instances, const rate_limit& limit,
+                                           double requests_per_s, unsigned seed) {
     struct report {
         time_point arrives;
         std::size_t from;
     };
     const shared_bucket_times times;
-    std::vector<shared_bucket> buckets(copies, make_shared_bucket(limit, start));
+    std::vector<shared_bucket> buckets(instances, make_shared_bucket(limit, start));
     std::deque<report> reports;
     std::vector<time_point> admitted;
     std::minstd_rand random(seed);
-    std::uniform_int_distribution<std::size_t> draw(0, copies - 1);
+    std::uniform_int_distribution<std::size_t> draw(0, instances - 1);
     const auto step = from_seconds(1 / requests_per_s);
     for (time_point now = start; now < start + seconds(30); now += step) {
         while (!reports.empty() && reports.front().arrives <= now) {
-            for (std::size_t i = 0; i < copies; ++i) {
+            for (std::size_t i = 0; i < instances; ++i) {
                 if (i != reports.front().from) {
                     note_peer_tokens(buckets[i], 1, times, now);
                 }
@@ -84,40 +84,42 @@
 
 } // namespace
 
-// Pattern: one account sends many times its rate to several instances at once.
-BOOST_AUTO_TEST_CASE(copies_of_a_bucket_admit_the_rate_together) {
+// Guards against an account that is admitted above its rate because it sends to several instances
+// at once.
+BOOST_AUTO_TEST_CASE(instances_admit_the_rate_of_a_shared_bucket_together) {
     const rate_limit limit{30, 30};
     for (unsigned seed = 1; seed <= 20; ++seed) {
-        const auto admitted = admit_on_copies(6, limit, 240, seed);
+        const auto admitted = admit_on_instances(6, limit, 240, seed);
         constexpr double window_s = 5;
         const double bound = limit.rate_per_s * window_s + limit.burst;
-        // The users' rule for any 5 s: a tenth and 20 requests over rate and burst.
+        // Required for any 5 s: at most 10 % plus 20 requests above rate and burst.
         BOOST_TEST(busiest_window(admitted, from_seconds(window_s)) <= bound * 1.1 + 20);
         BOOST_TEST(admitted.size() >= 30 * limit.rate_per_s * 0.95);
     }
 }
 
-BOOST_AUTO_TEST_CASE(an_account_within_its_rate_is_never_refused_by_copies) {
-    const auto admitted = admit_on_copies(6, {30, 30}, 20, 3);
+BOOST_AUTO_TEST_CASE(an_account_within_its_rate_is_never_refused) {
+    const auto admitted = admit_on_instances(6, {30, 30}, 20, 3);
     BOOST_TEST(admitted.size() == 600U);
 }
 
-// Pattern: serving instances are cut off from each other for a while, and an account presses on all
-// of them. Each takes its share meanwhile; what the others took in theirs is no debt afterwards.
+// Guards against an account being refused after a network partition between instances. Each
+// instance grants its share of the rate during the partition, so tokens that the others took then
+// must not count as debt afterwards.
 BOOST_AUTO_TEST_CASE(shares_taken_during_a_partition_leave_no_debt) {
     const rate_limit limit{30, 30};
     const shared_bucket_times times;
-    constexpr int copies = 3;
-    std::vector<shared_bucket> buckets(copies, make_shared_bucket(limit, start));
-    std::vector<double> admitted(copies, 0);
+    constexpr int instances = 3;
+    std::vector<shared_bucket> buckets(instances, make_shared_bucket(limit, start));
+    std::vector<double> admitted(instances, 0);
     for (shared_bucket& bucket : buckets) {
         bucket.tokens = 0;
     }
     time_point now = start;
     for (int step = 0; step < 600; ++step) {
         now += milliseconds(10);
-        for (std::size_t i = 0; i < copies; ++i) {
-            advance(buckets[i], limit, 1.0 / copies, now);
+        for (std::size_t i = 0; i < instances; ++i) {
+            advance(buckets[i], limit, 1.0 / instances, now);
             admitted[i] += take_token(buckets[i], times) ? 1 : 0;
         }
     }
@@ -128,13 +130,14 @@
     note_unheard_tokens(buckets[0], admitted[1], times, now);
     note_unheard_tokens(buckets[0], admitted[2], times, now);
     BOOST_TEST(buckets[0].tokens > before - 1);
-    // What an instance took that was heard all the while was not withheld for it.
+    // No share was set aside for an instance whose reports kept arriving, so its tokens count.
     note_peer_tokens(buckets[0], 5, times, now);
     BOOST_TEST(buckets[0].tokens <= before - 5);
 }
 
-// Pattern: the same, and requests may wait for a token. They wait for those of the own share.
-BOOST_AUTO_TEST_CASE(a_wait_for_a_token_counts_on_the_own_share_of_the_refill) {
+// Guards against a wait for a token that assumes the whole refill rate: during a partition, an
+// instance gets only its own share of the refill.
+BOOST_AUTO_TEST_CASE(a_wait_for_a_token_is_based_on_the_own_share_of_the_refill) {
     const shared_bucket_times times;
     shared_bucket bucket = make_shared_bucket({20, 20}, start);
     bucket.tokens = 0;
@@ -144,7 +147,8 @@
     BOOST_TEST(take_future_token(bucket, times, milliseconds(200)).has_value());
 }
 
-// Pattern: an account presses, and its rate is lowered to a fraction of what it was.
+// Guards against a debt that takes longer to pay back after the rate of an account is lowered while
+// the account exceeds it.
 BOOST_AUTO_TEST_CASE(a_debt_is_paid_back_as_fast_under_a_lower_rate) {
     shared_bucket bucket = make_shared_bucket({30, 30}, start);
     const shared_bucket_times times;
@@ -156,7 +160,7 @@
     BOOST_TEST(take_token(bucket, times));
 }
 
-BOOST_AUTO_TEST_CASE(a_token_to_come_is_taken_once) {
+BOOST_AUTO_TEST_CASE(a_reserved_token_is_not_taken_again) {
     shared_bucket bucket = make_shared_bucket({10, 2}, start);
     const shared_bucket_times times;
     BOOST_TEST(take_token(bucket, times));
@@ -175,16 +179,16 @@
     BOOST_TEST(take_token(bucket, times));
 }
 
-BOOST_AUTO_TEST_CASE(a_split_keeps_its_weights_at_every_point) {
-    weighted_split split = make_weighted_split({90, 10});
+BOOST_AUTO_TEST_CASE(round_robin_keeps_its_weights_after_every_request) {
+    weighted_round_robin state = make_weighted_round_robin({90, 10});
     std::vector<int> counts(2, 0);
     for (int i = 1; i <= 1000; ++i) {
-        ++counts[next_part(split)];
+        ++counts[pick_next(state)];
         BOOST_TEST(std::abs(counts[1] - i * 0.1) < 1.0);
     }
 }
 
-BOOST_AUTO_TEST_CASE(callers_are_sent_to_few_instances_of_their_own_domain) {
+BOOST_AUTO_TEST_CASE(callers_are_sent_to_few_instances_of_their_own_failure_domain) {
     const std::vector<instance_candidate> all{candidate("a1", "a"), candidate("a2", "a"),
                                               candidate("b1", "b"), candidate("b2", "b", 0, false)};
     const auto for_a = choose_instances(all, failure_domain_id{"a"}, {});
@@ -197,30 +201,30 @@
         choose_instances({candidate("b2", "b", 0, false)}, failure_domain_id{"b"}, {}).empty());
 }
 
-BOOST_AUTO_TEST_CASE(more_traffic_is_served_by_more_instances) {
+BOOST_AUTO_TEST_CASE(more_traffic_selects_more_instances) {
     const std::vector<instance_candidate> all{candidate("a1", "a", 80), candidate("a2", "a", 60),
                                               candidate("a3", "a"), candidate("a4", "a"),
                                               candidate("b1", "b", 500)};
     BOOST_TEST(choose_instances(all, failure_domain_id{"a"}, {}).size() == 3U);
 }
 
-BOOST_AUTO_TEST_CASE(a_process_that_has_just_started_is_named_last) {
+BOOST_AUTO_TEST_CASE(a_process_that_has_just_started_is_ranked_last) {
     const std::vector<instance_candidate> all{candidate("a1", "a", 0, true, milliseconds(100)),
                                               candidate("a2", "a"),
                                               candidate("a3", "a", 0, true, milliseconds(100))};
     BOOST_TEST(choose_instances(all, failure_domain_id{"a"}, {}).front().instance.value == "a2");
 }
 
-// Guards against requests that wait on narrow links while wide ones are idle: weak instances were
-// named before strong ones, by hash alone.
-BOOST_AUTO_TEST_CASE(strong_instances_are_named_before_weak_ones) {
+// Guards against requests that queue on slow links while fast ones are idle, as happened when
+// instances were ranked by hash alone.
+BOOST_AUTO_TEST_CASE(strong_instances_are_selected_before_weak_ones) {
     for (const double rate : {0.0, 120.0, 480.0}) {
-        const auto named = choose_instances(unequal_domain(rate), failure_domain_id{"a"}, {});
-        BOOST_TEST(!named.empty());
-        BOOST_TEST(std::all_of(named.begin(), named.end(),
+        const auto selected = choose_instances(unequal_domain(rate), failure_domain_id{"a"}, {});
+        BOOST_TEST(!selected.empty());
+        BOOST_TEST(std::all_of(selected.begin(), selected.end(),
                                [](const auto& item) { return item.capacity == 125; }));
     }
-    // Callers choose evenly among the named ones, so the least of them sets how many it takes.
+    // Callers spread requests evenly, so the smallest capacity determines the number of instances.
     BOOST_TEST(choose_instances(unequal_domain(600), failure_domain_id{"a"}, {}).size() == 12U);
     BOOST_TEST(choose_instances(unequal_domain(9000), failure_domain_id{"a"}, {}).size() == 22U);
 }
--- a/libs/proxy/include/proxy/edge_gateway.h
+++ b/libs/proxy/include/proxy/edge_gateway.h
@@ -9,7 +9,7 @@
 
 #include "config/traffic_policy.h"
 #include "decide/refill_share.h"
-#include "decide/weighted_split.h"
+#include "decide/weighted_round_robin.h"
 #include "event/http_server.h"
 #include "fleet/fleet_reports.h"
 #include "fleet/policy_follower.h"
@@ -103,7 +103,7 @@
     std::map<service_id, std::unique_ptr<balancer>> balancers;
     struct route_split {
         std::vector<weighted_service> services;
-        weighted_split split;
+        weighted_round_robin split;
     };
     std::unordered_map<route_id, route_split> splits;
     /// Serving peers that are disconnected and may still admit requests.
--- a/libs/proxy/src/edge_gateway.cpp
+++ b/libs/proxy/src/edge_gateway.cpp
@@ -233,9 +233,9 @@
         for (const weighted_service& part : route.split) {
             weights.push_back(part.weight);
         }
-        kept.split = make_weighted_split(std::move(weights));
+        kept.split = make_weighted_round_robin(std::move(weights));
     }
-    return kept.services[next_part(kept.split)].service;
+    return kept.services[pick_next(kept.split)].service;
 }
 
 balancer& edge_gateway::balancer_of(const service_id& service) {
--- a/programs/knapweedknotd/edge_instance.cpp
+++ b/programs/knapweedknotd/edge_instance.cpp
@@ -196,7 +196,7 @@
     const failure_domain_id from = platform::asking_domain(request->query());
     std::vector<endpoint> named;
     for (const instance_candidate& chosen :
-         choose_instances(std::move(candidates), from, choice_policy{})) {
+         choose_instances(std::move(candidates), from, instance_choice_policy{})) {
         named.push_back(chosen.callers_address);
     }
     if (named.empty()) {
