--- a/libs/fleet/include/fleet/instance_registry.h
+++ b/libs/fleet/include/fleet/instance_registry.h
@@ -7,29 +7,32 @@
 #include "platform/store_client.h"
 
 /// \file
-/// How instances find each other: each writes its address under its name into the store and reads
-/// the others' once. Whoever starts later dials those that it finds; the mesh passes on the rest.
+/// Discovery of peers through the store: each instance writes its address under its name at start
+/// and then reads the addresses of the others once. An instance connects to those that it finds;
+/// the mesh propagates the remaining addresses.
 
 namespace knapweedknot {
 
-/// Registers this instance. Not thread safe.
+/// Registers this instance in the store and adds the other registered ones to the mesh. Not thread
+/// safe.
 class instance_registry {
 public:
     instance_registry(loop& owner, store_client& store, mesh& network);
 
+    /// Writes the entry of this instance and reads all others; retries on errors.
     void start();
-    /// Removes the entry of this instance; nobody waits for the outcome.
-    void leave();
+    /// Removes the entry of this instance. The outcome is only logged.
+    void deregister();
 
 private:
-    void write();
-    void read(const std::string& after);
+    void write_entry();
+    void read_entries(const std::string& after);
 
     loop& owner;
     store_client& store;
     mesh& network;
     std::uint64_t revision{0};
-    timer retry;
+    timer retry_timer;
 };
 
 } // namespace knapweedknot
--- a/libs/fleet/include/fleet/policy_follower.h
+++ b/libs/fleet/include/fleet/policy_follower.h
@@ -11,63 +11,66 @@
 #include "platform/store_client.h"
 
 /// \file
-/// Follows the operator's traffic policy in the store, and knows how lately it was proved to be the
-/// newest one.
+/// Follows the operator's traffic policy in the store and tracks when the local copy was last
+/// confirmed to be the newest version.
 
 namespace knapweedknot {
 
-/// Times of the follower.
+/// Intervals and timeouts of a policy_follower.
 struct policy_follower_options {
-    /// A proof that is older than this does not allow a key to be honoured. Counted from before
-    /// the question to the store.
-    duration proof_lifetime{milliseconds(4500)};
-    /// Time between two proofs while many requests come.
-    duration proof_interval{milliseconds(1500)};
-    /// The same while few come.
-    duration quiet_proof_interval{milliseconds(3200)};
-    /// Longest wait of one watch.
+    /// Time for which a confirmation allows API keys to be accepted, counted from the start of the
+    /// read from the store.
+    duration confirmation_lifetime{milliseconds(4500)};
+    /// Least time between two confirmations while many requests arrive.
+    duration confirmation_interval{milliseconds(1500)};
+    /// Least time between two confirmations while few requests arrive.
+    duration idle_confirmation_interval{milliseconds(3200)};
+    /// Longest time for which one watch call waits for a change.
     duration watch_wait{seconds(20)};
 };
 
-/// Decodes the document in the store; lines on unreadable parts go to the second argument.
+/// Decodes the policy document; descriptions of unreadable entries are appended to the second
+/// argument.
 using policy_decoder =
     std::function<result<traffic_policy::parts>(std::string_view, std::vector<std::string>&)>;
 
-/// Keeps the newest policy. An instance never goes back to an older one. Not thread safe.
+/// Keeps the newest known policy and never replaces it by one with a lower number. Not thread safe.
 class policy_follower {
 public:
     policy_follower(loop& owner, store_client& store, std::string key, policy_decoder decode,
                     const policy_follower_options& options);
 
-    /// Begins to read and watch.
+    /// Starts to read and watch the policy document.
     void start();
     void set_options(const policy_follower_options& changed) noexcept { this->options = changed; }
-    /// The newest known policy; null until the first was read.
+    /// The newest known policy; null until the first one has been read.
     [[nodiscard]] const traffic_policy_ptr& current() const noexcept { return this->policy; }
-    /// True when the policy was the newest one a short while ago.
+    /// Whether the policy was confirmed within the confirmation lifetime.
     [[nodiscard]] bool is_fresh(time_point now) const noexcept;
-    /// Time since the policy was last known to be the newest; nothing before the first proof.
-    [[nodiscard]] std::optional<duration> proof_age(time_point now) const noexcept;
-    /// Asks the store whether the policy is still the newest one, unless it was asked lately.
-    /// \param is_busy true when many requests depend on it
-    void keep_fresh(time_point now, bool is_busy);
-    /// Calls \p done when the question that is under way, or a new one, has its outcome.
-    void await_proof(std::function<void()> done);
-    /// Another instance has adopted \p number; a greater one than ours is looked for.
-    void note_peer_number(config_number number);
-    /// True while the last call to the store had an answer.
+    /// Time since the policy was last confirmed to be the newest; empty before the first
+    /// confirmation.
+    [[nodiscard]] std::optional<duration> confirmation_age(time_point now) const noexcept;
+    /// Reads the policy from the store if the last read started longer ago than the interval.
+    /// \param is_busy selects the shorter interval for an instance with many requests
+    void confirm_if_due(time_point now, bool is_busy);
+    /// Calls \p done when the read in progress, or a new one, has succeeded or failed.
+    void await_confirmation(std::function<void()> done);
+    /// Notes that a peer has adopted policy \p number. Reads the store after a short delay if that
+    /// is newer than the local policy.
+    void note_peer_policy_number(config_number number);
+    /// Whether the store answered the last call.
     [[nodiscard]] bool is_store_reachable() const noexcept { return this->reachable; }
 
-    /// Called after a newer policy was adopted.
+    /// Called after a policy has been adopted.
     std::function<void()> on_adopted;
 
 private:
-    void ask();
+    void read();
     void watch();
     void watch_again(duration delay);
-    void receive(const store_value& value);
-    void note_call(bool answered, std::string_view detail);
-    void finish_proof();
+    void process(const store_value& value);
+    void record_store_call(bool answered, std::string_view detail);
+    void finish_confirmation();
 
     loop& owner;
     store_client& store;
@@ -76,14 +79,14 @@
     policy_follower_options options;
     traffic_policy_ptr policy;
     std::uint64_t revision{0};
-    std::optional<time_point> proved_at;
-    time_point asked_at;
-    bool asking{false};
+    std::optional<time_point> confirmed_at;
+    time_point last_read_started;
+    bool reading{false};
     bool reachable{false};
     bool watching{false};
-    std::vector<std::function<void()>> waiting;
-    timer retry;
-    timer peer_hint;
+    std::vector<std::function<void()>> confirmation_waiters;
+    timer retry_timer;
+    timer peer_read_timer;
 };
 
 } // namespace knapweedknot
--- a/libs/fleet/include/fleet/target_directory.h
+++ b/libs/fleet/include/fleet/target_directory.h
@@ -14,58 +14,59 @@
 #include "platform/store_client.h"
 
 /// \file
-/// Follows the targets' registrations in the store.
+/// Local view of the targets that are registered in the store.
 
 namespace knapweedknot {
 
-/// A registered target as this instance uses it.
+/// A registered target as this instance knows it.
 struct known_target {
     registered_target registration;
-    /// Distinguishes runs of targets under one id and address.
-    std::uint64_t run{0};
-    /// When its registration vanished without a report that it was leaving. The store may have
-    /// lost a registration that comes back at once.
-    std::optional<time_point> vanished;
-    /// When it was first seen.
-    time_point seen;
+    /// Changes whenever the target restarts or changes its address under the same id.
+    std::uint64_t generation{0};
+    /// When the registration disappeared although the target was not draining. The store may lose
+    /// a registration that returns immediately, so the target is kept for a grace period.
+    std::optional<time_point> vanished_at;
+    /// When this generation was first seen.
+    time_point first_seen;
 };
 
-/// Times of the directory.
+/// Intervals and timeouts of a target_directory.
 struct target_directory_options {
-    /// How long a target whose registration vanished may still get work when others lack.
+    /// Time for which a target whose registration vanished is kept, in case it returns.
     duration vanished_grace{milliseconds(1500)};
-    /// Changes are gathered for this long, so that many of them cost one call.
-    duration gather_time{milliseconds(200)};
-    /// Longest wait of one watch.
+    /// Delay before the next watch call after a change, so that one call returns several changes.
+    duration batch_window{milliseconds(200)};
+    /// Longest time for which one watch call waits for a change.
     duration watch_wait{milliseconds(5000)};
 };
 
-/// Decodes the registration under an id.
+/// Decodes the registration of the target \p id.
 using target_decoder =
     std::function<result<registered_target>(std::string_view id, std::string_view data)>;
 
-/// Keeps the targets by service. Not thread safe.
+/// Keeps the registered targets of each service. Not thread safe.
 class target_directory {
 public:
     target_directory(loop& owner, store_client& store, std::string prefix, target_decoder decode,
                      const target_directory_options& options);
 
-    /// Begins to read and watch.
+    /// Starts to read and watch the registrations.
     void start();
-    /// Takes other times. A watch under way that would wait for longer is replaced.
+    /// Changes the options. A watch in progress that would wait longer than \p changed allows is
+    /// replaced.
     void set_options(const target_directory_options& changed);
-    /// Targets of \p service by id; empty when it has none.
+    /// Targets of \p service by id.
     [[nodiscard]] const std::map<target_id, known_target>&
     targets_of(const service_id& service) const;
-    /// True after the first complete reading.
+    /// Whether all registrations have been read at least once.
     [[nodiscard]] bool is_loaded() const noexcept { return this->loaded; }
-    /// Revision of the store up to which registrations are known.
+    /// Store revision up to which registrations are known.
     [[nodiscard]] std::uint64_t revision() const noexcept { return this->known_revision; }
 
-    /// Time since the store last told all changes so far; nothing before the first reading.
+    /// Time since the directory was last in sync with the store; empty before it is loaded.
     [[nodiscard]] std::optional<duration> age(time_point now) const noexcept;
 
-    /// Called for a service whose targets changed.
+    /// Called with each service whose targets changed.
     std::function<void(const service_id&)> on_changed;
 
 private:
@@ -74,13 +75,13 @@
                    std::optional<std::uint64_t> first_revision);
     void replace_all(const std::vector<store_item>& items);
     void watch();
-    void again(duration delay, void (target_directory::*step)());
+    void schedule(duration delay, void (target_directory::*step)());
     void apply(const store_item& item);
     void add(registered_target&& registration);
-    void vanish(const target_id& id);
-    void forget(const service_id& service, const target_id& id);
-    void drop_vanished();
-    void changed(const service_id& service);
+    void mark_vanished(const target_id& id);
+    void remove(const service_id& service, const target_id& id);
+    void remove_expired();
+    void notify_changed(const service_id& service);
 
     loop& owner;
     store_client& store;
@@ -90,15 +91,16 @@
     std::map<service_id, std::map<target_id, known_target>> by_service;
     std::map<target_id, service_id> service_by_id;
     std::uint64_t known_revision{0};
-    std::uint64_t last_run{0};
-    /// Number of the newest watch; the answers of earlier ones are not used.
+    std::uint64_t last_generation{0};
+    /// Sequence number of the newest watch call; results of earlier ones are ignored.
     std::uint64_t last_watch{0};
-    /// Longest wait of the watch under way; nothing while there is none.
-    std::optional<duration> waiting;
+    /// Longest wait of the watch call in progress; empty while there is none.
+    std::optional<duration> current_watch_wait;
     bool loaded{false};
-    std::optional<time_point> heard;
-    timer next;
-    timer sweep;
+    /// When the last complete read or watch call succeeded.
+    std::optional<time_point> last_synced;
+    timer step_timer;
+    timer sweep_timer;
 };
 
 } // namespace knapweedknot
--- a/libs/fleet/src/instance_registry.cpp
+++ b/libs/fleet/src/instance_registry.cpp
@@ -21,31 +21,33 @@
     : owner(event_loop), store(client), network(peer_mesh) {}
 
 void instance_registry::start() {
-    this->write();
+    this->write_entry();
 }
 
-void instance_registry::write() {
+void instance_registry::write_entry() {
     const peer_info& self = this->network.self();
     this->store.put(key_of(self.instance), to_string(self.peers_address),
                     [this](const result<swap_outcome>& outcome) {
                         if (!outcome) {
                             log_event(log_level::warning, "registration_failed",
                                       {{"detail", outcome.error().detail}});
-                            this->retry = this->owner.after(retry_delay, [this] { this->write(); });
+                            this->retry_timer =
+                                this->owner.after(retry_delay, [this] { this->write_entry(); });
                             return;
                         }
                         this->revision = outcome->revision;
-                        this->read("");
+                        this->read_entries("");
                     });
 }
 
-void instance_registry::read(const std::string& after) {
+void instance_registry::read_entries(const std::string& after) {
     this->store.list(
         std::string(registry_prefix), after, read_mode::linearizable,
         [this, after](const result<store_page>& page) {
             if (!page) {
                 log_event(log_level::warning, "registry_unread", {{"detail", page.error().detail}});
-                this->retry = this->owner.after(retry_delay, [this, after] { this->read(after); });
+                this->retry_timer =
+                    this->owner.after(retry_delay, [this, after] { this->read_entries(after); });
                 return;
             }
             for (const store_item& item : page->items) {
@@ -54,19 +56,20 @@
                 }
             }
             if (page->has_more && !page->items.empty()) {
-                this->read(page->items.back().key);
+                this->read_entries(page->items.back().key);
             }
         });
 }
 
-void instance_registry::leave() {
+void instance_registry::deregister() {
     if (this->revision == 0) {
         return;
     }
     this->store.erase(key_of(this->network.self().instance), this->revision,
                       [](const result<swap_outcome>& outcome) {
                           if (!outcome) {
-                              // The next process under this name overwrites the entry.
+                              // The entry stays until the next process of this name overwrites
+                              // it.
                               log_event(log_level::warning, "registration_left",
                                         {{"detail", outcome.error().detail}});
                           }
--- a/libs/fleet/src/policy_follower.cpp
+++ b/libs/fleet/src/policy_follower.cpp
@@ -9,8 +9,8 @@
 namespace {
 
 constexpr duration retry_delay = milliseconds(200);
-// Lets the own watch report a change before the store is asked because of a peer.
-constexpr duration peer_hint_delay = milliseconds(250);
+// Gives the watch time to deliver a change first, which saves a read.
+constexpr duration peer_read_delay = milliseconds(250);
 
 } // namespace
 
@@ -21,61 +21,62 @@
       options(follower_options) {}
 
 void policy_follower::start() {
-    this->ask();
+    this->read();
 }
 
 bool policy_follower::is_fresh(time_point now) const noexcept {
-    return this->proved_at && now - *this->proved_at < this->options.proof_lifetime;
+    return this->confirmed_at && now - *this->confirmed_at < this->options.confirmation_lifetime;
 }
 
-std::optional<duration> policy_follower::proof_age(time_point now) const noexcept {
-    return this->proved_at ? std::optional(now - *this->proved_at) : std::nullopt;
+std::optional<duration> policy_follower::confirmation_age(time_point now) const noexcept {
+    return this->confirmed_at ? std::optional(now - *this->confirmed_at) : std::nullopt;
 }
 
-void policy_follower::keep_fresh(time_point now, bool is_busy) {
+void policy_follower::confirm_if_due(time_point now, bool is_busy) {
     const duration interval =
-        is_busy ? this->options.proof_interval : this->options.quiet_proof_interval;
-    if (!this->asking && (!this->proved_at || now - this->asked_at >= interval)) {
-        this->ask();
+        is_busy ? this->options.confirmation_interval : this->options.idle_confirmation_interval;
+    if (!this->reading && (!this->confirmed_at || now - this->last_read_started >= interval)) {
+        this->read();
     }
 }
 
-void policy_follower::await_proof(std::function<void()> done) {
-    this->waiting.push_back(std::move(done));
-    if (!this->asking) {
-        this->ask();
+void policy_follower::await_confirmation(std::function<void()> done) {
+    this->confirmation_waiters.push_back(std::move(done));
+    if (!this->reading) {
+        this->read();
     }
 }
 
-void policy_follower::note_peer_number(config_number number) {
+void policy_follower::note_peer_policy_number(config_number number) {
     if (this->policy != nullptr && number <= this->policy->number()) {
         return;
     }
-    if (!this->peer_hint) {
-        this->peer_hint = this->owner.after(peer_hint_delay, [this, number] {
-            this->peer_hint = timer();
-            if (!this->asking && (this->policy == nullptr || this->policy->number() < number)) {
-                this->ask();
+    if (!this->peer_read_timer) {
+        this->peer_read_timer = this->owner.after(peer_read_delay, [this, number] {
+            this->peer_read_timer = timer();
+            if (!this->reading && (this->policy == nullptr || this->policy->number() < number)) {
+                this->read();
             }
         });
     }
 }
 
-/// Reads the document, which both proves its age and brings a newer one.
-void policy_follower::ask() {
-    this->asking = true;
-    const time_point asked = boot_clock::now();
-    this->asked_at = asked;
-    this->store.get(this->key, [this, asked](const result<store_value>& value) {
-        this->asking = false;
-        this->note_call(value.has_value(), value ? "" : value.error().detail);
+/// Reads the document. A successful read confirms that the policy was the newest one when the read
+/// started, and returns a newer policy if there is one.
+void policy_follower::read() {
+    this->reading = true;
+    const time_point read_started = boot_clock::now();
+    this->last_read_started = read_started;
+    this->store.get(this->key, [this, read_started](const result<store_value>& value) {
+        this->reading = false;
+        this->record_store_call(value.has_value(), value ? "" : value.error().detail);
         if (value) {
-            this->receive(*value);
-            this->proved_at = asked;
+            this->process(*value);
+            this->confirmed_at = read_started;
         }
-        this->finish_proof();
-        if (!value && !this->proved_at) {
-            this->retry = this->owner.after(retry_delay, [this] { this->ask(); });
+        this->finish_confirmation();
+        if (!value && !this->confirmed_at) {
+            this->retry_timer = this->owner.after(retry_delay, [this] { this->read(); });
         }
         if (!this->watching && value) {
             this->watch();
@@ -83,8 +84,8 @@
     });
 }
 
-void policy_follower::finish_proof() {
-    const std::vector<std::function<void()>> done = std::exchange(this->waiting, {});
+void policy_follower::finish_confirmation() {
+    const std::vector<std::function<void()>> done = std::exchange(this->confirmation_waiters, {});
     for (const auto& callback : done) {
         callback();
     }
@@ -95,23 +96,24 @@
     const std::uint64_t after = this->revision;
     this->store.watch(this->key, after, this->options.watch_wait,
                       [this](const result<std::optional<store_value>>& value) {
-                          this->note_call(value.has_value(), value ? "" : value.error().detail);
+                          this->record_store_call(value.has_value(),
+                                                  value ? "" : value.error().detail);
                           if (!value) {
                               this->watch_again(retry_delay);
                               return;
                           }
                           if (value->has_value()) {
-                              this->receive(**value);
+                              this->process(**value);
                           }
                           this->watch_again(duration::zero());
                       });
 }
 
 void policy_follower::watch_again(duration delay) {
-    this->retry = this->owner.after(delay, [this] { this->watch(); });
+    this->retry_timer = this->owner.after(delay, [this] { this->watch(); });
 }
 
-void policy_follower::receive(const store_value& value) {
+void policy_follower::process(const store_value& value) {
     if (value.revision <= this->revision) {
         return;
     }
@@ -135,7 +137,7 @@
         return;
     }
     this->policy = std::make_shared<const traffic_policy>(std::move(*parts));
-    const auto age = this->proof_age(boot_clock::now());
+    const auto age = this->confirmation_age(boot_clock::now());
     log_event(log_level::info, "policy_adopted",
               {{"number", std::to_string(this->policy->number().value)},
                {"last_proof_age_ms", std::to_string(age ? to_milliseconds(*age) : -1)},
@@ -147,7 +149,7 @@
     }
 }
 
-void policy_follower::note_call(bool answered, std::string_view detail) {
+void policy_follower::record_store_call(bool answered, std::string_view detail) {
     if (answered == this->reachable) {
         return;
     }
--- /dev/null
+++ b/libs/fleet/src/report_exchange.cpp
@@ -0,0 +1,339 @@
+#include "fleet/report_exchange.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "base/log.h"
+
+namespace knapweedknot {
+
+namespace {
+
+constexpr std::uint32_t ready_flag = 1;
+constexpr std::uint32_t serving_flag = 2;
+constexpr std::uint32_t store_flag = 4;
+// Suspicions are sent as integer multiples of this unit.
+constexpr double suspicion_unit = 1.0 / 16;
+// Least time between two early reports.
+constexpr duration early_report_interval = milliseconds(60);
+// Time for which the last report of a disconnected peer is kept.
+constexpr duration lost_peer_retention = seconds(300);
+
+template <typename Number>
+Number clamp_to(double value) {
+    constexpr double highest = std::numeric_limits<Number>::max();
+    constexpr double lowest = std::numeric_limits<Number>::lowest();
+    return static_cast<Number>(std::clamp(std::round(value), lowest, highest));
+}
+
+wire::reportT encode(const instance_report& report) {
+    wire::reportT message;
+    message.flags = (report.ready ? ready_flag : 0) | (report.serving ? serving_flag : 0) |
+                    (report.store_reachable ? store_flag : 0);
+    message.uptime_ms =
+        clamp_to<std::uint32_t>(static_cast<double>(to_milliseconds(report.uptime)));
+    message.request_rate = static_cast<float>(report.request_rate);
+    message.policy_number = report.policy_number.value;
+    message.targets_revision = report.targets_revision;
+    message.in_full = report.has_targets;
+    for (const auto& [account, use] : report.accounts) {
+        message.accounts.emplace_back(account, use.admitted, clamp_to<std::int32_t>(use.tokens));
+    }
+    for (const auto& [service, use] : report.services) {
+        message.services.emplace_back(service, use.requests, use.retries);
+    }
+    for (const auto& [target, use] : report.targets) {
+        message.targets.emplace_back(
+            target, clamp_to<std::uint16_t>(use.running),
+            clamp_to<std::uint16_t>(use.overdue_suspicion / suspicion_unit),
+            clamp_to<std::uint16_t>(use.failure_suspicion / suspicion_unit),
+            clamp_to<std::uint16_t>(static_cast<double>(to_milliseconds(use.ejected_for))));
+    }
+    for (const auto& [fingerprint, broken_connections] : report.crashes) {
+        message.crashes.emplace_back(fingerprint, broken_connections, 0);
+    }
+    return message;
+}
+
+instance_report decode(const wire::reportT& message) {
+    instance_report report;
+    report.ready = (message.flags & ready_flag) != 0;
+    report.serving = (message.flags & serving_flag) != 0;
+    report.store_reachable = (message.flags & store_flag) != 0;
+    report.uptime = milliseconds(message.uptime_ms);
+    report.request_rate = message.request_rate;
+    report.policy_number.value = message.policy_number;
+    report.targets_revision = message.targets_revision;
+    report.has_targets = message.in_full;
+    for (const wire::account_use& use : message.accounts) {
+        report.accounts[use.account()] = {use.admitted(), static_cast<double>(use.tokens())};
+    }
+    for (const wire::service_use& use : message.services) {
+        report.services[use.service()] = {use.requests(), use.resends()};
+    }
+    for (const wire::target_use& use : message.targets) {
+        report.targets[use.target()] = {use.running(), use.silence() * suspicion_unit,
+                                        use.failures() * suspicion_unit,
+                                        milliseconds(use.out_ms())};
+    }
+    for (const wire::crash_note& note : message.crashes) {
+        report.crashes[note.fingerprint()] = note.deaths();
+    }
+    return report;
+}
+
+} // namespace
+
+report_exchange::report_exchange(loop& event_loop, mesh& peer_mesh,
+                                 const report_options& report_settings)
+    : owner(event_loop), network(peer_mesh), options(report_settings) {}
+
+void report_exchange::start() {
+    this->tick_timer = this->owner.every(this->options.serving_interval, [this] { this->tick(); });
+}
+
+void report_exchange::peer_connected(const peer_info& peer) {
+    this->connected[peer.incarnation] = {peer, std::nullopt, boot_clock::now()};
+    log_event(
+        log_level::info, "peer_connected",
+        {{"peer", peer.instance.value}, {"incarnation", std::to_string(peer.incarnation.value)}});
+    this->send(peer.incarnation, report_kind::introduction,
+               encode_frame(encode(this->make_report(report_kind::introduction))));
+}
+
+void report_exchange::send(incarnation_id to, report_kind kind, const std::string& frame) {
+    if (this->network.send_frame(to, frame)) {
+        sent_reports& counted = this->sent_by_kind[kind];
+        ++counted.count;
+        counted.bytes += frame.size();
+    }
+}
+
+/// Removes the counts that serving peers already have.
+void report_exchange::remove_unchanged(instance_report& report) {
+    std::erase_if(report.accounts, [this](const auto& item) {
+        const auto sent = this->sent_accounts.find(item.first);
+        return sent != this->sent_accounts.end() && sent->second.admitted == item.second.admitted;
+    });
+    std::erase_if(report.services, [this](const auto& item) {
+        const auto sent = this->sent_services.find(item.first);
+        return sent != this->sent_services.end() && sent->second.requests == item.second.requests &&
+               sent->second.retries == item.second.retries;
+    });
+}
+
+void report_exchange::peer_disconnected(const peer_info& peer) {
+    const auto found = this->connected.find(peer.incarnation);
+    if (found == this->connected.end()) {
+        return;
+    }
+    const reporting_peer lost = std::move(found->second);
+    this->connected.erase(found);
+    log_event(
+        log_level::warning, "peer_lost",
+        {{"peer", peer.instance.value},
+         {"silent_ms", std::to_string(to_milliseconds(boot_clock::now() - lost.last_heard))}});
+    this->retain_report(lost);
+    if (this->on_peer_lost) {
+        this->on_peer_lost(lost);
+    }
+}
+
+void report_exchange::retain_report(const reporting_peer& lost) {
+    const time_point now = boot_clock::now();
+    std::erase_if(this->lost_peers, [now](const auto& item) {
+        return now - item.second.last_heard > lost_peer_retention;
+    });
+    if (lost.report) {
+        this->lost_peers.insert_or_assign(lost.info.incarnation, lost);
+    }
+}
+
+/// Removes and returns the last report of a peer that was connected before, without its targets:
+/// their status is out of date.
+std::optional<instance_report> report_exchange::take_retained_report(incarnation_id peer) {
+    const auto found = this->lost_peers.find(peer);
+    if (found == this->lost_peers.end()) {
+        return std::nullopt;
+    }
+    std::optional<instance_report> report = std::move(found->second.report);
+    this->lost_peers.erase(found);
+    report->targets.clear();
+    return report;
+}
+
+void report_exchange::handle(const peer_info& from, const wire::reportT& message) {
+    const auto found = this->connected.find(from.incarnation);
+    if (found == this->connected.end()) {
+        return;
+    }
+    reporting_peer& peer = found->second;
+    std::optional<instance_report> before = std::exchange(peer.report, decode(message));
+    if (!before) {
+        before = this->take_retained_report(from.incarnation);
+    }
+    if (before) {
+        // Reports omit counts that did not change recently; carry them over.
+        peer.report->accounts.insert(before->accounts.begin(), before->accounts.end());
+        peer.report->services.insert(before->services.begin(), before->services.end());
+    }
+    peer.last_heard = boot_clock::now();
+    peer.report->received_at = peer.last_heard;
+    peer.report->targets_received_at = peer.last_heard;
+    if (before && !message.in_full) {
+        peer.report->targets = std::move(before->targets);
+        peer.report->targets_received_at = before->targets_received_at;
+    }
+    if (this->on_report) {
+        this->on_report(peer, before ? &*before : nullptr);
+    }
+}
+
+bool report_exchange::is_live(const reporting_peer& peer, time_point now) const noexcept {
+    return peer.report && now - peer.last_heard < this->report_timeout(peer);
+}
+
+bool report_exchange::is_in_same_domain(const reporting_peer& peer) const {
+    return peer.info.failure_domain == this->network.self().failure_domain;
+}
+
+duration report_exchange::report_timeout(const reporting_peer& peer) const {
+    const duration interval = this->is_in_same_domain(peer) ? this->options.same_domain_interval
+                                                            : this->options.cross_domain_interval;
+    return from_seconds(to_seconds(interval) * this->options.timeout_intervals);
+}
+
+std::size_t report_exchange::live_peer_count() const {
+    const time_point now = boot_clock::now();
+    return static_cast<std::size_t>(
+        std::count_if(this->connected.begin(), this->connected.end(),
+                      [&](const auto& item) { return this->is_live(item.second, now); }));
+}
+
+serving_peer_counts report_exchange::count_serving(time_point now) const {
+    const duration limit = from_seconds(to_seconds(this->options.serving_interval) *
+                                        this->options.serving_timeout_intervals);
+    // Peers use the serving interval only once they know that this instance serves.
+    const bool is_settled = this->serving_since && now - *this->serving_since > limit;
+    serving_peer_counts count;
+    for (const auto& [incarnation, peer] : this->connected) {
+        if (!peer.report || !peer.report->serving) {
+            continue;
+        }
+        const duration age = now - peer.last_heard;
+        const bool on_time = is_settled ? age < limit : this->is_live(peer, now);
+        ++(on_time ? count.on_time : count.overdue);
+        count.oldest_report_age = std::max(count.oldest_report_age, age);
+    }
+    return count;
+}
+
+target_status report_exchange::sum_target_status(std::uint64_t target, time_point now) const {
+    target_status total;
+    for (const auto& [incarnation, peer] : this->connected) {
+        if (!this->is_live(peer, now) || !peer.report->serving) {
+            continue;
+        }
+        const auto found = peer.report->targets.find(target);
+        if (found == peer.report->targets.end()) {
+            continue;
+        }
+        const duration age = now - peer.report->targets_received_at;
+        if (age < this->options.running_count_lifetime) {
+            total.running += found->second.running;
+            total.overdue_suspicion += found->second.overdue_suspicion;
+        }
+        total.failure_suspicion += found->second.failure_suspicion;
+        total.ejected_for = std::max(total.ejected_for, found->second.ejected_for - age);
+    }
+    return total;
+}
+
+void report_exchange::tick() {
+    const time_point now = boot_clock::now();
+    std::vector<incarnation_id> timed_out;
+    for (const auto& [incarnation, peer] : this->connected) {
+        if (now - peer.last_heard > this->report_timeout(peer)) {
+            timed_out.push_back(incarnation);
+        }
+    }
+    for (const incarnation_id peer : timed_out) {
+        this->network.drop(peer);
+    }
+    const bool same_domain_due =
+        now - this->last_same_domain_send >= this->options.same_domain_interval;
+    const bool cross_domain_due =
+        now - this->last_cross_domain_send >= this->options.cross_domain_interval;
+    this->send_to_serving(now < this->next_full_at ? report_kind::changes : report_kind::full);
+    if (same_domain_due || cross_domain_due) {
+        this->send_brief(same_domain_due, cross_domain_due);
+    }
+}
+
+/// Sends a report to all serving peers if this instance serves as well. When it starts to serve, it
+/// reports to all peers immediately, because until then they use the whole refill of every client
+/// account themselves.
+void report_exchange::send_to_serving(report_kind kind) {
+    instance_report report = this->make_report(kind);
+    if (!report.serving) {
+        this->serving_since.reset();
+        return;
+    }
+    if (!this->serving_since) {
+        this->serving_since = boot_clock::now();
+        this->send_to_all();
+    }
+    if (kind == report_kind::changes) {
+        this->remove_unchanged(report);
+    }
+    for (const auto& [account, use] : report.accounts) {
+        this->sent_accounts[account] = use;
+    }
+    for (const auto& [service, use] : report.services) {
+        this->sent_services[service] = use;
+    }
+    const std::string frame = encode_frame(encode(report));
+    std::size_t receivers = 0;
+    for (const auto& [incarnation, peer] : this->connected) {
+        if (peer.report && peer.report->serving) {
+            this->send(incarnation, kind, frame);
+            ++receivers;
+        }
+    }
+    if (kind == report_kind::full) {
+        this->next_full_at =
+            boot_clock::now() + from_seconds(static_cast<double>(receivers * frame.size()) /
+                                             this->options.full_report_bytes_per_s);
+    }
+}
+
+void report_exchange::send_brief(bool to_same_domain, bool to_other_domains) {
+    const std::string frame = encode_frame(encode(this->make_report(report_kind::brief)));
+    for (const auto& [incarnation, peer] : this->connected) {
+        if (this->is_in_same_domain(peer) ? to_same_domain : to_other_domains) {
+            this->send(incarnation, report_kind::brief, frame);
+        }
+    }
+    const time_point now = boot_clock::now();
+    this->last_same_domain_send = to_same_domain ? now : this->last_same_domain_send;
+    this->last_cross_domain_send = to_other_domains ? now : this->last_cross_domain_send;
+}
+
+void report_exchange::schedule_early_report() {
+    const time_point now = boot_clock::now();
+    if (this->early_report_timer || now - this->last_early_report < early_report_interval) {
+        return;
+    }
+    this->early_report_timer = this->owner.after(early_report_interval, [this] {
+        this->early_report_timer = timer();
+        this->last_early_report = boot_clock::now();
+        this->send_to_serving(report_kind::changes);
+    });
+}
+
+void report_exchange::send_to_all() {
+    this->send_brief(true, true);
+}
+
+} // namespace knapweedknot
--- a/libs/fleet/src/target_directory.cpp
+++ b/libs/fleet/src/target_directory.cpp
@@ -14,7 +14,7 @@
 constexpr duration sweep_interval = milliseconds(250);
 
 std::string_view state_text(const known_target& target) {
-    if (target.vanished) {
+    if (target.vanished_at) {
         return "vanished";
     }
     return target.registration.state == target_state::ready ? "ready" : "draining";
@@ -37,7 +37,7 @@
       options(directory_options) {}
 
 void target_directory::start() {
-    this->sweep = this->owner.every(sweep_interval, [this] { this->drop_vanished(); });
+    this->sweep_timer = this->owner.every(sweep_interval, [this] { this->remove_expired(); });
     this->read_all();
 }
 
@@ -49,11 +49,11 @@
 }
 
 std::optional<duration> target_directory::age(time_point now) const noexcept {
-    return this->heard ? std::optional(now - *this->heard) : std::nullopt;
+    return this->last_synced ? std::optional(now - *this->last_synced) : std::nullopt;
 }
 
-void target_directory::again(duration delay, void (target_directory::*step)()) {
-    this->next = this->owner.after(delay, [this, step] { (this->*step)(); });
+void target_directory::schedule(duration delay, void (target_directory::*step)()) {
+    this->step_timer = this->owner.after(delay, [this, step] { (this->*step)(); });
 }
 
 void target_directory::read_all() {
@@ -67,10 +67,11 @@
         this->prefix, after, read_mode::linearizable,
         [this, items, first_revision](result<store_page> page) {
             if (!page) {
-                this->again(retry_delay, &target_directory::read_all);
+                this->schedule(retry_delay, &target_directory::read_all);
                 return;
             }
-            // Pages are no snapshot: changes since the first one are read again by the watch.
+            // The pages are not a snapshot: the watch starts at the revision of the first page
+            // and returns changes made since then again.
             const std::uint64_t revision = first_revision.value_or(page->store_revision);
             std::move(page->items.begin(), page->items.end(), std::back_inserter(*items));
             if (page->has_more && !items->empty()) {
@@ -80,7 +81,7 @@
             this->replace_all(*items);
             this->known_revision = revision;
             this->loaded = true;
-            this->heard = boot_clock::now();
+            this->last_synced = boot_clock::now();
             this->watch();
         });
 }
@@ -100,43 +101,43 @@
         }
     }
     for (const target_id& id : missing) {
-        this->vanish(id);
+        this->mark_vanished(id);
     }
 }
 
 void target_directory::set_options(const target_directory_options& changed) {
     this->options = changed;
-    if (this->waiting && this->options.watch_wait < *this->waiting) {
+    if (this->current_watch_wait && this->options.watch_wait < *this->current_watch_wait) {
         this->watch();
     }
 }
 
 void target_directory::watch() {
-    this->waiting = this->options.watch_wait;
+    this->current_watch_wait = this->options.watch_wait;
     this->store.watch_prefix(
         this->prefix, this->known_revision, this->options.watch_wait,
         [this, number = ++this->last_watch](const result<store_changes>& changes) {
             if (number != this->last_watch) {
                 return;
             }
-            this->waiting.reset();
+            this->current_watch_wait.reset();
             if (!changes) {
-                this->again(retry_delay, &target_directory::watch);
+                this->schedule(retry_delay, &target_directory::watch);
                 return;
             }
             if (changes->history_lost) {
                 log_event(log_level::info, "target_history_lost",
                           {{"revision", std::to_string(this->known_revision)}});
-                this->again(duration::zero(), &target_directory::read_all);
+                this->schedule(duration::zero(), &target_directory::read_all);
                 return;
             }
             for (const store_item& item : changes->items) {
                 this->apply(item);
             }
             this->known_revision = std::max(this->known_revision, changes->store_revision);
-            this->heard = boot_clock::now();
-            this->again(changes->items.empty() ? duration::zero() : this->options.gather_time,
-                        &target_directory::watch);
+            this->last_synced = boot_clock::now();
+            this->schedule(changes->items.empty() ? duration::zero() : this->options.batch_window,
+                           &target_directory::watch);
         });
 }
 
@@ -146,14 +147,14 @@
     }
     const target_id id{item.key.substr(this->prefix.size())};
     if (item.value.revision == 0) {
-        this->vanish(id);
+        this->mark_vanished(id);
         return;
     }
     auto registration = this->decode(id.value, item.value.data);
     if (!registration) {
         log_event(log_level::warning, "registration_unreadable",
                   {{"target", id.value}, {"problem", registration.error().detail}});
-        this->vanish(id);
+        this->mark_vanished(id);
         return;
     }
     this->add(std::move(*registration));
@@ -164,29 +165,29 @@
     const service_id service = registration.service;
     if (const auto earlier = this->service_by_id.find(id);
         earlier != this->service_by_id.end() && earlier->second != service) {
-        this->forget(earlier->second, id);
+        this->remove(earlier->second, id);
     }
     this->service_by_id[id] = service;
     const auto [place, is_new] = this->by_service[service].try_emplace(id);
     known_target& target = place->second;
-    const bool is_other_run =
+    const bool is_new_generation =
         is_new || target.registration.started_unix_ms != registration.started_unix_ms ||
         target.registration.ip != registration.ip || target.registration.port != registration.port;
-    const bool is_news =
-        is_other_run || target.vanished || target.registration.state != registration.state;
-    if (is_other_run) {
-        target.run = ++this->last_run;
-        target.seen = boot_clock::now();
+    const bool is_changed =
+        is_new_generation || target.vanished_at || target.registration.state != registration.state;
+    if (is_new_generation) {
+        target.generation = ++this->last_generation;
+        target.first_seen = boot_clock::now();
     }
     target.registration = std::move(registration);
-    target.vanished.reset();
-    if (is_news) {
+    target.vanished_at.reset();
+    if (is_changed) {
         log_target("target_registered", target);
-        this->changed(service);
+        this->notify_changed(service);
     }
 }
 
-void target_directory::vanish(const target_id& id) {
+void target_directory::mark_vanished(const target_id& id) {
     const auto found = this->service_by_id.find(id);
     if (found == this->service_by_id.end()) {
         return;
@@ -194,40 +195,40 @@
     const service_id service = found->second;
     known_target& target = this->by_service.at(service).at(id);
     if (target.registration.state == target_state::draining) {
-        this->forget(service, id);
-    } else if (!target.vanished) {
-        target.vanished = boot_clock::now();
+        this->remove(service, id);
+    } else if (!target.vanished_at) {
+        target.vanished_at = boot_clock::now();
         log_target("target_vanished", target);
-        this->changed(service);
+        this->notify_changed(service);
     }
 }
 
-void target_directory::forget(const service_id& service, const target_id& id) {
+void target_directory::remove(const service_id& service, const target_id& id) {
     auto& targets = this->by_service.at(service);
     if (const auto found = targets.find(id); found != targets.end()) {
         log_target("target_gone", found->second);
         targets.erase(found);
     }
     this->service_by_id.erase(id);
-    this->changed(service);
+    this->notify_changed(service);
 }
 
-void target_directory::drop_vanished() {
+void target_directory::remove_expired() {
     const time_point now = boot_clock::now();
-    std::vector<std::pair<service_id, target_id>> ended;
+    std::vector<std::pair<service_id, target_id>> expired;
     for (const auto& [service, targets] : this->by_service) {
         for (const auto& [id, target] : targets) {
-            if (target.vanished && now - *target.vanished > this->options.vanished_grace) {
-                ended.emplace_back(service, id);
+            if (target.vanished_at && now - *target.vanished_at > this->options.vanished_grace) {
+                expired.emplace_back(service, id);
             }
         }
     }
-    for (const auto& [service, id] : ended) {
-        this->forget(service, id);
+    for (const auto& [service, id] : expired) {
+        this->remove(service, id);
     }
 }
 
-void target_directory::changed(const service_id& service) {
+void target_directory::notify_changed(const service_id& service) {
     if (this->on_changed) {
         this->on_changed(service);
     }
--- a/libs/fleet/tests/follower_test.cpp
+++ b/libs/fleet/tests/follower_test.cpp
@@ -17,9 +17,10 @@
 namespace {
 
 const endpoint store_address{"127.0.0.1", 18975};
-constexpr duration patience = seconds(5);
+constexpr duration wait_limit = seconds(5);
 
-/// A store in this process, with a client that plays the operator and the targets.
+/// An in-process store stand-in with two clients: `client` belongs to the code under test, `writer`
+/// acts as the operator and the targets.
 struct store_fixture {
     loop events;
     standin::platform_service service{events, duration::zero(), 1};
@@ -29,7 +30,7 @@
     store_fixture() { BOOST_REQUIRE(this->service.listen(store_address).has_value()); }
 
     template <typename Condition>
-    bool run_until(Condition condition, duration limit = patience) {
+    bool run_until(Condition condition, duration limit = wait_limit) {
         const time_point end = boot_clock::now() + limit;
         const timer poll = this->events.every(milliseconds(1), [&] {
             if (condition() || boot_clock::now() > end) {
@@ -91,7 +92,7 @@
 target_directory make_directory(store_fixture& store) {
     target_directory_options options;
     options.vanished_grace = milliseconds(200);
-    options.gather_time = milliseconds(20);
+    options.batch_window = milliseconds(20);
     return {store.events, store.client, std::string(platform::targets_prefix),
             &platform::decode_target, options};
 }
@@ -100,7 +101,7 @@
 
 } // namespace
 
-BOOST_AUTO_TEST_CASE(a_change_of_the_policy_is_adopted_and_an_older_one_is_not) {
+BOOST_AUTO_TEST_CASE(a_newer_policy_is_adopted_and_an_older_one_is_ignored) {
     store_fixture store;
     store.write("op/config", policy_text("00000002", "/a/"));
     policy_follower follower = make_follower(store);
@@ -116,7 +117,7 @@
     BOOST_TEST(follower.current()->number().value == 7U);
 }
 
-BOOST_AUTO_TEST_CASE(a_lost_history_costs_few_calls_and_no_change) {
+BOOST_AUTO_TEST_CASE(a_lost_watch_history_costs_few_calls_and_loses_no_change) {
     store_fixture store;
     store.write("op/config", policy_text("00000002", "/a/"));
     store.write("servers/i-1", target_text("127.0.0.1:9000", "ready"));
@@ -130,8 +131,8 @@
     store.set_faults({{"drop_history", true}});
     const std::uint64_t before = store.client.calls();
     store.run_for(milliseconds(1000));
-    constexpr std::uint64_t few = 20;
-    BOOST_TEST(store.client.calls() - before < few);
+    constexpr std::uint64_t max_calls = 20;
+    BOOST_TEST(store.client.calls() - before < max_calls);
     for (const auto& [kind, count] : store.client.calls_by_kind()) {
         BOOST_TEST_MESSAGE(kind << ": " << count.sent << " sent, " << count.failed << " failed");
     }
@@ -141,29 +142,29 @@
     BOOST_TEST(store.run_until([&] { return directory.targets_of(service).size() == 2; }));
 }
 
-BOOST_AUTO_TEST_CASE(a_proof_lapses_while_the_store_is_away) {
+BOOST_AUTO_TEST_CASE(a_confirmation_expires_while_the_store_is_unreachable) {
     store_fixture store;
     store.write("op/config", policy_text("00000002", "/a/"));
     policy_follower_options options;
-    options.proof_lifetime = milliseconds(100);
+    options.confirmation_lifetime = milliseconds(100);
     policy_follower follower(store.events, store.client, std::string(platform::policy_key),
                              &platform::decode_policy, options);
     follower.start();
     BOOST_REQUIRE(store.run_until([&] { return follower.current() != nullptr; }));
     store.set_faults({{"outage", "refuse"}});
     store.run_for(milliseconds(150));
-    bool asked = false;
-    follower.await_proof([&] { asked = true; });
-    BOOST_REQUIRE(store.run_until([&] { return asked; }));
+    bool finished = false;
+    follower.await_confirmation([&] { finished = true; });
+    BOOST_REQUIRE(store.run_until([&] { return finished; }));
     BOOST_TEST(!follower.is_fresh(boot_clock::now()));
     store.set_faults({{"outage", "none"}});
-    asked = false;
-    follower.await_proof([&] { asked = true; });
-    BOOST_REQUIRE(store.run_until([&] { return asked; }));
+    finished = false;
+    follower.await_confirmation([&] { finished = true; });
+    BOOST_REQUIRE(store.run_until([&] { return finished; }));
     BOOST_TEST(follower.is_fresh(boot_clock::now()));
 }
 
-BOOST_AUTO_TEST_CASE(targets_come_drain_vanish_return_and_go) {
+BOOST_AUTO_TEST_CASE(targets_register_vanish_return_drain_and_deregister) {
     store_fixture store;
     store.write("servers/i-1", target_text("127.0.0.1:9000", "ready"));
     target_directory directory = make_directory(store);
@@ -171,14 +172,14 @@
     BOOST_REQUIRE(store.run_until([&] { return directory.targets_of(service).size() == 1; }));
     const auto& targets = directory.targets_of(service);
     const target_id id{"i-1"};
-    const std::uint64_t first_run = targets.at(id).run;
+    const std::uint64_t first_generation = targets.at(id).generation;
     store.remove("servers/i-1");
-    BOOST_REQUIRE(store.run_until([&] { return targets.at(id).vanished.has_value(); }));
+    BOOST_REQUIRE(store.run_until([&] { return targets.at(id).vanished_at.has_value(); }));
     store.write("servers/i-1", target_text("127.0.0.1:9000", "ready"));
-    BOOST_REQUIRE(store.run_until([&] { return !targets.at(id).vanished; }));
-    BOOST_TEST(targets.at(id).run == first_run);
+    BOOST_REQUIRE(store.run_until([&] { return !targets.at(id).vanished_at; }));
+    BOOST_TEST(targets.at(id).generation == first_generation);
     store.write("servers/i-1", target_text("127.0.0.1:9005", "ready"));
-    BOOST_REQUIRE(store.run_until([&] { return targets.at(id).run != first_run; }));
+    BOOST_REQUIRE(store.run_until([&] { return targets.at(id).generation != first_generation; }));
     store.write("servers/i-1", target_text("127.0.0.1:9005", "draining"));
     BOOST_REQUIRE(store.run_until(
         [&] { return targets.at(id).registration.state == target_state::draining; }));
@@ -186,9 +187,9 @@
     BOOST_TEST(store.run_until([&] { return targets.empty(); }));
 }
 
-// Guards against requests at targets that have said they are leaving: an instance that began to
-// serve kept the long watch of its quiet time, which may hear nothing any more.
-BOOST_AUTO_TEST_CASE(targets_are_followed_closely_from_the_moment_an_instance_serves) {
+// Guards against requests to targets that have announced that they are draining: an instance that
+// started to serve kept its long idle watch, which may no longer deliver any change.
+BOOST_AUTO_TEST_CASE(a_shorter_watch_wait_takes_effect_immediately) {
     store_fixture store;
     store.write("servers/i-1", target_text("127.0.0.1:9000", "ready"));
     target_directory_options options;
@@ -201,7 +202,7 @@
     options.watch_wait = milliseconds(200);
     directory.set_options(options);
     constexpr duration longest_age = milliseconds(800);
-    for (int look = 0; look < 12; ++look) {
+    for (int check = 0; check < 12; ++check) {
         store.run_for(milliseconds(100));
         BOOST_TEST((*directory.age(boot_clock::now()) < longest_age));
     }
@@ -209,7 +210,7 @@
     BOOST_TEST(store.run_until([&] { return directory.targets_of(service).size() == 2; }));
 }
 
-BOOST_AUTO_TEST_CASE(an_unreadable_registration_names_no_target_and_the_others_hold) {
+BOOST_AUTO_TEST_CASE(an_unreadable_registration_is_ignored_and_the_others_are_kept) {
     store_fixture store;
     store.write("servers/i-1", target_text("127.0.0.1:9000", "ready"));
     store.write("servers/i-2", "\x01\x02 not JSON");
--- a/libs/fleet/tests/reports_test.cpp
+++ b/libs/fleet/tests/reports_test.cpp
@@ -4,7 +4,7 @@
 #include <list>
 #include <vector>
 
-#include "fleet/fleet_reports.h"
+#include "fleet/report_exchange.h"
 
 using namespace knapweedknot;
 
@@ -24,25 +24,26 @@
     return info;
 }
 
-report_times short_times() {
-    report_times times;
-    times.busy_interval = milliseconds(10);
-    times.near_interval = milliseconds(30);
-    times.far_interval = milliseconds(30);
-    times.silent_intervals = 20;
-    times.silent_busy_intervals = 10;
-    return times;
+report_options short_intervals() {
+    report_options options;
+    options.serving_interval = milliseconds(10);
+    options.same_domain_interval = milliseconds(30);
+    options.cross_domain_interval = milliseconds(30);
+    options.timeout_intervals = 20;
+    options.serving_timeout_intervals = 10;
+    return options;
 }
 
-/// One instance's reports on a mesh of its own.
+/// The report exchange of one instance, with its own mesh.
 struct reporter {
     loop& events;
-    fleet_report own;
+    instance_report own;
     std::vector<report_kind> kinds;
     mesh network;
-    fleet_reports reports;
+    report_exchange reports;
 
-    reporter(loop& event_loop, const peer_info& info, const report_times& times = short_times())
+    reporter(loop& event_loop, const peer_info& info,
+             const report_options& options = short_intervals())
         : events(event_loop),
           network(event_loop, info,
                   {[this](const peer_info& from, const wire::messageT& message) {
@@ -53,12 +54,12 @@
                    [](const auto&, const auto&) {},
                    [this](const peer_info& peer) { this->reports.peer_connected(peer); },
                    [this](const peer_info& peer) { this->reports.peer_disconnected(peer); }}),
-          reports(event_loop, network, times) {
+          reports(event_loop, network, options) {
         this->reports.make_report = [this](report_kind kind) {
-            fleet_report report = this->own;
-            report.in_full = kind == report_kind::full;
+            instance_report report = this->own;
+            report.has_targets = kind == report_kind::full;
             this->kinds.push_back(kind);
-            if (!report.in_full) {
+            if (!report.has_targets) {
                 report.targets.clear();
             }
             return report;
@@ -84,7 +85,7 @@
 
 } // namespace
 
-BOOST_AUTO_TEST_CASE(what_runs_at_a_target_is_summed_over_serving_instances) {
+BOOST_AUTO_TEST_CASE(target_status_is_summed_over_serving_instances) {
     loop events;
     reporter first(events, describe("a", 1, 18980));
     reporter second(events, describe("b", 2, 18982));
@@ -95,105 +96,109 @@
     first.start();
     second.start();
     first.network.learn({"127.0.0.1", 18982}, false);
-    const auto total = [&] { return first.reports.total_at(target_hash, boot_clock::now()); };
+    const auto total = [&] {
+        return first.reports.sum_target_status(target_hash, boot_clock::now());
+    };
     BOOST_REQUIRE(run_until(events, [&] { return total().running == 3; }));
-    BOOST_TEST(total().silence == 5.5);
-    BOOST_TEST(total().failures == 1.25);
-    BOOST_TEST((total().out > milliseconds(500)));
-    const fleet_report& heard = *first.reports.peers().begin()->second.report;
-    BOOST_TEST(heard.accounts.at(account_hash).admitted == 17U);
-    BOOST_TEST(heard.accounts.at(account_hash).tokens == -4);
+    BOOST_TEST(total().overdue_suspicion == 5.5);
+    BOOST_TEST(total().failure_suspicion == 1.25);
+    BOOST_TEST((total().ejected_for > milliseconds(500)));
+    const instance_report& received = *first.reports.peers().begin()->second.report;
+    BOOST_TEST(received.accounts.at(account_hash).admitted == 17U);
+    BOOST_TEST(received.accounts.at(account_hash).tokens == -4);
     second.own.targets.clear();
     BOOST_TEST(run_until(events, [&] { return total().running == 0; }));
 }
 
-BOOST_AUTO_TEST_CASE(all_peers_hear_at_once_that_an_instance_begins_to_serve) {
-    report_times times = short_times();
-    times.near_interval = seconds(60);
-    times.far_interval = seconds(60);
+BOOST_AUTO_TEST_CASE(all_peers_are_notified_immediately_when_an_instance_starts_to_serve) {
+    report_options options = short_intervals();
+    options.same_domain_interval = seconds(60);
+    options.cross_domain_interval = seconds(60);
     loop events;
-    reporter first(events, describe("a", 1, 18984), times);
-    reporter second(events, describe("b", 2, 18986), times);
+    reporter first(events, describe("a", 1, 18984), options);
+    reporter second(events, describe("b", 2, 18986), options);
     first.start();
     second.start();
     first.network.learn({"127.0.0.1", 18986}, false);
-    const auto heard = [&]() -> const fleet_report* {
+    const auto received = [&]() -> const instance_report* {
         const auto& peers = first.reports.peers();
         return peers.empty() || !peers.begin()->second.report ? nullptr
                                                               : &*peers.begin()->second.report;
     };
-    BOOST_REQUIRE(run_until(events, [&] { return heard() != nullptr; }));
-    BOOST_TEST(!heard()->serving);
+    BOOST_REQUIRE(run_until(events, [&] { return received() != nullptr; }));
+    BOOST_TEST(!received()->serving);
     second.own.serving = true;
     second.own.accounts[account_hash] = {17, -4};
-    BOOST_REQUIRE(run_until(events, [&] { return heard()->serving; }));
-    BOOST_TEST(heard()->accounts.at(account_hash).admitted == 17U);
+    BOOST_REQUIRE(run_until(events, [&] { return received()->serving; }));
+    BOOST_TEST(received()->accounts.at(account_hash).admitted == 17U);
 }
 
-// Pattern: serving instances are cut off from each other and their callers still reach them all.
-// One that misses reports may go on admitting, so it must not count as heard until its link is
-// given up.
-BOOST_AUTO_TEST_CASE(a_serving_peer_that_misses_reports_soon_counts_as_unheard) {
-    report_times far_apart = short_times();
-    far_apart.busy_interval = seconds(60);
-    report_times patient = short_times();
-    patient.near_interval = seconds(60);
+// Guards against admitting too much in a network partition: serving instances are cut off from each
+// other while callers still reach all of them. A peer that misses reports may still be admitting
+// requests, so it must count as overdue well before its link times out.
+BOOST_AUTO_TEST_CASE(a_serving_peer_that_misses_reports_becomes_overdue) {
+    report_options slow_sender = short_intervals();
+    slow_sender.serving_interval = seconds(60);
+    report_options long_timeout = short_intervals();
+    long_timeout.same_domain_interval = seconds(60);
     loop events;
-    reporter first(events, describe("a", 1, 18988), patient);
-    reporter second(events, describe("b", 2, 18990), far_apart);
+    reporter first(events, describe("a", 1, 18988), long_timeout);
+    reporter second(events, describe("b", 2, 18990), slow_sender);
     first.own.serving = true;
     second.own.serving = true;
     first.start();
     second.start();
     first.network.learn({"127.0.0.1", 18990}, false);
     const auto count = [&] { return first.reports.count_serving(boot_clock::now()); };
-    BOOST_REQUIRE(run_until(events, [&] { return count().heard == 1; }));
-    BOOST_REQUIRE(run_until(events, [&] { return count().unheard == 1; }));
-    BOOST_TEST(count().heard == 0);
-    BOOST_TEST(first.reports.heard_peers() == 1U);
+    BOOST_REQUIRE(run_until(events, [&] { return count().on_time == 1; }));
+    BOOST_REQUIRE(run_until(events, [&] { return count().overdue == 1; }));
+    BOOST_TEST(count().on_time == 0);
+    BOOST_TEST(first.reports.live_peer_count() == 1U);
 }
 
-// Pattern: a partition heals. What a peer admitted before it was lost has been counted already.
-BOOST_AUTO_TEST_CASE(a_peer_that_is_back_is_compared_with_its_last_report) {
+// Guards against counting admissions twice after a partition has healed: what a peer admitted
+// before it was disconnected has been counted already.
+BOOST_AUTO_TEST_CASE(a_reconnected_peer_is_compared_with_its_last_report) {
     loop events;
     reporter first(events, describe("a", 1, 18992));
     reporter second(events, describe("b", 2, 18994));
     second.own.serving = true;
     second.own.accounts[account_hash] = {100, 0};
-    std::vector<std::uint32_t> earlier;
-    first.reports.on_report = [&](const reporting_peer&, const fleet_report* before) {
-        earlier.push_back(before == nullptr ? 0 : before->accounts.at(account_hash).admitted);
+    std::vector<std::uint32_t> previous_counts;
+    first.reports.on_report = [&](const reporting_peer&, const instance_report* before) {
+        previous_counts.push_back(before == nullptr ? 0
+                                                    : before->accounts.at(account_hash).admitted);
     };
     first.start();
     second.start();
     first.network.learn({"127.0.0.1", 18994}, false);
-    BOOST_REQUIRE(run_until(events, [&] { return earlier.size() > 2; }));
-    BOOST_TEST(earlier.front() == 0U);
+    BOOST_REQUIRE(run_until(events, [&] { return previous_counts.size() > 2; }));
+    BOOST_TEST(previous_counts.front() == 0U);
     second.own.accounts[account_hash] = {130, 0};
     first.network.drop(incarnation_id{2});
     BOOST_REQUIRE(run_until(events, [&] { return first.reports.peers().empty(); }));
-    earlier.clear();
-    BOOST_REQUIRE(run_until(events, [&] { return !earlier.empty(); }));
-    BOOST_TEST(earlier.front() >= 100U);
+    previous_counts.clear();
+    BOOST_REQUIRE(run_until(events, [&] { return !previous_counts.empty(); }));
+    BOOST_TEST(previous_counts.front() >= 100U);
     BOOST_TEST(std::count(second.kinds.begin(), second.kinds.end(), report_kind::introduction) ==
                2);
 }
 
-// Guards against confirmed changes that come late: reports between many serving instances filled
-// the links on which the store's answers, requests and their answers wait.
-BOOST_AUTO_TEST_CASE(reports_of_many_serving_instances_leave_the_link_to_requests) {
+// Guards against late delivery of confirmed changes: reports between many serving instances
+// saturated the links that also carry the store's responses, the requests and their responses.
+BOOST_AUTO_TEST_CASE(reports_of_many_serving_instances_stay_within_their_bandwidth) {
     constexpr std::size_t instances = 24;
     constexpr std::uint64_t targets = 200;
     constexpr std::uint64_t accounts = 70;
     constexpr std::uint16_t first_port = 18900;
-    // A tenth of a link of 10 Mbit/s.
+    // 10 % of a 10 Mbit/s link.
     constexpr double report_bytes_per_s = 125'000;
     loop events;
     std::list<reporter> fleet;
     for (std::size_t i = 0; i < instances; ++i) {
         const auto port = static_cast<std::uint16_t>(first_port + 2 * i);
         reporter& added = fleet.emplace_back(events, describe("i" + std::to_string(i), i + 1, port),
-                                             report_times{});
+                                             report_options{});
         added.own.serving = true;
         for (std::uint64_t target = 1; target <= targets; ++target) {
             added.own.targets[target] = {1, 0.5, 0.5, milliseconds(0)};
@@ -204,26 +209,27 @@
         added.start();
         added.network.learn({"127.0.0.1", first_port}, false);
     }
-    const auto is_whole = [&] {
+    const auto all_on_time = [&] {
         return std::all_of(fleet.begin(), fleet.end(), [](const reporter& item) {
-            return item.reports.count_serving(boot_clock::now()).heard == instances - 1;
+            return item.reports.count_serving(boot_clock::now()).on_time == instances - 1;
         });
     };
-    BOOST_REQUIRE(run_until(events, is_whole));
+    BOOST_REQUIRE(run_until(events, all_on_time));
     const std::uint64_t before = fleet.front().network.traffic().sent;
-    const time_point began = boot_clock::now();
-    // Accounts press, so that each admission should be told soon.
-    const timer pressing = events.every(milliseconds(20), [&] {
+    const time_point start = boot_clock::now();
+    // Accounts at their rate limit, so that each admission requests an early report.
+    const timer admitting = events.every(milliseconds(20), [&] {
         for (reporter& item : fleet) {
             ++item.own.accounts[1].admitted;
-            item.reports.hurry();
+            item.reports.schedule_early_report();
         }
     });
-    run_until(events, [&] { return boot_clock::now() - began > seconds(4); });
+    run_until(events, [&] { return boot_clock::now() - start > seconds(4); });
     const double sent = static_cast<double>(fleet.front().network.traffic().sent - before);
-    BOOST_TEST(sent / to_seconds(boot_clock::now() - began) < report_bytes_per_s);
-    // The admissions are told all the same.
-    const auto& told = fleet.back().reports.peers().begin()->second;
-    BOOST_TEST((boot_clock::now() - told.heard < milliseconds(450)));
-    BOOST_TEST(told.report->accounts.at(1).admitted + 40 > fleet.front().own.accounts[1].admitted);
+    BOOST_TEST(sent / to_seconds(boot_clock::now() - start) < report_bytes_per_s);
+    // The admissions are still reported in time.
+    const auto& received = fleet.back().reports.peers().begin()->second;
+    BOOST_TEST((boot_clock::now() - received.last_heard < milliseconds(450)));
+    BOOST_TEST(received.report->accounts.at(1).admitted + 40 >
+               fleet.front().own.accounts[1].admitted);
 }
--- a/libs/proxy/include/proxy/account_rate_limiter.h
+++ b/libs/proxy/include/proxy/account_rate_limiter.h
@@ -7,7 +7,7 @@
 #include "base/clock.h"
 #include "config/traffic_policy.h"
 #include "decide/shared_bucket.h"
-#include "fleet/fleet_reports.h"
+#include "fleet/report_exchange.h"
 
 /// \file
 /// Rate limiting of client accounts across all instances.
@@ -49,12 +49,12 @@
 
     /// Usage of each recently active account on this instance, or of every account if \p kind is
     /// introduction.
-    [[nodiscard]] std::unordered_map<std::uint64_t, account_use> report(report_kind kind,
-                                                                        time_point now) const;
+    [[nodiscard]] std::unordered_map<std::uint64_t, account_usage> report(report_kind kind,
+                                                                          time_point now) const;
     /// Subtracts the requests that a peer has admitted since its report \p before.
     /// \param is_new true when the peer started so recently that its total count applies
-    void apply_peer_report(const fleet_report& report, const fleet_report* before, bool is_new,
-                           time_point now);
+    void apply_peer_report(const instance_report& report, const instance_report* before,
+                           bool is_new, time_point now);
 
 private:
     struct account_state {
@@ -90,7 +90,7 @@
     [[nodiscard]] account_state make_account_state(std::uint64_t account, const rate_limit& limit,
                                                    const peer_summary& peers, time_point now) const;
     static void mark_stale_level(account_state& state, const peer_summary& peers);
-    void apply_peer_usage(account_state& state, const account_use& usage,
+    void apply_peer_usage(account_state& state, const account_usage& usage,
                           const peer_admissions& admissions, time_point now);
 
     shared_bucket_times times;
--- a/libs/proxy/include/proxy/balancer.h
+++ b/libs/proxy/include/proxy/balancer.h
@@ -39,7 +39,7 @@
 struct balancer_dependencies {
     loop& owner;
     const target_directory& directory;
-    const fleet_reports& reports;
+    const report_exchange& reports;
     retry_limiter& retries;
 };
 
--- a/libs/proxy/include/proxy/edge_gateway.h
+++ b/libs/proxy/include/proxy/edge_gateway.h
@@ -11,8 +11,8 @@
 #include "decide/refill_share.h"
 #include "decide/weighted_split.h"
 #include "event/http_server.h"
-#include "fleet/fleet_reports.h"
 #include "fleet/policy_follower.h"
+#include "fleet/report_exchange.h"
 #include "fleet/target_directory.h"
 #include "proxy/account_rate_limiter.h"
 #include "proxy/balancer.h"
@@ -38,7 +38,7 @@
         const header_names& headers;
         policy_follower& policy;
         target_directory& directory;
-        fleet_reports& reports;
+        report_exchange& reports;
     };
 
     explicit edge_gateway(const dependencies& given);
@@ -53,9 +53,9 @@
     /// connection can be sent.
     void fail_all();
     /// Adds the state of the gateway to the report of this instance.
-    void add_to_report(fleet_report& report, report_kind kind, time_point now);
+    void add_to_report(instance_report& report, report_kind kind, time_point now);
     /// Applies a peer's report; \p before is its previous one, null for the first.
-    void handle_report(const reporting_peer& peer, const fleet_report* before);
+    void handle_report(const reporting_peer& peer, const instance_report* before);
     void handle_peer_lost(const reporting_peer& peer);
 
     /// True when the recent request rate was high enough to count as serving.
@@ -96,7 +96,7 @@
     header_names headers;
     policy_follower& policy;
     target_directory& directory;
-    fleet_reports& reports;
+    report_exchange& reports;
     retry_limiter retries;
     account_rate_limiter accounts;
     edge_metrics metrics;
--- a/libs/proxy/include/proxy/retry_limiter.h
+++ b/libs/proxy/include/proxy/retry_limiter.h
@@ -6,7 +6,7 @@
 #include "base/clock.h"
 #include "base/ids.h"
 #include "decide/shared_bucket.h"
-#include "fleet/fleet_reports.h"
+#include "fleet/report_exchange.h"
 
 /// \file
 /// Fleet-wide retry budget, and quarantine of requests that crash targets.
@@ -45,11 +45,11 @@
     [[nodiscard]] bool is_quarantined(std::uint64_t fingerprint, time_point now) const;
 
     /// Adds the local counts to the report of this instance.
-    void add_to_report(fleet_report& report, time_point now) const;
+    void add_to_report(instance_report& report, time_point now) const;
     /// Applies the counts that a peer has added since its report \p before; null for its first
     /// report.
-    void apply_peer_report(incarnation_id peer, const fleet_report& report,
-                           const fleet_report* before, time_point now);
+    void apply_peer_report(incarnation_id peer, const instance_report& report,
+                           const instance_report* before, time_point now);
     /// Discards the crash counts of a peer.
     void remove_peer(incarnation_id peer);
 
@@ -60,7 +60,7 @@
         /// window.
         double request_rate{0};
         time_point rate_updated_at;
-        service_use usage;
+        service_usage usage;
     };
 
     struct crash_record {
--- a/libs/proxy/include/proxy/target_pool.h
+++ b/libs/proxy/include/proxy/target_pool.h
@@ -12,7 +12,7 @@
 #include "decide/latency_model.h"
 #include "decide/target_rotation.h"
 #include "event/http_client.h"
-#include "fleet/fleet_reports.h"
+#include "fleet/report_exchange.h"
 #include "fleet/target_directory.h"
 
 /// \file
@@ -60,8 +60,8 @@
 class target_pool {
 public:
     /// \p directory and \p reports must outlive the pool.
-    target_pool(service_id service, const target_directory& directory, const fleet_reports& reports,
-                const target_pool_options& options);
+    target_pool(service_id service, const target_directory& directory,
+                const report_exchange& reports, const target_pool_options& options);
 
     /// Replaces the targets by those that the directory now lists.
     void update();
@@ -95,9 +95,9 @@
     void keep_connection(pooled_target& target, std::unique_ptr<http_connection> connection) const;
 
     /// Adds the state of the targets to the report of this instance.
-    void add_to_report(fleet_report& report, time_point now) const;
+    void add_to_report(instance_report& report, time_point now) const;
     /// Adopts the ejections that a peer reports.
-    void adopt_ejections(const fleet_report& report, time_point now);
+    void adopt_ejections(const instance_report& report, time_point now);
 
 private:
     [[nodiscard]] std::vector<target_candidate> candidates(const std::set<target_id>& tried,
@@ -106,7 +106,7 @@
 
     service_id service;
     const target_directory& directory;
-    const fleet_reports& reports;
+    const report_exchange& reports;
     target_pool_options options;
     std::map<target_id, target_ptr> targets;
     std::minstd_rand random;
--- a/libs/proxy/src/account_rate_limiter.cpp
+++ b/libs/proxy/src/account_rate_limiter.cpp
@@ -25,11 +25,11 @@
 
 /// Share of the time since the report \p before that lies after \p created. Admissions before
 /// \p created are already part of the bucket's initial level.
-double fraction_since(time_point created, const fleet_report* before, time_point now) {
-    if (before == nullptr || before->received >= created || before->received >= now) {
+double fraction_since(time_point created, const instance_report* before, time_point now) {
+    if (before == nullptr || before->received_at >= created || before->received_at >= now) {
         return 1;
     }
-    return std::min(1.0, to_seconds(now - created) / to_seconds(now - before->received));
+    return std::min(1.0, to_seconds(now - created) / to_seconds(now - before->received_at));
 }
 
 } // namespace
@@ -109,9 +109,9 @@
     return outcome;
 }
 
-std::unordered_map<std::uint64_t, account_use> account_rate_limiter::report(report_kind kind,
-                                                                            time_point now) const {
-    std::unordered_map<std::uint64_t, account_use> usages;
+std::unordered_map<std::uint64_t, account_usage>
+account_rate_limiter::report(report_kind kind, time_point now) const {
+    std::unordered_map<std::uint64_t, account_usage> usages;
     for (const auto& [id, state] : this->states) {
         const bool is_recent = now - state.last_admitted < reporting_period;
         if (state.admitted > 0 && (is_recent || kind == report_kind::introduction)) {
@@ -121,10 +121,11 @@
     return usages;
 }
 
-void account_rate_limiter::apply_peer_report(const fleet_report& report, const fleet_report* before,
-                                             bool is_new, time_point now) {
+void account_rate_limiter::apply_peer_report(const instance_report& report,
+                                             const instance_report* before, bool is_new,
+                                             time_point now) {
     const bool was_overdue =
-        before != nullptr && report.received - before->received > max_report_gap;
+        before != nullptr && report.received_at - before->received_at > max_report_gap;
     for (const auto& [id, usage] : report.accounts) {
         std::uint32_t previous = 0;
         if (before != nullptr) {
@@ -151,7 +152,7 @@
 }
 
 /// Subtracts a peer's new admissions, or adopts the peer's level if the local one is an estimate.
-void account_rate_limiter::apply_peer_usage(account_state& state, const account_use& usage,
+void account_rate_limiter::apply_peer_usage(account_state& state, const account_usage& usage,
                                             const peer_admissions& admissions, time_point now) {
     if (state.is_estimate && admissions.is_serving) {
         state.is_estimate = false;
--- a/libs/proxy/src/edge_gateway.cpp
+++ b/libs/proxy/src/edge_gateway.cpp
@@ -155,17 +155,17 @@
         if (confirmation_awaited || is_store_down) {
             this->refuse(incoming, {error_kind::configuration_stale, "the store does not answer"},
                          unready_retry_after);
-            this->policy.keep_fresh(now, true);
+            this->policy.confirm_if_due(now, true);
             return;
         }
-        this->policy.await_proof([this, incoming] {
+        this->policy.await_confirmation([this, incoming] {
             if (!incoming->is_caller_gone()) {
                 this->route_and_admit(incoming, true);
             }
         });
         return;
     }
-    this->policy.keep_fresh(now, this->is_serving(now));
+    this->policy.confirm_if_due(now, this->is_serving(now));
     if (!matched) {
         this->refuse(incoming, matched.error(), std::nullopt);
         return;
@@ -179,14 +179,14 @@
         return;
     }
     const time_point now = boot_clock::now();
-    const serving_peers peers = this->reports.count_serving(now);
+    const serving_peer_counts peers = this->reports.count_serving(now);
     const account_rate_limiter::peer_summary view{
-        refill_share(this->lost_peers, peers.heard, peers.unheard, lost_instance_policy{}, now),
-        peers.oldest_report};
+        refill_share(this->lost_peers, peers.on_time, peers.overdue, lost_instance_policy{}, now),
+        peers.oldest_report_age};
     const auto decision =
         this->accounts.admit(*matched.account, view, token_wait_limit(*matched.route), now);
     if (decision.report_early) {
-        this->reports.hurry();
+        this->reports.schedule_early_report();
     }
     if (!decision.admitted) {
         this->refuse(incoming,
@@ -286,7 +286,7 @@
 void edge_gateway::finish(const request_ptr& incoming, const proxied_request& summary,
                           proxy_outcome outcome) {
     const time_point now = boot_clock::now();
-    const auto age = this->policy.proof_age(now);
+    const auto age = this->policy.confirmation_age(now);
     const auto targets_age = this->directory.age(now);
     const std::string kind =
         outcome ? "served" : std::string(answer_for(outcome.error().problem.kind).name);
@@ -328,7 +328,7 @@
 void edge_gateway::refuse(const request_ptr& incoming, const error& problem,
                           std::optional<duration> retry_after) {
     const time_point now = boot_clock::now();
-    const auto age = this->policy.proof_age(now);
+    const auto age = this->policy.confirmation_age(now);
     const auto& current = this->policy.current();
     ++this->metrics.requests[std::string(answer_for(problem.kind).name)];
     log_event(log_level::warning, "request_refused",
@@ -356,7 +356,7 @@
     return answer;
 }
 
-void edge_gateway::add_to_report(fleet_report& report, report_kind kind, time_point now) {
+void edge_gateway::add_to_report(instance_report& report, report_kind kind, time_point now) {
     report.serving = this->is_serving(now);
     report.request_rate = this->request_rate_at(now);
     report.accounts = this->accounts.report(kind, now);
@@ -368,7 +368,7 @@
     }
 }
 
-void edge_gateway::handle_report(const reporting_peer& peer, const fleet_report* before) {
+void edge_gateway::handle_report(const reporting_peer& peer, const instance_report* before) {
     const time_point now = boot_clock::now();
     const bool is_new =
         peer.report->uptime < std::min<duration>(now - this->started, new_process_time);
@@ -384,8 +384,8 @@
     const time_point now = boot_clock::now();
     this->retries.remove_peer(peer.info.incarnation);
     if (peer.report && peer.report->serving) {
-        note_lost(this->lost_peers, peer.info.instance, now - peer.heard, lost_instance_policy{},
-                  now);
+        note_lost(this->lost_peers, peer.info.instance, now - peer.last_heard,
+                  lost_instance_policy{}, now);
     }
 }
 
--- a/libs/proxy/src/retry_limiter.cpp
+++ b/libs/proxy/src/retry_limiter.cpp
@@ -47,7 +47,7 @@
     if (!take_token(state.bucket, this->times)) {
         return false;
     }
-    ++state.usage.resends;
+    ++state.usage.retries;
     return true;
 }
 
@@ -83,7 +83,7 @@
     return crash_count >= this->policy.crashes_to_quarantine;
 }
 
-void retry_limiter::add_to_report(fleet_report& report, time_point now) const {
+void retry_limiter::add_to_report(instance_report& report, time_point now) const {
     for (const auto& [service, state] : this->states) {
         report.services[service] = state.usage;
     }
@@ -94,18 +94,18 @@
     }
 }
 
-void retry_limiter::apply_peer_report(incarnation_id peer, const fleet_report& report,
-                                      const fleet_report* before, time_point now) {
+void retry_limiter::apply_peer_report(incarnation_id peer, const instance_report& report,
+                                      const instance_report* before, time_point now) {
     for (const auto& [service, usage] : report.services) {
-        service_use previous = usage;
+        service_usage previous = usage;
         if (before != nullptr) {
             const auto reported = before->services.find(service);
-            previous = reported == before->services.end() ? service_use{} : reported->second;
+            previous = reported == before->services.end() ? service_usage{} : reported->second;
         }
         service_state& state = this->state_of(service, now);
         this->add_to_request_rate(state, usage.requests - previous.requests, now);
-        if (usage.resends > previous.resends) {
-            note_peer_tokens(state.bucket, usage.resends - previous.resends, this->times, now);
+        if (usage.retries > previous.retries) {
+            note_peer_tokens(state.bucket, usage.retries - previous.retries, this->times, now);
         }
     }
     this->peer_crashes[peer] = report.crashes;
--- a/libs/proxy/src/target_pool.cpp
+++ b/libs/proxy/src/target_pool.cpp
@@ -33,12 +33,12 @@
 } // namespace
 
 bool pooled_target::accepts_requests(time_point now) const {
-    return !this->removed && !this->misdirected && !this->known.vanished &&
-           this->known.registration.state == target_state::ready && now >= this->known.seen;
+    return !this->removed && !this->misdirected && !this->known.vanished_at &&
+           this->known.registration.state == target_state::ready && now >= this->known.first_seen;
 }
 
 target_pool::target_pool(service_id owned, const target_directory& listed,
-                         const fleet_reports& heard, const target_pool_options& pool_options)
+                         const report_exchange& heard, const target_pool_options& pool_options)
     : service(std::move(owned)), directory(listed), reports(heard), options(pool_options),
       random(static_cast<std::minstd_rand::result_type>(random_nonzero())) {
     this->update();
@@ -48,7 +48,7 @@
     const auto& listed = this->directory.targets_of(this->service);
     for (auto& [id, target] : this->targets) {
         const auto kept = listed.find(id);
-        if (kept == listed.end() || kept->second.run != target->known.run) {
+        if (kept == listed.end() || kept->second.generation != target->known.generation) {
             target->removed = true;
             target->idle.clear();
         }
@@ -65,12 +65,12 @@
 }
 
 target_standing target_pool::fleet_state_of(const pooled_target& target, time_point now) const {
-    const target_use peers = this->reports.total_at(target.hash, now);
+    const target_status peers = this->reports.sum_target_status(target.hash, now);
     target_standing fleet_state;
     fleet_state.running = static_cast<int>(target.running.size()) + peers.running;
-    fleet_state.silence = local_overdue_suspicion(target, now) + peers.silence;
+    fleet_state.silence = local_overdue_suspicion(target, now) + peers.overdue_suspicion;
     fleet_state.failures =
-        failure_doubt(target.evidence, this->options.rotation, now) + peers.failures;
+        failure_doubt(target.evidence, this->options.rotation, now) + peers.failure_suspicion;
     return fleet_state;
 }
 
@@ -88,7 +88,7 @@
         candidate.excluded = tried.contains(id);
         candidate.connected = !target->idle.empty();
         candidate.nearby = registration.failure_domain == this->options.failure_domain;
-        candidate.warming_up = now - target->known.seen < registration.warm_up_left;
+        candidate.warming_up = now - target->known.first_seen < registration.warm_up_left;
         all.push_back(candidate);
     }
     return all;
@@ -178,25 +178,26 @@
     }
 }
 
-void target_pool::add_to_report(fleet_report& report, time_point now) const {
+void target_pool::add_to_report(instance_report& report, time_point now) const {
     for (const auto& [id, target] : this->targets) {
-        target_use status;
+        target_status status;
         status.running = static_cast<int>(target->running.size());
-        status.silence = local_overdue_suspicion(*target, now);
-        status.failures = failure_doubt(target->evidence, this->options.rotation, now);
-        status.out = std::max(duration::zero(), target->evidence.out_until - now);
-        if (status.running > 0 || status.failures > negligible_suspicion ||
-            status.out > duration::zero()) {
+        status.overdue_suspicion = local_overdue_suspicion(*target, now);
+        status.failure_suspicion = failure_doubt(target->evidence, this->options.rotation, now);
+        status.ejected_for = std::max(duration::zero(), target->evidence.out_until - now);
+        if (status.running > 0 || status.failure_suspicion > negligible_suspicion ||
+            status.ejected_for > duration::zero()) {
             report.targets[target->hash] = status;
         }
     }
 }
 
-void target_pool::adopt_ejections(const fleet_report& report, time_point now) {
+void target_pool::adopt_ejections(const instance_report& report, time_point now) {
     for (const auto& [id, target] : this->targets) {
         const auto reported = report.targets.find(target->hash);
         if (reported != report.targets.end() &&
-            follow_judgement(target->evidence, report.targets_told + reported->second.out, now)) {
+            follow_judgement(target->evidence,
+                             report.targets_received_at + reported->second.ejected_for, now)) {
             log_event(log_level::debug, "target_out_as_told",
                       {{"service", this->service.value}, {"target", id.value}});
         }
--- a/libs/proxy/tests/limiter_test.cpp
+++ b/libs/proxy/tests/limiter_test.cpp
@@ -60,14 +60,14 @@
     account_rate_limiter limiter({}, start);
     const traffic_account account = account_with(36, 36);
     const time_point reported_at = start + seconds(60);
-    fleet_report before;
+    instance_report before;
     before.serving = true;
-    before.received = reported_at;
+    before.received_at = reported_at;
     before.accounts[hash64("shop")] = {100, 20};
     limiter.apply_peer_report(before, nullptr, false, reported_at);
     const time_point now = reported_at + seconds(3);
     BOOST_TEST(limiter.admit(account, {}, duration::zero(), now).admitted);
-    fleet_report after;
+    instance_report after;
     after.accounts[hash64("shop")] = {208, 20};
     limiter.apply_peer_report(after, &before, false, now + milliseconds(100));
     const auto next = limiter.admit(account, {}, duration::zero(), now + milliseconds(100));
@@ -86,22 +86,22 @@
         if (has_served) {
             BOOST_TEST(limiter.admit(account, {}, duration::zero(), reported_at).admitted);
         }
-        fleet_report before;
-        before.received = reported_at;
+        instance_report before;
+        before.received_at = reported_at;
         before.accounts[hash64("shop")] = {100, 36};
         limiter.apply_peer_report(before, nullptr, false, reported_at);
         const time_point now = reported_at + seconds(2);
         const account_rate_limiter::peer_summary stale{1, seconds(2)};
         BOOST_TEST(admit_all(limiter, account, now, stale) <= 6);
         BOOST_TEST(!limiter.admit(account, stale, milliseconds(500), now).admitted);
-        fleet_report idle = before;
-        idle.received = now;
+        instance_report idle = before;
+        idle.received_at = now;
         idle.accounts[hash64("shop")] = {101, 36};
         limiter.apply_peer_report(idle, &before, false, now);
         BOOST_TEST(admit_all(limiter, account, now, stale) == 0);
-        fleet_report after;
+        instance_report after;
         after.serving = true;
-        after.received = now;
+        after.received_at = now;
         after.accounts[hash64("shop")] = {208, 20};
         limiter.apply_peer_report(after, &before, false, now);
         const int admitted = admit_all(limiter, account, now);
@@ -115,10 +115,10 @@
     const time_point now = start + seconds(60);
     const traffic_account account = account_with(10, 40);
     BOOST_TEST(limiter.admit(account, {}, duration::zero(), now).admitted);
-    fleet_report before;
-    before.received = now;
+    instance_report before;
+    before.received_at = now;
     before.accounts[hash64("shop")] = {100, 40};
-    fleet_report after;
+    instance_report after;
     after.accounts[hash64("shop")] = {130, 10};
     limiter.apply_peer_report(before, nullptr, false, now);
     limiter.apply_peer_report(after, &before, false, now);
@@ -134,7 +134,7 @@
     const duration detection_time = milliseconds(650);
     const traffic_account account = account_with(26, 26);
     std::vector<account_rate_limiter> limiters(copies, account_rate_limiter({}, start));
-    std::vector<fleet_report> last_reports(copies);
+    std::vector<instance_report> last_reports(copies);
     const time_point begin = start + seconds(60);
     const time_point cut = begin + seconds(2);
     int admitted = 0;
@@ -149,8 +149,8 @@
             continue;
         }
         for (std::size_t from = 0; from < copies; ++from) {
-            fleet_report report;
-            report.received = now;
+            instance_report report;
+            report.received_at = now;
             report.accounts = limiters[from].report(report_kind::full, now);
             for (std::size_t to = 0; to < copies; ++to) {
                 if (to != from) {
@@ -174,8 +174,8 @@
     account_rate_limiter other({}, start);
     const traffic_account account = account_with(30, 30);
     const time_point cut = start + seconds(60);
-    fleet_report before;
-    before.received = cut;
+    instance_report before;
+    before.received_at = cut;
     time_point now = cut;
     for (; now < cut + seconds(14); now += milliseconds(20)) {
         static_cast<void>(limiter.admit(account, {0.4, {}}, duration::zero(), now));
@@ -183,8 +183,8 @@
             static_cast<void>(other.admit(account, {0.4, {}}, duration::zero(), now));
         }
     }
-    fleet_report after;
-    after.received = now;
+    instance_report after;
+    after.received_at = now;
     after.accounts = other.report(report_kind::introduction, now);
     BOOST_TEST(after.accounts.at(hash64("shop")).admitted >= 45U);
     limiter.apply_peer_report(after, &before, false, now);
@@ -220,7 +220,7 @@
     constexpr std::uint64_t fingerprint = 42;
     limiter.record_crash(fingerprint, start);
     BOOST_TEST(!limiter.is_quarantined(fingerprint, start));
-    fleet_report peer;
+    instance_report peer;
     peer.crashes[fingerprint] = 2;
     limiter.apply_peer_report(incarnation_id{7}, peer, nullptr, start);
     BOOST_TEST(limiter.is_quarantined(fingerprint, start));
--- a/libs/proxy/tests/target_pool_test.cpp
+++ b/libs/proxy/tests/target_pool_test.cpp
@@ -19,7 +19,7 @@
     standin::platform_service store{events, duration::zero(), 1};
     store_client client{events, store_address};
     mesh network{events, peer_info{}, mesh_handlers{}};
-    fleet_reports reports{events, network, report_times{}};
+    report_exchange reports{events, network, report_options{}};
     target_directory directory{events, client, std::string(platform::targets_prefix),
                                &platform::decode_target, target_directory_options{}};
 
@@ -48,8 +48,8 @@
     pool_fixture fixture;
     target_pool pool(service, fixture.directory, fixture.reports, target_pool_options{});
     const time_point reported_at = boot_clock::now();
-    fleet_report report;
-    report.targets_told = reported_at;
+    instance_report report;
+    report.targets_received_at = reported_at;
     report.targets[hash64("i-1")] = {0, 0, 0, milliseconds(4000)};
     pool.adopt_ejections(report, reported_at);
     BOOST_TEST(pool.rotation_counts(reported_at + milliseconds(3900)).second == 1U);
--- a/programs/knapweedknotd/edge_instance.cpp
+++ b/programs/knapweedknotd/edge_instance.cpp
@@ -31,10 +31,10 @@
 
 policy_follower_options make_policy_options(const fleet_bounds& bounds) {
     policy_follower_options options;
-    options.proof_lifetime =
+    options.confirmation_lifetime =
         std::max<duration>(bounds.key_withdrawal - proof_margin, bounds.key_withdrawal / 2);
-    options.proof_interval = options.proof_lifetime / 3;
-    options.quiet_proof_interval = options.proof_lifetime * 7 / 10;
+    options.confirmation_interval = options.confirmation_lifetime / 3;
+    options.idle_confirmation_interval = options.confirmation_lifetime * 7 / 10;
     return options;
 }
 
@@ -43,15 +43,15 @@
 target_directory_options make_directory_options(bool is_serving, const fleet_bounds& bounds) {
     target_directory_options options;
     options.vanished_grace = bounds.target_drain * 3 / 4;
-    options.gather_time = is_serving ? milliseconds(300) : bounds.target_drain / 2;
+    options.batch_window = is_serving ? milliseconds(300) : bounds.target_drain / 2;
     options.watch_wait = is_serving ? seconds(4) : seconds(18);
     return options;
 }
 
-report_times make_report_times(const machine_resources& machine) {
-    report_times times;
-    times.full_report_bytes_per_s = machine.link_bytes_per_s * share_of_link_for_reports;
-    return times;
+report_options make_report_options(const machine_resources& machine) {
+    report_options options;
+    options.full_report_bytes_per_s = machine.link_bytes_per_s * share_of_link_for_reports;
+    return options;
 }
 
 peer_info describe(const edge_settings& settings) {
@@ -75,7 +75,7 @@
     : owner(event_loop), settings(given), headers(platform::make_header_names()),
       store(event_loop, given.store_address), self(describe(given)),
       network(event_loop, self, this->make_mesh_handlers()),
-      reports(event_loop, network, make_report_times(given.machine)),
+      reports(event_loop, network, make_report_options(given.machine)),
       registry(event_loop, store, network),
       policy(event_loop, store, std::string(platform::policy_key), &platform::decode_policy,
              make_policy_options(given.bounds)),
@@ -92,11 +92,11 @@
         this->gateway.update_targets(service);
     };
     this->reports.make_report = [this](report_kind kind) { return this->make_report(kind); };
-    this->reports.on_report = [this](const reporting_peer& peer, const fleet_report* before) {
-        this->policy.note_peer_number(peer.report->policy);
+    this->reports.on_report = [this](const reporting_peer& peer, const instance_report* before) {
+        this->policy.note_peer_policy_number(peer.report->policy_number);
         this->gateway.handle_report(peer, before);
     };
-    this->reports.on_lost = [this](const reporting_peer& peer) {
+    this->reports.on_peer_lost = [this](const reporting_peer& peer) {
         this->gateway.handle_peer_lost(peer);
     };
 }
@@ -148,14 +148,14 @@
     this->directory.set_options(make_directory_options(is_serving, this->settings.bounds));
 }
 
-fleet_report edge_instance::make_report(report_kind kind) {
+instance_report edge_instance::make_report(report_kind kind) {
     const time_point now = boot_clock::now();
-    fleet_report report;
-    report.in_full = kind == report_kind::full;
+    instance_report report;
+    report.has_targets = kind == report_kind::full;
     report.ready = this->is_ready();
     report.store_reachable = this->policy.is_store_reachable();
     report.uptime = now - this->started;
-    report.policy =
+    report.policy_number =
         this->policy.current() == nullptr ? config_number{} : this->policy.current()->number();
     report.targets_revision = this->directory.revision();
     this->gateway.add_to_report(report, kind, now);
@@ -163,7 +163,7 @@
 }
 
 bool edge_instance::may_be_named(const reporting_peer& peer, time_point now) const {
-    return this->reports.is_heard(peer, now) && peer.report->ready &&
+    return this->reports.is_live(peer, now) && peer.report->ready &&
            (peer.report->store_reachable || !this->policy.is_store_reachable());
 }
 
@@ -238,8 +238,8 @@
     this->drain_started = boot_clock::now();
     log_event(log_level::info, "drain_started",
               {{"running", std::to_string(this->gateway.server().running_requests())}});
-    this->reports.tell_all();
-    this->registry.leave();
+    this->reports.send_to_all();
+    this->registry.deregister();
     // Callers that keep an answer about addresses still connect; they learn to go elsewhere.
     this->gateway.server().close_after_answers();
     const duration kept = std::min<duration>(address_answer_lifetime * address_answer_reuse,
--- a/programs/knapweedknotd/edge_instance.h
+++ b/programs/knapweedknotd/edge_instance.h
@@ -5,9 +5,9 @@
 #include <vector>
 
 #include "event/http_server.h"
-#include "fleet/fleet_reports.h"
 #include "fleet/instance_registry.h"
 #include "fleet/policy_follower.h"
+#include "fleet/report_exchange.h"
 #include "fleet/target_directory.h"
 #include "peers/mesh.h"
 #include "platform/store_client.h"
@@ -35,7 +35,7 @@
 
 private:
     [[nodiscard]] mesh_handlers make_mesh_handlers();
-    [[nodiscard]] fleet_report make_report(report_kind kind);
+    [[nodiscard]] instance_report make_report(report_kind kind);
     void adjust_pace();
     [[nodiscard]] bool is_ready() const;
     [[nodiscard]] bool may_be_named(const reporting_peer& peer, time_point now) const;
@@ -52,7 +52,7 @@
     store_client store;
     peer_info self;
     mesh network;
-    fleet_reports reports;
+    report_exchange reports;
     instance_registry registry;
     policy_follower policy;
     target_directory directory;
--- a/programs/knapweedknotd/load_log.cpp
+++ b/programs/knapweedknotd/load_log.cpp
@@ -50,7 +50,7 @@
     if (!this->measured.gateway.is_serving(now)) {
         return;
     }
-    const serving_peers peers = this->measured.reports.count_serving(now);
+    const serving_peer_counts peers = this->measured.reports.count_serving(now);
     log_event(
         log_level::info, "instance_load",
         {{"late_ms", ms_text(this->latest_lateness)},
@@ -62,10 +62,10 @@
          {"peer_bytes_sent", std::to_string(traffic.sent - last.sent)},
          {"peer_bytes_received", std::to_string(traffic.received - last.received)},
          {"peer_bytes_queued", std::to_string(traffic.queued)},
-         {"serving_peers_heard", std::to_string(peers.heard)},
-         {"serving_peers_unheard", std::to_string(peers.unheard)},
-         {"oldest_report_ms", ms_text(peers.oldest_report)},
-         {"proof_age_ms", ms_text(this->measured.policy.proof_age(now))},
+         {"serving_peers_heard", std::to_string(peers.on_time)},
+         {"serving_peers_unheard", std::to_string(peers.overdue)},
+         {"oldest_report_ms", ms_text(peers.oldest_report_age)},
+         {"proof_age_ms", ms_text(this->measured.policy.confirmation_age(now))},
          {"targets_age_ms", ms_text(this->measured.directory.age(now))}});
 }
 
@@ -86,9 +86,10 @@
         write("reports_sent_total", label, sent.count);
         write("report_bytes_sent_total", label, sent.bytes);
     }
-    write("policy_proof_age_seconds", "", seconds_or_none(this->measured.policy.proof_age(now)));
+    write("policy_proof_age_seconds", "",
+          seconds_or_none(this->measured.policy.confirmation_age(now)));
     write("targets_age_seconds", "", seconds_or_none(this->measured.directory.age(now)));
-    write("peers_heard", "", this->measured.reports.heard_peers());
+    write("peers_heard", "", this->measured.reports.live_peer_count());
 }
 
 } // namespace knapweedknot
--- a/programs/knapweedknotd/load_log.h
+++ b/programs/knapweedknotd/load_log.h
@@ -3,8 +3,8 @@
 #include <string>
 
 #include "event/loop_monitor.h"
-#include "fleet/fleet_reports.h"
 #include "fleet/policy_follower.h"
+#include "fleet/report_exchange.h"
 #include "fleet/target_directory.h"
 #include "proxy/edge_gateway.h"
 
@@ -21,7 +21,7 @@
     struct parts {
         loop& owner;
         const mesh& network;
-        const fleet_reports& reports;
+        const report_exchange& reports;
         store_client& store;
         const policy_follower& policy;
         const target_directory& directory;
