Rename the control plane's classes after their function

Names such as acceptance, loan_keeper and list_watcher did not say what the classes do. token_client is now admission_controller, list_watcher instance_list_poller, acceptance config_quorum, loan_keeper heartbeat_service, seat_keeper seat_manager; files and members follow, with the terms quota lease, confirmation and terminated.

--- a/libs/control/include/control/token_client.h
+++ b/libs/control/include/control/admission_controller.h
@@ -7,7 +7,7 @@
 
 #include "base/error.h"
 #include "config/entities.h"
-#include "control/loan_keeper.h"
+#include "control/heartbeat_service.h"
 #include "control/settings.h"
 #include "event/loop.h"
 #include "peers/mesh.h"
@@ -20,19 +20,20 @@
 
 /// How requests were admitted since the start.
 struct admission_counts {
-    std::uint64_t local{0};
-    std::uint64_t remote{0};
+    std::uint64_t from_local_bucket{0};
+    std::uint64_t by_grant{0};
     std::uint64_t refused{0};
     /// Requests that waited for a broker and got no token in time.
     std::uint64_t timed_out{0};
 };
 
 /// Admits requests. Not thread safe.
-class token_client {
+class admission_controller {
 public:
     using handler = std::function<void(result<void>)>;
 
-    token_client(loop& owner, mesh& network, loan_keeper& loans, const instance_settings& settings);
+    admission_controller(loop& owner, mesh& network, heartbeat_service& heartbeats,
+                         const instance_settings& settings);
 
     /// Calls \p done, at once or later, with success or with rate_exceeded or peer_unreachable.
     /// \param is_wanted false once nobody waits for the request any more; it then gets no token,
@@ -45,12 +46,12 @@
     void handle_reply(const peer_info& from, const wire::token_replyT& reply);
 
     [[nodiscard]] const std::map<account_id, admission_counts>& counts() const noexcept {
-        return this->counted;
+        return this->counts_by_account;
     }
 
 private:
     struct waiter {
-        time_point give_up;
+        time_point expires_at;
         std::function<bool()> is_wanted;
         handler done;
     };
@@ -58,29 +59,29 @@
         client_account_ptr account;
         std::deque<waiter> waiters;
         /// Identifier of the request on its way; zero for none.
-        std::uint64_t asked{0};
-        time_point asked_at;
+        std::uint64_t request_id{0};
+        time_point requested_at;
         std::uint32_t unspent{0};
-        timer retry;
+        timer retry_timer;
     };
 
-    [[nodiscard]] bool take_local(const client_account& account, time_point now);
+    [[nodiscard]] bool take_local_token(const client_account& account, time_point now);
     [[nodiscard]] bool should_wait(const client_account& account, time_point now);
-    void pump(const account_id& id);
-    void serve_locally(account_queue& queue, time_point now);
-    void ask_broker(account_queue& queue, time_point now);
-    void drop_late(account_queue& queue, time_point now);
+    void process_queue(const account_id& id);
+    void admit_locally(account_queue& queue, time_point now);
+    void request_tokens(account_queue& queue, time_point now);
+    void drop_expired(account_queue& queue, time_point now);
     void finish(account_queue& queue, result<void> outcome);
 
     loop& owner;
     mesh& network;
-    loan_keeper& loans;
+    heartbeat_service& heartbeats;
     admission_mode mode;
     broker_slot static_slot;
     std::unordered_map<account_id, account_queue> queues;
-    std::unordered_map<std::uint64_t, account_id> requests;
-    std::map<account_id, admission_counts> counted;
-    std::uint64_t last_request{0};
+    std::unordered_map<std::uint64_t, account_id> accounts_by_request;
+    std::map<account_id, admission_counts> counts_by_account;
+    std::uint64_t last_request_id{0};
 };
 
 } // namespace knapweedknot
--- a/libs/control/include/control/config_follower.h
+++ b/libs/control/include/control/config_follower.h
@@ -38,15 +38,17 @@
     void adopt_written(const history_head& head, std::uint64_t revision);
 
     /// Replaces the adopted head by one with the same number whose tail was archived.
-    void replace_base(const history_head& compacted);
+    void adopt_compacted(const history_head& compacted);
 
     /// Newest adopted head.
     [[nodiscard]] const history_head& head() const noexcept { return this->current; }
     /// Revision of the newest head record read from or written to the store.
-    [[nodiscard]] std::uint64_t revision() const noexcept { return this->head_revision; }
+    [[nodiscard]] std::uint64_t revision() const noexcept { return this->stored_revision; }
     /// A moment at which no newer number had been accepted: before the last read of the head
     /// record that this instance has followed. Nothing before the first.
-    [[nodiscard]] std::optional<time_point> last_read() const noexcept { return this->read_at; }
+    [[nodiscard]] std::optional<time_point> last_read() const noexcept {
+        return this->last_read_started;
+    }
     /// Called after each adopted number.
     std::function<void()> on_adopted;
 
@@ -55,10 +57,10 @@
     void receive(const store_value& value, const done_handler& done);
     void load_snapshot(const history_head& head, std::size_t next_chunk, std::string text,
                        const done_handler& done);
-    [[nodiscard]] result<void> start_from_snapshot(const history_head& head,
-                                                   const std::string& text);
-    void note_adopted();
-    void keep_complete(const history_head& head, std::uint64_t revision);
+    [[nodiscard]] result<void> load_from_snapshot(const history_head& head,
+                                                  const std::string& text);
+    void report_adopted();
+    void keep_full_head(const history_head& head, std::uint64_t revision);
     [[nodiscard]] result<void> load_document(const history_head& head, const std::string& text);
     [[nodiscard]] result<void> apply_tail(const history_head& head);
 
@@ -67,9 +69,9 @@
     configuration& config;
     duration watch_wait;
     history_head current;
-    std::uint64_t head_revision{0};
-    std::optional<time_point> read_at;
-    timer retry;
+    std::uint64_t stored_revision{0};
+    std::optional<time_point> last_read_started;
+    timer retry_timer;
 };
 
 } // namespace knapweedknot
--- a/libs/control/include/control/loan_keeper.h
+++ b/libs/control/include/control/heartbeat_service.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "control/seat_keeper.h"
+#include "control/seat_manager.h"
 #include "decide/broker_slot.h"
 #include "decide/freshness.h"
 #include "decide/loan_book.h"
@@ -23,7 +23,7 @@
 inline constexpr std::uint32_t slot_count = 128;
 
 /// Parameters of the heartbeats.
-struct loan_keeper_options {
+struct heartbeat_options {
     duration heartbeat_interval{milliseconds(800)};
     loan_times times;
     freshness_times freshness;
@@ -35,54 +35,55 @@
     bool connected{false};
     bool leaving{false};
     time_point last_heard;
-    /// Peer's clock in its last heartbeat, echoed back to it.
-    std::uint32_t stamp{0};
+    /// Peer's clock in its last heartbeat, sent_at back to it.
+    std::uint32_t last_timestamp{0};
     /// Greatest sequence of the peer that was acted on.
-    std::uint32_t processed{0};
+    std::uint32_t last_sequence{0};
     int held_seats{0};
-    int lent_seats{0};
+    int leased_seats{0};
     config_number number;
-    bool vouches{false};
+    bool confirms{false};
     /// Our clock when we sent what the peer had heard; nothing before the first echo.
     std::optional<time_point> as_of;
 };
 
 /// Sends and handles heartbeats. Not thread safe.
-class loan_keeper {
+class heartbeat_service {
 public:
-    loan_keeper(loop& owner, mesh& network, seat_keeper& seats, const loan_keeper_options& options);
+    heartbeat_service(loop& owner, mesh& network, seat_manager& seats,
+                      const heartbeat_options& options);
 
     void start();
     void handle_heartbeat(const peer_info& from, const wire::heartbeat_fields& fields);
     void peer_connected(const peer_info& peer);
     void peer_disconnected(const peer_info& peer);
     /// Sends a heartbeat to one peer now, if it is connected.
-    void beat_now(incarnation_id to);
+    void send_heartbeat_now(incarnation_id to);
     /// From now on this instance takes no loans and no seats.
     void set_leaving();
     /// What this instance says of its configuration.
-    std::function<config_number()> own_number;
-    std::function<bool()> own_vouch;
+    std::function<config_number()> own_config_number;
+    std::function<bool()> own_confirmation;
 
     /// The slot's state here; holds tokens only while others lend to this instance.
     [[nodiscard]] broker_slot& slot(slot_id id) { return this->slots.at(id.value); }
     /// Instance that this one expects to broker the slot.
-    [[nodiscard]] incarnation_id broker_of(slot_id id) const { return this->choices.at(id.value); }
-    [[nodiscard]] bool is_own_choice(slot_id id) const {
+    [[nodiscard]] incarnation_id broker_of(slot_id id) const { return this->brokers.at(id.value); }
+    [[nodiscard]] bool is_broker_of(slot_id id) const {
         return this->broker_of(id) == this->network.self().incarnation;
     }
     [[nodiscard]] const std::map<incarnation_id, peer_status>& peers() const noexcept {
         return this->statuses;
     }
     /// Live peers and this instance, in the order in which they should serve \p id.
-    [[nodiscard]] std::vector<peer_info> ranked(slot_id id) const;
+    [[nodiscard]] std::vector<peer_info> ranked_instances(slot_id id) const;
     /// Vouchers of all peers and of this instance.
-    [[nodiscard]] std::vector<config_voucher> vouchers(time_point now) const;
+    [[nodiscard]] std::vector<config_voucher> confirmations(time_point now) const;
     [[nodiscard]] int own_voting_seats(time_point now) const {
         return this->seats.voting_seats(now);
     }
-    [[nodiscard]] int own_lendable_seats(time_point now) const {
-        return this->seats.lendable_seats(now);
+    [[nodiscard]] int own_leasable_seats(time_point now) const {
+        return this->seats.leasable_seats(now);
     }
     [[nodiscard]] int total_seats() const noexcept { return this->seats.record().total_seats; }
     [[nodiscard]] const freshness_times& freshness() const noexcept {
@@ -90,34 +91,34 @@
     }
 
 private:
-    void beat_all();
-    void beat(incarnation_id to, time_point now);
-    void lend_to_self(time_point now);
-    void choose(time_point now);
-    void beat_soon();
-    void take_loans(peer_status& from, const wire::heartbeat_fields& fields, time_point until,
-                    time_point now);
+    void send_round();
+    void send_heartbeat(incarnation_id to, time_point now);
+    void issue_own_leases(time_point now);
+    void choose_brokers(time_point now);
+    void schedule_round();
+    void accept_leases(peer_status& from, const wire::heartbeat_fields& fields, time_point expires,
+                       time_point now);
     /// Instances that may broker slots: this one unless it leaves, and the peers heard lately.
     [[nodiscard]] std::vector<peer_info> candidates(time_point now) const;
     [[nodiscard]] bool is_candidate(const peer_status& peer, time_point now) const;
-    [[nodiscard]] std::uint32_t stamp_of(time_point moment) const;
-    [[nodiscard]] time_point moment_of(std::uint32_t stamp, time_point now) const;
+    [[nodiscard]] std::uint32_t to_timestamp(time_point time) const;
+    [[nodiscard]] time_point from_timestamp(std::uint32_t timestamp, time_point now) const;
 
     loop& owner;
     mesh& network;
-    seat_keeper& seats;
-    loan_keeper_options options;
+    seat_manager& seats;
+    heartbeat_options options;
     time_point epoch;
-    loan_book book;
+    loan_book issued_leases;
     std::vector<broker_slot> slots;
-    std::vector<incarnation_id> choices;
+    std::vector<incarnation_id> brokers;
     std::map<incarnation_id, peer_status> statuses;
     std::uint32_t sequence{0};
     bool leaving{false};
-    time_point last_round;
-    timer rounds;
-    timer soon;
-    bool soon_planned{false};
+    time_point last_round_at;
+    timer round_timer;
+    timer extra_round_timer;
+    bool is_round_scheduled{false};
 };
 
 } // namespace knapweedknot
--- a/libs/control/include/control/list_watcher.h
+++ b/libs/control/include/control/instance_list_poller.h
@@ -3,8 +3,8 @@
 #include <map>
 #include <set>
 
-#include "control/loan_keeper.h"
-#include "control/seat_keeper.h"
+#include "control/heartbeat_service.h"
+#include "control/seat_manager.h"
 #include "event/loop.h"
 #include "peers/mesh.h"
 #include "platform/store_client.h"
@@ -16,10 +16,10 @@
 namespace knapweedknot {
 
 /// Reads or receives the list. Not thread safe.
-class list_watcher {
+class instance_list_poller {
 public:
-    list_watcher(loop& owner, store_client& store, mesh& network, loan_keeper& loans,
-                 seat_keeper& seats);
+    instance_list_poller(loop& owner, store_client& store, mesh& network,
+                         heartbeat_service& heartbeats, seat_manager& seats);
 
     void handle_listing(const wire::listingT& listing);
     /// True when the platform lists \p address as leaving.
@@ -28,19 +28,19 @@
     }
 
 private:
-    void look();
+    void poll();
     void receive(const std::vector<listed_instance>& list);
-    void find_gone_holders(const std::set<std::string>& listed_ips);
+    void detect_dead_holders(const std::set<std::string>& listed_ips);
 
     loop& owner;
     store_client& store;
     mesh& network;
-    loan_keeper& loans;
-    seat_keeper& seats;
+    heartbeat_service& heartbeats;
+    seat_manager& seats;
     std::set<endpoint> leaving;
-    std::map<incarnation_id, time_point> missing_since;
+    std::map<incarnation_id, time_point> disconnected_since;
     std::map<incarnation_id, time_point> first_seen;
-    timer looking;
+    timer poll_timer;
 };
 
 } // namespace knapweedknot
--- a/libs/control/include/control/patch_committer.h
+++ b/libs/control/include/control/patch_committer.h
@@ -7,8 +7,8 @@
 
 #include <nlohmann/json.hpp>
 
-#include "control/acceptance.h"
 #include "control/config_follower.h"
+#include "control/config_quorum.h"
 #include "event/loop.h"
 #include "platform/store_client.h"
 
@@ -42,7 +42,7 @@
     using handler = std::function<void(result<accepted_patch>)>;
 
     patch_committer(loop& owner, store_client& store, config_follower& follower,
-                    configuration& config, acceptance& votes);
+                    configuration& config, config_quorum& quorum);
 
     /// Queues \p submission. Errors: configuration_conflict when another patch came first,
     /// invalid_value with the paths of bad values, peer_unreachable or store_unavailable when
@@ -54,12 +54,12 @@
         patch_submission submission;
         handler done;
         history_head written;
-        int tries{0};
+        int attempts{0};
         time_point announced_at;
     };
 
-    void start_next();
-    void check();
+    void start_next_job();
+    void validate();
     void announce();
     void append_entry();
     void compact();
@@ -67,21 +67,21 @@
     void write_archive(history_head compacted, const history_archive& archive);
     void write_head();
     void handle_swap(const result<swap_outcome>& outcome);
-    void read_back();
-    void accepted(config_number number);
-    [[nodiscard]] bool must_compact() const;
-    void compaction_failed(const error& problem);
-    void refuse(error problem);
-    [[nodiscard]] const history_entry* find_own_entry() const;
+    void resolve_outcome();
+    void accept(config_number number);
+    [[nodiscard]] bool needs_compaction() const;
+    void handle_compaction_error(const error& problem);
+    void reject(error problem);
+    [[nodiscard]] const history_entry* find_submitted_entry() const;
 
     loop& owner;
     store_client& store;
     config_follower& follower;
     configuration& config;
-    acceptance& votes;
+    config_quorum& quorum;
     std::deque<job> queue;
     bool busy{false};
-    timer retry;
+    timer retry_timer;
 };
 
 } // namespace knapweedknot
--- a/libs/control/include/control/seat_keeper.h
+++ b/libs/control/include/control/seat_manager.h
@@ -18,50 +18,50 @@
 namespace knapweedknot {
 
 /// Parameters of seat keeping.
-struct seat_keeper_options {
+struct seat_manager_options {
     int total_seats{128};
-    duration lease{seconds(43'200)};
+    duration store_lease_ttl{seconds(43'200)};
     /// Time after which a loan made before has surely ended.
-    duration loan_end{milliseconds(1818)};
+    duration quota_lease_timeout{milliseconds(1818)};
     duration watch_wait{seconds(60)};
 };
 
 /// Keeps seats for one instance. Not thread safe.
-class seat_keeper {
+class seat_manager {
 public:
-    seat_keeper(loop& owner, store_client& store, config_follower& follower, const peer_info& self,
-                const seat_keeper_options& options);
+    seat_manager(loop& owner, store_client& store, config_follower& follower, const peer_info& self,
+                 const seat_manager_options& options);
 
     void start();
     /// Seats whose share may be lent now. Zero after the lease has lapsed by this clock.
-    [[nodiscard]] int lendable_seats(time_point now) const;
+    [[nodiscard]] int leasable_seats(time_point now) const;
     /// Seats that this instance holds for votes on configurations.
     [[nodiscard]] int voting_seats(time_point now) const;
     /// Newest record that was read; its total is the configured one before the first read.
-    [[nodiscard]] const seat_record& record() const noexcept { return this->known; }
+    [[nodiscard]] const seat_record& record() const noexcept { return this->current; }
     /// Notes that the process \p holder has ended for certain.
-    void note_gone(incarnation_id holder);
+    void mark_terminated(incarnation_id holder);
     /// Reads whether the lease of \p holder still stands; if not, it is gone.
     void check_lease(incarnation_id holder);
     /// Gives all seats back. \p done is called when the record no longer names this instance, or
     /// when the store does not answer.
     void leave(std::function<void()> done);
     /// Called for each address of a holder in a record that was read.
-    std::function<void(const endpoint&)> on_address;
+    std::function<void(const endpoint&)> on_peer_address;
     /// While this returns true, no seats are given away.
     std::function<bool()> must_keep_seats;
 
 private:
     void watch();
     void receive(const store_value& value);
-    void act();
-    void swap(const seat_record& planned);
-    void swapped(const seat_record& planned, const result<swap_outcome>& outcome);
-    void reread();
+    void reconcile();
+    void write_record(const seat_record& planned);
+    void handle_write(const seat_record& planned, const result<swap_outcome>& outcome);
+    void read_record();
     void renew_lease();
-    void lease_granted(const result<store_lease>& granted, time_point asked);
-    void write_lease_mark();
-    void lower_lending();
+    void handle_lease(const result<store_lease>& granted, time_point requested_at);
+    void write_holder_key();
+    void withhold_surplus();
     [[nodiscard]] seat_view view(time_point now) const;
     [[nodiscard]] int held_seats() const;
 
@@ -69,28 +69,28 @@
     store_client& store;
     config_follower& follower;
     peer_info self;
-    seat_keeper_options options;
-    seat_record known;
+    seat_manager_options options;
+    seat_record current;
     std::uint64_t revision{0};
     bool has_read{false};
-    bool swapping{false};
+    bool is_writing{false};
     bool leaving{false};
-    std::function<void()> left;
-    std::vector<incarnation_id> gone;
+    std::function<void()> on_left;
+    std::vector<incarnation_id> terminated;
     /// Seats that are confirmed and backed by a read of the head record.
-    int confirmed{0};
+    int confirmed_seats{0};
     /// Seats that are no longer lent, and since when.
-    int withheld{0};
+    int withheld_seats{0};
     time_point withheld_since;
-    time_point may_lend_from;
-    std::optional<store_lease> lease;
-    time_point lease_until;
+    time_point leasing_starts;
+    std::optional<store_lease> held_lease;
+    time_point lease_expires;
     /// True once the value that shows the lease to others is in the store.
-    bool lease_marked{false};
-    std::mt19937_64 random;
-    timer ticking;
-    timer pending_swap;
-    timer retry_watch;
+    bool is_holder_key_written{false};
+    std::mt19937_64 random_engine;
+    timer reconcile_timer;
+    timer write_timer;
+    timer watch_timer;
     timer lease_timer;
 };
 
--- a/libs/control/include/control/settings.h
+++ b/libs/control/include/control/settings.h
@@ -19,7 +19,7 @@
 /// How a client account's rate is shared between instances.
 enum class admission_mode {
     /// Seats and loans: exact over all instances.
-    loans,
+    quota_leases,
     /// A fixed part for each instance: the baseline of measurements.
     static_split,
 };
@@ -48,14 +48,14 @@
     std::size_t max_answer_bytes{std::size_t{16} * 1024 * 1024};
     std::size_t max_header_bytes{std::size_t{64} * 1024};
     duration heartbeat_interval{milliseconds(800)};
-    duration loan_length{milliseconds(1800)};
+    duration quota_lease_duration{milliseconds(1800)};
     duration freshness{milliseconds(2500)};
     duration seat_lease{seconds(43'200)};
     /// How long callers keep an answer of addresses.
     duration address_lifetime{milliseconds(5000)};
     /// Longest wait of one watch of the store.
     duration store_watch{seconds(60)};
-    admission_mode admission{admission_mode::loans};
+    admission_mode admission{admission_mode::quota_leases};
 };
 
 /// Reads settings. The error lists every bad value with its path, unit and range. Thread safe.
--- a/libs/control/src/config_follower.cpp
+++ b/libs/control/src/config_follower.cpp
@@ -14,39 +14,39 @@
 
 } // namespace
 
-config_follower::config_follower(loop& event_loop, store_client& client,
-                                 configuration& configuration_kept, duration wait)
-    : owner(event_loop), store(client), config(configuration_kept), watch_wait(wait) {}
+config_follower::config_follower(loop& event_loop, store_client& client, configuration& config_used,
+                                 duration wait)
+    : owner(event_loop), store(client), config(config_used), watch_wait(wait) {}
 
 void config_follower::start() {
     this->refresh([this](const result<void>& /*unused*/) { this->watch(); });
 }
 
 void config_follower::refresh(done_handler done) {
-    const time_point asked = boot_clock::now();
-    this->store.get(head_key,
-                    [this, asked, reply = std::move(done)](const result<store_value>& value) {
-                        if (!value) {
-                            reply(tl::unexpected(value.error()));
-                            return;
-                        }
-                        this->receive(*value, [this, asked, reply](const result<void>& outcome) {
-                            if (outcome) {
-                                this->read_at = asked;
-                            }
-                            reply(outcome);
-                        });
-                    });
+    const time_point requested_at = boot_clock::now();
+    this->store.get(
+        head_key, [this, requested_at, reply = std::move(done)](const result<store_value>& value) {
+            if (!value) {
+                reply(tl::unexpected(value.error()));
+                return;
+            }
+            this->receive(*value, [this, requested_at, reply](const result<void>& outcome) {
+                if (outcome) {
+                    this->last_read_started = requested_at;
+                }
+                reply(outcome);
+            });
+        });
 }
 
 void config_follower::watch() {
-    this->store.watch(head_key, this->head_revision, this->watch_wait,
+    this->store.watch(head_key, this->stored_revision, this->watch_wait,
                       [this](const result<std::optional<store_value>>& value) {
                           const auto again = [this](const result<void>& outcome) {
                               if (outcome) {
                                   this->watch();
                               } else {
-                                  this->retry =
+                                  this->retry_timer =
                                       this->owner.after(retry_delay, [this] { this->watch(); });
                               }
                           };
@@ -75,7 +75,7 @@
     const std::uint64_t revision = value.revision;
     this->adopt(*head, "", [this, revision, head, done](const result<void>& outcome) {
         if (outcome) {
-            this->keep_complete(*head, revision);
+            this->keep_full_head(*head, revision);
         }
         done(outcome);
     });
@@ -100,18 +100,18 @@
 
 void config_follower::adopt_written(const history_head& head, std::uint64_t revision) {
     this->adopt(head, "", [](const result<void>& /*unused*/) {});
-    this->keep_complete(head, revision);
+    this->keep_full_head(head, revision);
 }
 
 /// Peers send only the entries that an instance lacks; the store's head has the whole tail.
-void config_follower::keep_complete(const history_head& head, std::uint64_t revision) {
-    this->head_revision = std::max(this->head_revision, revision);
+void config_follower::keep_full_head(const history_head& head, std::uint64_t revision) {
+    this->stored_revision = std::max(this->stored_revision, revision);
     if (head.number() == this->config.number()) {
         this->current = head;
     }
 }
 
-void config_follower::replace_base(const history_head& compacted) {
+void config_follower::adopt_compacted(const history_head& compacted) {
     assert(compacted.number() == this->current.number());
     this->current = compacted;
 }
@@ -119,25 +119,25 @@
 void config_follower::load_snapshot(const history_head& head, std::size_t next_chunk,
                                     std::string text, const done_handler& done) {
     if (next_chunk == head.snapshot.chunk_keys.size()) {
-        done(this->start_from_snapshot(head, text));
+        done(this->load_from_snapshot(head, text));
         return;
     }
-    this->store.get(
-        head.snapshot.chunk_keys[next_chunk],
-        [this, head, next_chunk, so_far = std::move(text), done](const result<store_value>& chunk) {
-            if (!chunk) {
-                done(tl::unexpected(chunk.error()));
-            } else if (chunk->revision == 0) {
-                // A newer snapshot has replaced this one.
-                done(fail(error_kind::not_found, "a part of the document is gone"));
-            } else {
-                this->load_snapshot(head, next_chunk + 1, so_far + chunk->data, done);
-            }
-        });
+    this->store.get(head.snapshot.chunk_keys[next_chunk], [this, head, next_chunk,
+                                                           assembled = std::move(text),
+                                                           done](const result<store_value>& chunk) {
+        if (!chunk) {
+            done(tl::unexpected(chunk.error()));
+        } else if (chunk->revision == 0) {
+            // A newer snapshot has replaced this one.
+            done(fail(error_kind::not_found, "a part of the document is gone"));
+        } else {
+            this->load_snapshot(head, next_chunk + 1, assembled + chunk->data, done);
+        }
+    });
 }
 
-result<void> config_follower::start_from_snapshot(const history_head& head,
-                                                  const std::string& text) {
+result<void> config_follower::load_from_snapshot(const history_head& head,
+                                                 const std::string& text) {
     if (head.snapshot.number < this->config.number()) {
         return this->apply_tail(head);
     }
@@ -157,7 +157,7 @@
         return loaded;
     }
     this->current = head;
-    this->note_adopted();
+    this->report_adopted();
     return {};
 }
 
@@ -181,11 +181,11 @@
         last_hash = hash_of(entry);
         this->current.tail.push_back(entry);
     }
-    this->note_adopted();
+    this->report_adopted();
     return {};
 }
 
-void config_follower::note_adopted() {
+void config_follower::report_adopted() {
     log_event(log_level::info, "configuration_adopted",
               {{"number", std::to_string(this->config.number().value)}});
     if (this->on_adopted) {
--- a/libs/control/src/patch_committer.cpp
+++ b/libs/control/src/patch_committer.cpp
@@ -10,10 +10,10 @@
 
 namespace {
 
-constexpr int max_write_tries = 5;
+constexpr int max_write_attempts = 5;
 constexpr duration retry_delay = milliseconds(300);
-constexpr duration write_limit = seconds(10);
-constexpr duration force_limit = milliseconds(5000);
+constexpr duration write_timeout = seconds(10);
+constexpr duration in_force_timeout = milliseconds(5000);
 constexpr std::size_t max_head_bytes = std::size_t{400} * 1024;
 constexpr std::size_t max_patch_bytes = std::size_t{400} * 1024;
 constexpr std::size_t max_tail_entries = 64;
@@ -33,16 +33,16 @@
 
 patch_committer::patch_committer(loop& event_loop, store_client& client,
                                  config_follower& config_source, configuration& config_used,
-                                 acceptance& acceptance_used)
+                                 config_quorum& quorum_used)
     : owner(event_loop), store(client), follower(config_source), config(config_used),
-      votes(acceptance_used) {}
+      quorum(quorum_used) {}
 
 void patch_committer::submit(patch_submission submission, handler done) {
     this->queue.push_back({std::move(submission), std::move(done), {}, 0, {}});
-    this->start_next();
+    this->start_next_job();
 }
 
-void patch_committer::start_next() {
+void patch_committer::start_next_job() {
     if (this->busy || this->queue.empty()) {
         return;
     }
@@ -50,14 +50,14 @@
     // The newest head decides conflicts early and gives the revision to write against.
     this->follower.refresh([this](const result<void>& outcome) {
         if (!outcome) {
-            this->refuse(outcome.error());
+            this->reject(outcome.error());
             return;
         }
-        this->check();
+        this->validate();
     });
 }
 
-const history_entry* patch_committer::find_own_entry() const {
+const history_entry* patch_committer::find_submitted_entry() const {
     for (const history_entry& entry : this->follower.head().tail) {
         if (entry.patch_id == this->queue.front().submission.patch_id) {
             return &entry;
@@ -66,37 +66,37 @@
     return nullptr;
 }
 
-void patch_committer::check() {
+void patch_committer::validate() {
     const patch_submission& submission = this->queue.front().submission;
-    if (const history_entry* own = this->find_own_entry(); own != nullptr) {
-        this->accepted(own->number);
+    if (const history_entry* entry = this->find_submitted_entry(); entry != nullptr) {
+        this->accept(entry->number);
         return;
     }
     if (submission.base != this->config.number()) {
-        this->refuse({error_kind::configuration_conflict,
+        this->reject({error_kind::configuration_conflict,
                       "written against " + std::to_string(submission.base.value) +
                           ", but the configuration is at " +
                           std::to_string(this->config.number().value)});
         return;
     }
     if (submission.patch.dump().size() > max_patch_bytes) {
-        this->refuse(
+        this->reject(
             {error_kind::request_too_large,
              "a patch has at most " + std::to_string(max_patch_bytes) + " bytes; split it"});
         return;
     }
     if (const auto checked = this->config.check(submission.patch); !checked) {
-        this->refuse(checked.error());
+        this->reject(checked.error());
         return;
     }
-    if (this->must_compact()) {
+    if (this->needs_compaction()) {
         this->compact();
     } else {
         this->announce();
     }
 }
 
-bool patch_committer::must_compact() const {
+bool patch_committer::needs_compaction() const {
     const history_head& base = this->follower.head();
     const std::size_t size =
         encode_head(base).size() + this->queue.front().submission.patch.dump().size();
@@ -106,18 +106,18 @@
 void patch_committer::announce() {
     this->queue.front().announced_at = boot_clock::now();
     const config_number next{this->config.number().value + 1};
-    this->votes.announce(next, this->queue.front().submission.patch_id,
-                         [this, next](const result<void>& outcome) {
-                             if (!outcome) {
-                                 this->refuse(outcome.error());
-                                 return;
-                             }
-                             if (this->config.number().value + 1 != next.value) {
-                                 this->read_back();
-                                 return;
-                             }
-                             this->append_entry();
-                         });
+    this->quorum.announce(next, this->queue.front().submission.patch_id,
+                          [this, next](const result<void>& outcome) {
+                              if (!outcome) {
+                                  this->reject(outcome.error());
+                                  return;
+                              }
+                              if (this->config.number().value + 1 != next.value) {
+                                  this->resolve_outcome();
+                                  return;
+                              }
+                              this->append_entry();
+                          });
 }
 
 void patch_committer::append_entry() {
@@ -153,7 +153,7 @@
     this->store.swap(key, text, 0, std::nullopt,
                      [this, compacted](const result<swap_outcome>& outcome) {
                          if (!outcome) {
-                             this->compaction_failed(outcome.error());
+                             this->handle_compaction_error(outcome.error());
                              return;
                          }
                          // A conflict means that the same content is there already.
@@ -165,7 +165,7 @@
                                   const std::string& document) {
     if (offset >= document.size()) {
         if (compacted.number() == this->config.number()) {
-            this->follower.replace_base(compacted);
+            this->follower.adopt_compacted(compacted);
         }
         this->announce();
         return;
@@ -176,27 +176,27 @@
     this->store.swap(key, chunk, 0, std::nullopt,
                      [this, compacted, offset, document](const result<swap_outcome>& outcome) {
                          if (!outcome) {
-                             this->compaction_failed(outcome.error());
+                             this->handle_compaction_error(outcome.error());
                              return;
                          }
                          this->write_chunk(compacted, offset + chunk_bytes, document);
                      });
 }
 
-void patch_committer::compaction_failed(const error& problem) {
-    this->refuse({error_kind::store_unavailable, "nothing was accepted: " + problem.detail});
+void patch_committer::handle_compaction_error(const error& problem) {
+    this->reject({error_kind::store_unavailable, "nothing was accepted: " + problem.detail});
 }
 
 void patch_committer::write_head() {
     job& current = this->queue.front();
-    if (boot_clock::now() - current.announced_at > write_limit) {
+    if (boot_clock::now() - current.announced_at > write_timeout) {
         // Others may have stopped to expect this write, so it must not take effect any more.
-        this->refuse(
-            {current.tries == 0 ? error_kind::store_unavailable : error_kind::outcome_unknown,
+        this->reject(
+            {current.attempts == 0 ? error_kind::store_unavailable : error_kind::outcome_unknown,
              "writing the patch took too long"});
         return;
     }
-    ++current.tries;
+    ++current.attempts;
     this->store.swap(head_key, encode_head(current.written), this->follower.revision(),
                      std::nullopt,
                      [this](const result<swap_outcome>& outcome) { this->handle_swap(outcome); });
@@ -206,45 +206,45 @@
     if (outcome && outcome->swapped) {
         const history_head written = this->queue.front().written;
         this->follower.adopt_written(written, outcome->revision);
-        this->accepted(written.number());
+        this->accept(written.number());
         return;
     }
     if (!outcome && outcome.error().kind == error_kind::store_unavailable &&
-        this->queue.front().tries == 1) {
-        this->votes.withdraw(this->queue.front().written.number(),
-                             this->queue.front().submission.patch_id);
-        this->refuse(
+        this->queue.front().attempts == 1) {
+        this->quorum.withdraw(this->queue.front().written.number(),
+                              this->queue.front().submission.patch_id);
+        this->reject(
             {error_kind::store_unavailable, "nothing was accepted: " + outcome.error().detail});
         return;
     }
-    this->read_back();
+    this->resolve_outcome();
 }
 
-void patch_committer::read_back() {
+void patch_committer::resolve_outcome() {
     this->follower.refresh([this](const result<void>& outcome) {
         job& current = this->queue.front();
-        const history_entry* own = this->find_own_entry();
-        if (outcome && own != nullptr) {
-            this->accepted(own->number);
+        const history_entry* entry = this->find_submitted_entry();
+        if (outcome && entry != nullptr) {
+            this->accept(entry->number);
             return;
         }
         if (outcome && this->config.number() > current.submission.base) {
-            this->refuse({error_kind::configuration_conflict,
+            this->reject({error_kind::configuration_conflict,
                           "another patch was accepted first; the configuration is at " +
                               std::to_string(this->config.number().value)});
             return;
         }
-        if (current.tries >= max_write_tries) {
-            this->refuse({error_kind::outcome_unknown,
+        if (current.attempts >= max_write_attempts) {
+            this->reject({error_kind::outcome_unknown,
                           "the store does not tell whether the patch was accepted; look at the "
                           "history for patch id " +
                               current.submission.patch_id});
             return;
         }
         // The same write against the same revision takes effect once at most.
-        this->retry = this->owner.after(retry_delay, [this] {
+        this->retry_timer = this->owner.after(retry_delay, [this] {
             if (this->queue.front().written.tail.empty()) {
-                this->refuse({error_kind::configuration_conflict, "the history has moved on"});
+                this->reject({error_kind::configuration_conflict, "the history has moved on"});
                 return;
             }
             this->write_head();
@@ -252,7 +252,7 @@
     });
 }
 
-void patch_committer::accepted(config_number number) {
+void patch_committer::accept(config_number number) {
     job finished = std::move(this->queue.front());
     this->queue.pop_front();
     this->busy = false;
@@ -260,15 +260,15 @@
               {{"number", std::to_string(number.value)},
                {"author", finished.submission.author},
                {"patch_id", finished.submission.patch_id}});
-    this->votes.spread();
-    this->votes.when_in_force(number, force_limit,
-                              [number, done = std::move(finished.done)](bool everywhere) {
-                                  done(accepted_patch{number, everywhere});
-                              });
-    this->start_next();
+    this->quorum.broadcast_head();
+    this->quorum.await_in_force(number, in_force_timeout,
+                                [number, done = std::move(finished.done)](bool everywhere) {
+                                    done(accepted_patch{number, everywhere});
+                                });
+    this->start_next_job();
 }
 
-void patch_committer::refuse(error problem) {
+void patch_committer::reject(error problem) {
     const job finished = std::move(this->queue.front());
     this->queue.pop_front();
     this->busy = false;
@@ -277,7 +277,7 @@
                {"kind", std::string(answer_for(problem.kind).name)},
                {"detail", problem.detail}});
     finished.done(tl::unexpected(std::move(problem)));
-    this->start_next();
+    this->start_next_job();
 }
 
 } // namespace knapweedknot
--- a/libs/control/src/settings.cpp
+++ b/libs/control/src/settings.cpp
@@ -51,14 +51,15 @@
 void read_times(settings_reader& reader, instance_settings& settings) {
     settings.heartbeat_interval =
         read_time(reader, "heartbeat_ms", settings.heartbeat_interval, 50, 10'000);
-    settings.loan_length = read_time(reader, "loan_ms", settings.loan_length, 100, 30'000);
+    settings.quota_lease_duration =
+        read_time(reader, "loan_ms", settings.quota_lease_duration, 100, 30'000);
     settings.freshness = read_time(reader, "freshness_ms", settings.freshness, 200, 10'000);
     settings.seat_lease = seconds(reader.integer(
         "seat_lease_s", static_cast<long long>(to_seconds(settings.seat_lease)), 10, 604'800, "s"));
     settings.address_lifetime =
         read_time(reader, "address_lifetime_ms", settings.address_lifetime, 100, 600'000);
     settings.store_watch = read_time(reader, "store_watch_ms", settings.store_watch, 1000, 600'000);
-    if (settings.loan_length <= settings.heartbeat_interval) {
+    if (settings.quota_lease_duration <= settings.heartbeat_interval) {
         reader.report("loan_ms", "must be greater than heartbeat_ms");
     }
     if (settings.freshness <= settings.heartbeat_interval) {
@@ -71,7 +72,7 @@
     if (text != "loans" && text != "static_split") {
         reader.report("admission", "must be loans or static_split");
     }
-    return text == "static_split" ? admission_mode::static_split : admission_mode::loans;
+    return text == "static_split" ? admission_mode::static_split : admission_mode::quota_leases;
 }
 
 } // namespace
--- a/libs/entry/include/entry/gateway.h
+++ b/libs/entry/include/entry/gateway.h
@@ -5,11 +5,11 @@
 #include <memory>
 
 #include "config/configuration.h"
-#include "control/acceptance.h"
-#include "control/list_watcher.h"
-#include "control/loan_keeper.h"
+#include "control/admission_controller.h"
+#include "control/config_quorum.h"
+#include "control/heartbeat_service.h"
+#include "control/instance_list_poller.h"
 #include "control/settings.h"
-#include "control/token_client.h"
 #include "entry/filters.h"
 #include "entry/metrics.h"
 #include "entry/once_keeper.h"
@@ -26,8 +26,8 @@
 class gateway {
 public:
     gateway(loop& owner, const instance_settings& settings, configuration& config,
-            acceptance& votes, token_client& tokens, loan_keeper& loans, list_watcher& listing,
-            mesh& network);
+            config_quorum& votes, admission_controller& tokens, heartbeat_service& loans,
+            instance_list_poller& listing, mesh& network);
 
     [[nodiscard]] result<void> listen();
     /// Takes the services of a changed configuration.
@@ -63,10 +63,10 @@
     loop& owner;
     const instance_settings& settings;
     configuration& config;
-    acceptance& votes;
-    token_client& tokens;
-    loan_keeper& loans;
-    list_watcher& listing;
+    config_quorum& votes;
+    admission_controller& tokens;
+    heartbeat_service& loans;
+    instance_list_poller& listing;
     mesh& network;
     once_keeper once;
     prefix_collector collector;
--- a/libs/entry/include/entry/operator_service.h
+++ b/libs/entry/include/entry/operator_service.h
@@ -4,11 +4,11 @@
 #include <memory>
 #include <string>
 
-#include "control/acceptance.h"
-#include "control/loan_keeper.h"
+#include "control/admission_controller.h"
+#include "control/config_quorum.h"
+#include "control/heartbeat_service.h"
 #include "control/patch_committer.h"
-#include "control/seat_keeper.h"
-#include "control/token_client.h"
+#include "control/seat_manager.h"
 #include "entry/gateway.h"
 #include "event/http_server.h"
 
@@ -33,10 +33,10 @@
     configuration& config;
     config_follower& follower;
     patch_committer& committer;
-    acceptance& votes;
-    loan_keeper& loans;
-    seat_keeper& seats;
-    token_client& tokens;
+    config_quorum& votes;
+    heartbeat_service& loans;
+    seat_manager& seats;
+    admission_controller& tokens;
     gateway& front;
     store_client& store;
     mesh& network;
--- a/libs/entry/src/gateway.cpp
+++ b/libs/entry/src/gateway.cpp
@@ -28,8 +28,8 @@
 } // namespace
 
 gateway::gateway(loop& event_loop, const instance_settings& instance, configuration& config_used,
-                 acceptance& acceptance_used, token_client& token_source, loan_keeper& keeper,
-                 list_watcher& list, mesh& peer_mesh)
+                 config_quorum& acceptance_used, admission_controller& token_source,
+                 heartbeat_service& keeper, instance_list_poller& list, mesh& peer_mesh)
     : owner(event_loop), settings(instance), config(config_used), votes(acceptance_used),
       tokens(token_source), loans(keeper), listing(list), network(peer_mesh),
       once(event_loop, peer_mesh.self().incarnation), collector(event_loop, peer_mesh, once),
@@ -222,7 +222,7 @@
 
 std::vector<peer_info> gateway::name_instances(const client_account& account) const {
     const auto more = static_cast<std::size_t>(std::ceil(account.rate_per_s / rate_per_address));
-    std::vector<peer_info> ranked = this->loans.ranked(slot_of(account.id, slot_count));
+    std::vector<peer_info> ranked = this->loans.ranked_instances(slot_of(account.id, slot_count));
     // The second address is in another failure domain where there is one.
     if (ranked.size() > 2) {
         const auto elsewhere =
--- a/libs/entry/src/operator_service.cpp
+++ b/libs/entry/src/operator_service.cpp
@@ -219,7 +219,7 @@
                     {"callers_address", to_string(self.callers_address)},
                     {"number", this->parts.config.number().value},
                     {"held_seats", this->parts.loans.own_voting_seats(now)},
-                    {"lent_seats", this->parts.loans.own_lendable_seats(now)},
+                    {"lent_seats", this->parts.loans.own_leasable_seats(now)},
                     {"connected", true},
                     {"self", true}});
     for (const auto& [incarnation, peer] : this->parts.loans.peers()) {
@@ -228,7 +228,7 @@
                         {"callers_address", to_string(peer.info.callers_address)},
                         {"number", peer.number.value},
                         {"held_seats", peer.held_seats},
-                        {"lent_seats", peer.lent_seats},
+                        {"lent_seats", peer.leased_seats},
                         {"connected", peer.connected},
                         {"leaving", peer.leaving},
                         {"heard_ms_ago", to_milliseconds(now - peer.last_heard)}});
@@ -256,12 +256,12 @@
     nlohmann::json accounts = nlohmann::json::object();
     for (const auto& [id, counted] : this->parts.tokens.counts()) {
         const slot_id slot = slot_of(id, slot_count);
-        accounts[id.value] = {{"admitted_here", counted.local},
-                              {"admitted_by_grant", counted.remote},
+        accounts[id.value] = {{"admitted_here", counted.from_local_bucket},
+                              {"admitted_by_grant", counted.by_grant},
                               {"refused_over_rate", counted.refused},
                               {"refused_without_broker", counted.timed_out},
                               {"slot", slot.value},
-                              {"brokered_here", this->parts.loans.is_own_choice(slot)}};
+                              {"brokered_here", this->parts.loans.is_broker_of(slot)}};
     }
     return accounts;
 }
--- a/programs/knapweedknotd/instance.cpp
+++ b/programs/knapweedknotd/instance.cpp
@@ -20,20 +20,21 @@
             settings.peers_listen,   settings.callers_address};
 }
 
-loan_keeper_options make_loan_options(const instance_settings& settings) {
-    loan_keeper_options options;
+heartbeat_options make_loan_options(const instance_settings& settings) {
+    heartbeat_options options;
     options.heartbeat_interval = settings.heartbeat_interval;
-    options.times = {settings.loan_length, clock_drift};
+    options.times = {settings.quota_lease_duration, clock_drift};
     options.freshness.lifetime = settings.freshness;
     return options;
 }
 
-seat_keeper_options make_seat_options(const instance_settings& settings) {
-    seat_keeper_options options;
+seat_manager_options make_seat_options(const instance_settings& settings) {
+    seat_manager_options options;
     options.total_seats = settings.seats;
-    options.lease = settings.seat_lease;
-    options.loan_end =
-        from_seconds(to_seconds(settings.loan_length) * (1 + clock_drift)) + milliseconds(1);
+    options.store_lease_ttl = settings.seat_lease;
+    options.quota_lease_timeout =
+        from_seconds(to_seconds(settings.quota_lease_duration) * (1 + clock_drift)) +
+        milliseconds(1);
     options.watch_wait = settings.store_watch;
     return options;
 }
@@ -54,12 +55,12 @@
                 {settings, config, follower, committer, votes, loans, seats, tokens, front, store,
                  network},
                 [this] { this->drain(); }) {
-    this->loans.own_number = [this] { return this->config.number(); };
-    this->loans.own_vouch = [this] { return this->votes.vouches(); };
-    this->seats.on_address = [this](const endpoint& address) {
+    this->loans.own_config_number = [this] { return this->config.number(); };
+    this->loans.own_confirmation = [this] { return this->votes.confirms(); };
+    this->seats.on_peer_address = [this](const endpoint& address) {
         this->network.learn(address, false);
     };
-    this->seats.must_keep_seats = [this] { return this->votes.is_pending(); };
+    this->seats.must_keep_seats = [this] { return this->votes.has_pending_announcements(); };
     this->follower.on_adopted = [this] { this->front.update_services(); };
 }
 
--- a/programs/knapweedknotd/instance.h
+++ b/programs/knapweedknotd/instance.h
@@ -1,13 +1,13 @@
 #pragma once
 
-#include "control/acceptance.h"
+#include "control/admission_controller.h"
 #include "control/config_follower.h"
-#include "control/list_watcher.h"
-#include "control/loan_keeper.h"
+#include "control/config_quorum.h"
+#include "control/heartbeat_service.h"
+#include "control/instance_list_poller.h"
 #include "control/patch_committer.h"
-#include "control/seat_keeper.h"
+#include "control/seat_manager.h"
 #include "control/settings.h"
-#include "control/token_client.h"
 #include "entry/gateway.h"
 #include "entry/operator_service.h"
 
@@ -40,12 +40,12 @@
     peer_info self;
     mesh network;
     config_follower follower;
-    seat_keeper seats;
-    loan_keeper loans;
-    acceptance votes;
+    seat_manager seats;
+    heartbeat_service loans;
+    config_quorum votes;
     patch_committer committer;
-    list_watcher listing;
-    token_client tokens;
+    instance_list_poller listing;
+    admission_controller tokens;
     gateway front;
     operator_service operators;
     bool draining{false};
