Reword the interface comments of libs/control

Seats, loans and vouching were described in words private to the project. The headers now speak of quota leases, store leases, confirmations and announcements, and state errors, units and reasons.

--- a/libs/control/include/control/admission_controller.h
+++ b/libs/control/include/control/admission_controller.h
@@ -13,17 +13,18 @@
 #include "peers/mesh.h"
 
 /// \file
-/// Admission of requests by client account: a token from the slot held here, or one granted by the
-/// slot's broker.
+/// Admission of requests by the rate limit of their client account: with a token from a local token
+/// bucket or, when another instance brokers the account's slot, with a token granted by that
+/// broker.
 
 namespace knapweedknot {
 
-/// How requests were admitted since the start.
+/// Outcomes of admission since the start.
 struct admission_counts {
     std::uint64_t from_local_bucket{0};
     std::uint64_t by_grant{0};
     std::uint64_t refused{0};
-    /// Requests that waited for a broker and got no token in time.
+    /// Requests that got no token from a broker in time.
     std::uint64_t timed_out{0};
 };
 
@@ -35,14 +36,15 @@
     admission_controller(loop& owner, mesh& network, heartbeat_service& heartbeats,
                          const instance_settings& settings);
 
-    /// Calls \p done, at once or later, with success or with rate_exceeded or peer_unreachable.
-    /// \param is_wanted false once nobody waits for the request any more; it then gets no token,
-    ///     and \p done is called with caller_gone
+    /// Calls \p done, at once or later, with success, rate_exceeded or peer_unreachable.
+    /// \param is_wanted returns false once the caller has gone; the request then gets no token, and
+    ///     \p done is called with caller_gone
     void admit(const client_account_ptr& account, time_point deadline,
                std::function<bool()> is_wanted, handler done);
-    /// Answers another instance's request for tokens.
+    /// Answers a token request of another instance. \p account is null when it is unknown here.
     void handle_request(const peer_info& from, const wire::token_requestT& request,
                         const client_account_ptr& account);
+    /// Admits waiting requests with the tokens granted by a broker.
     void handle_reply(const peer_info& from, const wire::token_replyT& reply);
 
     [[nodiscard]] const std::map<account_id, admission_counts>& counts() const noexcept {
@@ -58,9 +60,10 @@
     struct account_queue {
         client_account_ptr account;
         std::deque<waiter> waiters;
-        /// Identifier of the request on its way; zero for none.
+        /// Identifier of the token request in flight; zero for none.
         std::uint64_t request_id{0};
         time_point requested_at;
+        /// Tokens of the last grant that were not needed; returned with the next token request.
         std::uint32_t unspent{0};
         timer retry_timer;
     };
--- a/libs/control/include/control/config_follower.h
+++ b/libs/control/include/control/config_follower.h
@@ -11,45 +11,47 @@
 #include "platform/store_client.h"
 
 /// \file
-/// Keeps the configuration of an instance at the newest accepted number it can learn of, from the
-/// store's head record or from other instances. It never adopts a smaller number.
+/// Keeps the configuration of an instance at the newest accepted number that it learns from the
+/// store's head record or from other instances. The adopted number never decreases.
 
 namespace knapweedknot {
 
-/// Names of the product's values in the store.
+/// Keys of the fleet's records in the store.
 inline constexpr const char* head_key = "knapweedknot/head";
 inline constexpr const char* seats_key = "knapweedknot/seats";
 
-/// Follows the head record. Not thread safe.
+/// Watches the head record and applies it to the configuration. Not thread safe.
 class config_follower {
 public:
     using done_handler = std::function<void(result<void>)>;
 
     config_follower(loop& owner, store_client& store, configuration& config, duration watch_wait);
 
-    /// Starts to watch the head record.
+    /// Reads the head record, then watches it.
     void start();
     /// Reads the head record now.
     void refresh(done_handler done);
-    /// Takes a head record from any source. \p document is the text of the whole document at the
-    /// head's number, or empty when it is to be read from the store if needed.
+    /// Adopts a head record from any source if it is newer.
+    /// \param document JSON text of the whole document at the head's number; when empty, the
+    ///     snapshot is read from the store if it is needed
     void adopt(const history_head& head, const std::string& document, const done_handler& done);
-    /// Like adopt, for a head that was just written to the store as \p revision.
+    /// Adopts a head record that this instance has just written to the store as \p revision.
     void adopt_written(const history_head& head, std::uint64_t revision);
 
-    /// Replaces the adopted head by one with the same number whose tail was archived.
+    /// Replaces the adopted head by its compacted form, whose tail was archived.
+    /// \pre both have the same number
     void adopt_compacted(const history_head& compacted);
 
-    /// Newest adopted head.
+    /// Newest adopted head record.
     [[nodiscard]] const history_head& head() const noexcept { return this->current; }
-    /// Revision of the newest head record read from or written to the store.
+    /// Store revision of the newest head record read or written by this instance.
     [[nodiscard]] std::uint64_t revision() const noexcept { return this->stored_revision; }
-    /// A moment at which no newer number had been accepted: before the last read of the head
-    /// record that this instance has followed. Nothing before the first.
+    /// When the last successful read of the head record was requested: no number newer than the one
+    /// then adopted had been accepted by that time. Empty before the first read.
     [[nodiscard]] std::optional<time_point> last_read() const noexcept {
         return this->last_read_started;
     }
-    /// Called after each adopted number.
+    /// Called after each adoption of a number.
     std::function<void()> on_adopted;
 
 private:
--- a/libs/control/include/control/config_quorum.h
+++ b/libs/control/include/control/config_quorum.h
@@ -13,12 +13,14 @@
 #include "peers/mesh.h"
 
 /// \file
-/// The part of the mesh that makes a withdrawn key stop: before a number is written, instances
-/// with more than half of the seats must know that it is coming.
+/// Quorum protocol for configuration changes. Before a configuration number is written, instances
+/// that hold more than half of the seats must acknowledge its announcement. An instance that has
+/// acknowledged it stops confirming older numbers, so a withdrawn API key stops working everywhere.
 
 namespace knapweedknot {
 
-/// Both sides of the announcement. Not thread safe.
+/// Sends and answers announcements, replicates the head record to peers, and decides whether the
+/// configuration of this instance is fresh. Not thread safe.
 class config_quorum {
 public:
     using handler = std::function<void(result<void>)>;
@@ -26,26 +28,27 @@
     config_quorum(loop& owner, mesh& network, heartbeat_service& heartbeats,
                   config_follower& follower, configuration& config);
 
-    /// Tells all instances that \p number is about to be written, and calls \p done when more than
-    /// half of the seats have acknowledged it, or with peer_unreachable.
+    /// Announces to all instances that \p number is about to be written. Calls \p done with success
+    /// when holders of more than half of the seats have acknowledged it, or with peer_unreachable
+    /// after a timeout.
     void announce(config_number number, const std::string& patch_id, handler done);
-    /// Tells all instances that the announced write will not take place.
+    /// Tells all instances that the announced write was abandoned.
     void withdraw(config_number number, const std::string& patch_id);
-    /// Sends the adopted head to all instances.
+    /// Sends the adopted head record to all connected instances.
     void broadcast_head();
     /// Calls \p done with true when every connected instance has adopted \p number, or with false
-    /// when after \p limit some have not; then these serve no keyed route.
+    /// when some have not within \p limit. Those serve no route that requires an API key.
     void await_in_force(config_number number, duration limit, std::function<void(bool)> done);
 
-    /// Handles a message of this protocol; false when it is another's.
+    /// Handles a message of this protocol. Returns false for messages of other protocols.
     bool handle(const peer_info& from, const wire::messageT& message);
     void peer_connected(const peer_info& peer);
 
-    /// Whether this instance vouches for its number.
+    /// Whether this instance confirms its adopted number to others.
     [[nodiscard]] bool confirms() const;
-    /// Whether keyed routes may be served.
+    /// Whether routes that require an API key may be served.
     [[nodiscard]] bool is_fresh();
-    /// Whether an announced number's outcome is still open here.
+    /// Whether the outcome of an announced number is unknown here.
     [[nodiscard]] bool has_pending_announcements() const noexcept { return !this->pending.empty(); }
 
 private:
@@ -73,7 +76,7 @@
     config_follower& follower;
     configuration& config;
     std::optional<announcement> own_announcement;
-    /// Announcements of others and of this instance whose outcome is not known here.
+    /// Announcements, including those of this instance, whose outcome is unknown here.
     open_announcements pending;
     struct in_force_waiter {
         config_number number;
@@ -82,7 +85,7 @@
     };
     std::vector<in_force_waiter> in_force_waiters;
     timer poll_timer;
-    /// Last result of the freshness rule, and when it was worked out.
+    /// Cached result of the freshness check, and when it was computed.
     bool cached_freshness{false};
     time_point freshness_checked_at;
     bool is_refreshing{false};
--- a/libs/control/include/control/heartbeat_service.h
+++ b/libs/control/include/control/heartbeat_service.h
@@ -14,40 +14,43 @@
 #include "peers/mesh.h"
 
 /// \file
-/// Heartbeats: lends this instance's seats, holds what others have lent to it, and keeps what they
-/// say of their configuration.
+/// Heartbeats between instances. They issue quota leases on this instance's seats to the brokers of
+/// the slots, deliver the leases that others issue to this instance, and carry each peer's
+/// configuration number.
 
 namespace knapweedknot {
 
-/// Slots that client accounts are spread over; the heartbeat has one bit for each.
+/// Number of slots that client accounts are hashed to. The heartbeat has one bit for each.
 inline constexpr std::uint32_t slot_count = 128;
 
-/// Parameters of the heartbeats.
+/// Options of the heartbeat service.
 struct heartbeat_options {
     duration heartbeat_interval{milliseconds(800)};
     loan_times times;
     freshness_times freshness;
 };
 
-/// What this instance knows of a peer.
+/// State of a peer as known from its connection and its heartbeats.
 struct peer_status {
     peer_info info;
     bool connected{false};
     bool leaving{false};
     time_point last_heard;
-    /// Peer's clock in its last heartbeat, sent_at back to it.
+    /// Timestamp in the peer's last heartbeat, in ms of the peer's clock; echoed back to it.
     std::uint32_t last_timestamp{0};
-    /// Greatest sequence of the peer that was acted on.
+    /// Greatest processed sequence number of the peer; zero for none.
     std::uint32_t last_sequence{0};
     int held_seats{0};
     int leased_seats{0};
     config_number number;
+    /// Whether the peer confirms the number.
     bool confirms{false};
-    /// Our clock when we sent what the peer had heard; nothing before the first echo.
+    /// Local time at which the heartbeat that the peer echoed last was sent. What the peer reported
+    /// is newer than this. Empty before the first echo.
     std::optional<time_point> as_of;
 };
 
-/// Sends and handles heartbeats. Not thread safe.
+/// Sends and handles heartbeats, and selects the brokers of the slots. Not thread safe.
 class heartbeat_service {
 public:
     heartbeat_service(loop& owner, mesh& network, seat_manager& seats,
@@ -57,27 +60,30 @@
     void handle_heartbeat(const peer_info& from, const wire::heartbeat_fields& fields);
     void peer_connected(const peer_info& peer);
     void peer_disconnected(const peer_info& peer);
-    /// Sends a heartbeat to one peer now, if it is connected.
+    /// Sends a heartbeat to one peer at once, if it is connected.
     void send_heartbeat_now(incarnation_id to);
-    /// From now on this instance takes no loans and no seats.
+    /// Announces that this instance is leaving and no longer brokers slots; others then issue no
+    /// more quota leases to it.
     void set_leaving();
-    /// What this instance says of its configuration.
+    /// Supply the configuration number that heartbeats report, and whether this instance confirms
+    /// it.
     std::function<config_number()> own_config_number;
     std::function<bool()> own_confirmation;
 
-    /// The slot's state here; holds tokens only while others lend to this instance.
+    /// Local state of the slot. It has tokens only while quota leases on it are in force.
     [[nodiscard]] broker_slot& slot(slot_id id) { return this->slots.at(id.value); }
-    /// Instance that this one expects to broker the slot.
+    /// Instance that should broker the slot, as seen from here.
     [[nodiscard]] incarnation_id broker_of(slot_id id) const { return this->brokers.at(id.value); }
+    /// Whether this instance should broker the slot.
     [[nodiscard]] bool is_broker_of(slot_id id) const {
         return this->broker_of(id) == this->network.self().incarnation;
     }
     [[nodiscard]] const std::map<incarnation_id, peer_status>& peers() const noexcept {
         return this->statuses;
     }
-    /// Live peers and this instance, in the order in which they should serve \p id.
+    /// Candidate brokers of slot \p id, in the order in which they should serve it.
     [[nodiscard]] std::vector<peer_info> ranked_instances(slot_id id) const;
-    /// Vouchers of all peers and of this instance.
+    /// Latest configuration confirmations of all peers and of this instance.
     [[nodiscard]] std::vector<config_voucher> confirmations(time_point now) const;
     [[nodiscard]] int own_voting_seats(time_point now) const {
         return this->seats.voting_seats(now);
@@ -98,7 +104,8 @@
     void schedule_round();
     void accept_leases(peer_status& from, const wire::heartbeat_fields& fields, time_point expires,
                        time_point now);
-    /// Instances that may broker slots: this one unless it leaves, and the peers heard lately.
+    /// Instances that may broker slots: this one unless it is leaving, and the live peers that are
+    /// not leaving.
     [[nodiscard]] std::vector<peer_info> candidates(time_point now) const;
     [[nodiscard]] bool is_candidate(const peer_status& peer, time_point now) const;
     [[nodiscard]] std::uint32_t to_timestamp(time_point time) const;
--- a/libs/control/include/control/instance_list_poller.h
+++ b/libs/control/include/control/instance_list_poller.h
@@ -10,19 +10,21 @@
 #include "platform/store_client.h"
 
 /// \file
-/// The platform's lagging list. One instance, the broker of a fixed slot, reads it for all and
-/// tells the others which addresses are leaving; it also finds seat holders that are gone.
+/// Polls the platform's instance list, which lags behind reality. Only one instance, the broker of
+/// a fixed slot, polls it and broadcasts which addresses are leaving. The same instance detects
+/// seat holders that have terminated.
 
 namespace knapweedknot {
 
-/// Reads or receives the list. Not thread safe.
+/// Polls the list, or receives it from the polling instance. Not thread safe.
 class instance_list_poller {
 public:
     instance_list_poller(loop& owner, store_client& store, mesh& network,
                          heartbeat_service& heartbeats, seat_manager& seats);
 
+    /// Replaces the leaving addresses by those that the polling instance sent.
     void handle_listing(const wire::listingT& listing);
-    /// True when the platform lists \p address as leaving.
+    /// Whether the platform lists \p address as leaving.
     [[nodiscard]] bool is_leaving(const endpoint& address) const {
         return this->leaving.contains(address);
     }
--- a/libs/control/include/control/patch_committer.h
+++ b/libs/control/include/control/patch_committer.h
@@ -13,30 +13,31 @@
 #include "platform/store_client.h"
 
 /// \file
-/// Accepts operators' patches: announces them, writes them by compare-and-swap, and finds out what
-/// became of a write whose answer was lost.
+/// Commits operators' patches: announces each one to the fleet, appends it to the head record by
+/// compare-and-swap, and determines the outcome of a write whose answer was lost.
 
 namespace knapweedknot {
 
-/// A patch as an operator submits it.
+/// A patch submitted by an operator.
 struct patch_submission {
-    /// Number that the patch was written against.
+    /// Configuration number that the patch is based on.
     config_number base;
     std::string author;
     /// RFC 7396 merge patch.
     nlohmann::json patch;
-    /// Chosen by the submitter; the same submission sent twice is accepted once.
+    /// Idempotency key chosen by the submitter: a patch submitted twice is accepted once.
     std::string patch_id;
 };
 
 /// An accepted patch.
 struct accepted_patch {
     config_number number;
-    /// True when every connected instance has adopted it; the others serve no keyed route.
+    /// Whether every connected instance has adopted it. Instances that have not serve no route that
+    /// requires an API key.
     bool in_force{false};
 };
 
-/// Accepts one patch after another. Not thread safe.
+/// Commits queued patches one at a time. Not thread safe.
 class patch_committer {
 public:
     using handler = std::function<void(result<accepted_patch>)>;
@@ -44,9 +45,10 @@
     patch_committer(loop& owner, store_client& store, config_follower& follower,
                     configuration& config, config_quorum& quorum);
 
-    /// Queues \p submission. Errors: configuration_conflict when another patch came first,
-    /// invalid_value with the paths of bad values, peer_unreachable or store_unavailable when
-    /// nothing was written, outcome_unknown when it could not be found out.
+    /// Queues \p submission. Errors: configuration_conflict when another patch was accepted first,
+    /// request_too_large, invalid_value with the paths of the invalid values, peer_unreachable or
+    /// store_unavailable when nothing was written, outcome_unknown when the outcome of the write
+    /// could not be determined.
     void submit(patch_submission submission, handler done);
 
 private:
--- a/libs/control/include/control/seat_manager.h
+++ b/libs/control/include/control/seat_manager.h
@@ -12,43 +12,47 @@
 #include "platform/store_client.h"
 
 /// \file
-/// Holds this instance's seats: the record in the store, the lease of the holder, and the seats
-/// that may be lent now.
+/// Acquires and returns this instance's seats through the seat record in the store, keeps the store
+/// lease that protects them alive, and determines how many may back quota leases.
 
 namespace knapweedknot {
 
-/// Parameters of seat keeping.
+/// Options of the seat manager.
 struct seat_manager_options {
+    /// Seats of the fleet; used when this instance creates the record.
     int total_seats{128};
     duration store_lease_ttl{seconds(43'200)};
-    /// Time after which a loan made before has surely ended.
+    /// Time after which every quota lease issued earlier has expired at its broker, whatever the
+    /// clock drift.
     duration quota_lease_timeout{milliseconds(1818)};
+    /// Longest wait of one watch of the record.
     duration watch_wait{seconds(60)};
 };
 
-/// Keeps seats for one instance. Not thread safe.
+/// Manages the seats of one instance. Not thread safe.
 class seat_manager {
 public:
     seat_manager(loop& owner, store_client& store, config_follower& follower, const peer_info& self,
                  const seat_manager_options& options);
 
     void start();
-    /// Seats whose share may be lent now. Zero after the lease has lapsed by this clock.
+    /// Seats that may back quota leases issued at \p now. Zero when such a lease could outlive the
+    /// store lease.
     [[nodiscard]] int leasable_seats(time_point now) const;
-    /// Seats that this instance holds for votes on configurations.
+    /// Seats that count in configuration quorums. Zero after the store lease has expired.
     [[nodiscard]] int voting_seats(time_point now) const;
-    /// Newest record that was read; its total is the configured one before the first read.
+    /// Newest record read; before the first read it has no holders and the configured total.
     [[nodiscard]] const seat_record& record() const noexcept { return this->current; }
-    /// Notes that the process \p holder has ended for certain.
+    /// Records that the process \p holder has definitely terminated.
     void mark_terminated(incarnation_id holder);
-    /// Reads whether the lease of \p holder still stands; if not, it is gone.
+    /// Reads the holder key of \p holder and marks it terminated if its store lease has expired.
     void check_lease(incarnation_id holder);
-    /// Gives all seats back. \p done is called when the record no longer names this instance, or
-    /// when the store does not answer.
+    /// Returns all seats. Calls \p done when the record no longer names this instance, or when the
+    /// store does not answer.
     void leave(std::function<void()> done);
-    /// Called for each address of a holder in a record that was read.
+    /// Called with the peer address of each holder in a newly read record.
     std::function<void(const endpoint&)> on_peer_address;
-    /// While this returns true, no seats are given away.
+    /// While this returns true, no surplus seats are returned.
     std::function<bool()> must_keep_seats;
 
 private:
@@ -77,15 +81,16 @@
     bool leaving{false};
     std::function<void()> on_left;
     std::vector<incarnation_id> terminated;
-    /// Seats that are confirmed and backed by a read of the head record.
+    /// Held seats that were acquired before the last read of the head record. Others do not count
+    /// yet: this instance might confirm an outdated configuration with them.
     int confirmed_seats{0};
-    /// Seats that are no longer lent, and since when.
+    /// Surplus seats that no longer back quota leases, and since when.
     int withheld_seats{0};
     time_point withheld_since;
     time_point leasing_starts;
     std::optional<store_lease> held_lease;
     time_point lease_expires;
-    /// True once the value that shows the lease to others is in the store.
+    /// Whether the holder key, which lets others observe the store lease, is in the store.
     bool is_holder_key_written{false};
     std::mt19937_64 random_engine;
     timer reconcile_timer;
--- a/libs/control/src/admission_controller.cpp
+++ b/libs/control/src/admission_controller.cpp
@@ -9,14 +9,15 @@
 
 namespace {
 
-// Life of a grant at its broker; its holder counts from before it asked and allows for drift.
+// Lifetime of a grant at its broker. The holder counts it from its own request, and uses only a
+// fraction of it to allow for clock drift.
 constexpr duration grant_lifetime = milliseconds(400);
 constexpr double usable_lifetime_fraction = 0.98;
 constexpr duration retry_interval = milliseconds(50);
-// Longest wait for a token while the slot has no settled broker.
+// Longest wait of a request for a token while the slot has no broker with a settled share.
 constexpr duration max_token_wait = milliseconds(5000);
-// After its share has changed, a broker lets requests wait for this long, so that those that came
-// while the slot had no broker are admitted at the account's rate and not refused.
+// For this long after its share has changed, a broker queues requests that find no token instead of
+// refusing them: a backlog from the time without a broker is then admitted at the account's rate.
 constexpr duration share_settling_time = milliseconds(6000);
 constexpr std::uint32_t max_tokens_per_grant = 256;
 
@@ -31,7 +32,7 @@
                                            const instance_settings& settings)
     : owner(event_loop), network(peer_mesh), heartbeats(heartbeat_source),
       mode(settings.admission) {
-    // The baseline gives each instance a fixed part that never ends.
+    // With static_split each instance has one lease on a fixed part, which never expires.
     const time_point now = boot_clock::now();
     this->static_slot.total_seats = settings.max_instances;
     this->static_slot.share_since = now;
@@ -75,7 +76,7 @@
     queue.account = account;
     if (to_seconds(max_token_wait) * account->rate_per_s <
         static_cast<double>(queue.waiters.size())) {
-        // Those that wait already use up what the rate allows until this one would give up.
+        // The queued requests already need all tokens that refill until this one would time out.
         ++count.refused;
         done(fail(error_kind::rate_exceeded, "the account's rate and burst are used up"));
         return;
@@ -195,7 +196,7 @@
     }
     queue.unspent = tokens;
     if (reply.is_broker && reply.granted < max_tokens_per_grant) {
-        // The broker has no more now: whoever waited for this answer is over the rate.
+        // The broker has no tokens: the requests queued here exceed the account's rate.
         while (!queue.waiters.empty() && reply.granted == 0) {
             ++this->counts_by_account[queue.account->id].refused;
             this->finish(
--- a/libs/control/src/config_follower.cpp
+++ b/libs/control/src/config_follower.cpp
@@ -62,7 +62,7 @@
 
 void config_follower::receive(const store_value& value, const done_handler& done) {
     if (value.revision == 0) {
-        // Before the first patch there is no record.
+        // There is no record before the first patch.
         done({});
         return;
     }
@@ -103,7 +103,8 @@
     this->keep_full_head(head, revision);
 }
 
-/// Peers send only the entries that an instance lacks; the store's head has the whole tail.
+/// Keeps the store's head record, which has the whole tail. Peers send only the entries that this
+/// instance lacks.
 void config_follower::keep_full_head(const history_head& head, std::uint64_t revision) {
     this->stored_revision = std::max(this->stored_revision, revision);
     if (head.number() == this->config.number()) {
--- a/libs/control/src/config_quorum.cpp
+++ b/libs/control/src/config_quorum.cpp
@@ -8,11 +8,11 @@
 namespace {
 
 constexpr duration poll_interval = milliseconds(100);
-// The freshness rule is worked out at most this often.
+// The freshness check is evaluated at most once in this time.
 constexpr duration freshness_cache_time = milliseconds(20);
 constexpr duration announce_timeout = milliseconds(1500);
-// An announced write cannot take effect later than this after its announcement: the announcer
-// starts it within announce_timeout and its call is bounded.
+// An announced write takes effect within this time or never: the announcing instance starts it
+// within announce_timeout, and the store call has a timeout.
 constexpr duration max_pending_time = seconds(30);
 
 } // namespace
@@ -29,7 +29,8 @@
     this->own_announcement->patch_id = patch_id;
     this->own_announcement->done = std::move(done);
     this->own_announcement->acknowledged.insert(this->network.self().incarnation);
-    // The write may take effect without an answer, so this instance is held like the others.
+    // The write may take effect although its answer is lost, so this instance also stops confirming
+    // older numbers.
     note_announcement(this->pending, patch_id, number, boot_clock::now());
     this->own_announcement->timeout = this->owner.after(announce_timeout, [this] {
         const handler reply = std::move(this->own_announcement->done);
@@ -85,7 +86,7 @@
     if (after < head.snapshot.number.value) {
         reply.document = this->config.document().dump();
     } else {
-        // The asker needs only what it does not have.
+        // Send only the entries that the receiver lacks.
         while (!head.tail.empty() && head.tail.front().number.value <= after) {
             head.snapshot.number = head.tail.front().number;
             head.snapshot.last_hash = hash_of(head.tail.front());
@@ -162,7 +163,7 @@
     if (head) {
         this->follower.adopt(*head, message.document, [this, from](const result<void>& /*unused*/) {
             this->resolve_pending();
-            // The sender waits to hear that the number is in force here.
+            // The sender may be waiting for every instance to report the new number.
             this->heartbeats.send_heartbeat_now(from.incarnation);
         });
     }
--- a/libs/control/src/heartbeat_service.cpp
+++ b/libs/control/src/heartbeat_service.cpp
@@ -12,11 +12,11 @@
 constexpr std::uint16_t flag_leaving = 2;
 constexpr std::uint16_t flag_has_echo = 4;
 constexpr std::uint32_t slots_per_word = 64;
-// A peer that was not heard for this many intervals is not given loans.
+// A peer that has sent no heartbeat for this many intervals gets no quota leases.
 constexpr double max_missed_intervals = 2.2;
-// Rounds outside the interval are at least this far apart.
+// Minimum time from one round to an extra round that a change triggers.
 constexpr duration min_round_gap = milliseconds(20);
-// A peer that left is forgotten after any loan to or from it has ended.
+// The state of a disconnected peer is kept until all quota leases to and from it have expired.
 constexpr duration status_retention = seconds(60);
 
 bool lists_slot(const wire::heartbeat_fields& fields, std::uint32_t slot) {
@@ -235,7 +235,7 @@
         }
     }
     if (is_revoked) {
-        // The lender waits for this acknowledgement before it lends to another instance.
+        // The issuer leases the slot to another instance only after this acknowledgement.
         this->send_heartbeat(issuer, now);
     }
 }
--- a/libs/control/src/instance_list_poller.cpp
+++ b/libs/control/src/instance_list_poller.cpp
@@ -6,10 +6,10 @@
 
 constexpr slot_id polling_slot{0};
 constexpr duration poll_interval = milliseconds(1000);
-// Longer than any announced write can take, so that the seats of an instance that acknowledged it
-// are not taken over before its outcome is known.
+// Exceeds the longest time that an announced write can take, so that the seats of an instance that
+// acknowledged it are not taken over before its outcome is known.
 constexpr duration disconnect_timeout = seconds(12);
-// The list shows a new instance within this time.
+// A new instance appears in the list within this time.
 constexpr duration max_list_lag = seconds(30);
 
 } // namespace
--- a/libs/control/src/patch_committer.cpp
+++ b/libs/control/src/patch_committer.cpp
@@ -47,7 +47,7 @@
         return;
     }
     this->busy = true;
-    // The newest head decides conflicts early and gives the revision to write against.
+    // The newest head reveals conflicts early and gives the expected revision of the write.
     this->follower.refresh([this](const result<void>& outcome) {
         if (!outcome) {
             this->reject(outcome.error());
@@ -136,7 +136,7 @@
     this->write_head();
 }
 
-/// Moves the whole tail to the archive and the document to chunks, as a new base of the head.
+/// Writes the whole tail to the archive and the document to chunks, as the snapshot of a new head.
 void patch_committer::compact() {
     const history_head& base = this->follower.head();
     const history_archive archive{base.snapshot.archive_key, base.tail};
@@ -156,7 +156,7 @@
                              this->handle_compaction_error(outcome.error());
                              return;
                          }
-                         // A conflict means that the same content is there already.
+                         // Keys are content hashes: on a conflict the same content is stored.
                          this->write_chunk(compacted, 0, this->config.document().dump());
                      });
 }
@@ -190,7 +190,8 @@
 void patch_committer::write_head() {
     job& current = this->queue.front();
     if (boot_clock::now() - current.announced_at > write_timeout) {
-        // Others may have stopped to expect this write, so it must not take effect any more.
+        // Other instances may have expired the announcement, so the write must no longer take
+        // effect.
         this->reject(
             {current.attempts == 0 ? error_kind::store_unavailable : error_kind::outcome_unknown,
              "writing the patch took too long"});
@@ -241,7 +242,7 @@
                               current.submission.patch_id});
             return;
         }
-        // The same write against the same revision takes effect once at most.
+        // A retry is safe: a write that expects the same revision takes effect at most once.
         this->retry_timer = this->owner.after(retry_delay, [this] {
             if (this->queue.front().written.tail.empty()) {
                 this->reject({error_kind::configuration_conflict, "the history has moved on"});
--- a/libs/control/src/seat_manager.cpp
+++ b/libs/control/src/seat_manager.cpp
@@ -12,13 +12,13 @@
 
 constexpr duration reconcile_interval = milliseconds(500);
 constexpr duration retry_delay = milliseconds(500);
-// Spreads the writes of instances that see the same change.
+// Random delay that keeps instances from writing all at once after the same change.
 constexpr int max_write_jitter_ms = 150;
-// An instance stops this share of the lease before its end.
+// Fraction of the store lease by which this instance treats it as expired early.
 constexpr double lease_safety_margin = 0.02;
 constexpr int renewals_per_lease = 4;
 
-/// Key of the value that ends with the lease of \p holder.
+/// Key of the value that is tied to the store lease of \p holder and disappears with it.
 std::string holder_key(incarnation_id holder) {
     return "knapweedknot/holder/" + std::to_string(holder.value);
 }
@@ -29,7 +29,7 @@
                            const peer_info& own, const seat_manager_options& seat_options)
     : owner(event_loop), store(client), follower(config), self(own),
       options(seat_options), current{seat_options.total_seats, {}},
-      // An earlier incarnation may have lent the seats that this one inherits.
+      // Quota leases that an earlier incarnation issued on these seats may still be in force.
       leasing_starts(boot_clock::now() + seat_options.quota_lease_timeout),
       random_engine(random_nonzero()) {}
 
@@ -40,7 +40,7 @@
 }
 
 int seat_manager::leasable_seats(time_point now) const {
-    // A loan made now must end before the lease does.
+    // A quota lease issued now must expire before the store lease does.
     const bool expires_first = now + this->options.quota_lease_timeout >= this->lease_expires;
     if (!this->held_lease || expires_first || this->leaving || now < this->leasing_starts) {
         return 0;
@@ -87,7 +87,7 @@
                           }
                           this->watch();
                       });
-    // The first watch of an absent record does not answer, yet this instance must create it.
+    // A watch of an absent record does not answer, but this instance may have to create it.
     if (!this->has_read) {
         this->read_record();
     }
@@ -118,7 +118,7 @@
     const int held = this->held_seats();
     this->confirmed_seats = std::min(this->confirmed_seats, held);
     if (held > this->confirmed_seats) {
-        // More seats count only with a head record that is as new as they are.
+        // Additional seats count only after a read of the head record that is newer than they are.
         this->follower.refresh([this, held](const result<void>& outcome) {
             if (outcome) {
                 this->confirmed_seats = std::min(held, this->held_seats());
@@ -206,12 +206,12 @@
         return;
     }
     if (!outcome && this->leaving && this->on_left) {
-        // Without the store the seats stay with this incarnation until their lease ends.
+        // The seats stay assigned to this incarnation until its store lease expires.
         log_event(log_level::warning, "seats_not_returned", {{"detail", outcome.error().detail}});
         std::exchange(this->on_left, nullptr)();
         return;
     }
-    // Another instance was first, or the answer was lost: the record tells.
+    // Another instance wrote first, or the answer was lost: reading the record resolves both.
     this->read_record();
 }
 
@@ -237,7 +237,8 @@
             this->write_holder_key();
         }
     } else if (granted.error().kind == error_kind::not_found) {
-        // Others may have taken the seats since; they count again after the record is read.
+        // The store lease has expired, so others may have taken the seats. They count again after
+        // the record was read.
         this->held_lease.reset();
         this->is_holder_key_written = false;
         this->confirmed_seats = 0;
@@ -256,7 +257,7 @@
                                  retry_delay, [this] { this->write_holder_key(); });
                              return;
                          }
-                         // A conflict means that an earlier try took effect.
+                         // On a conflict an earlier attempt took effect.
                          this->is_holder_key_written = true;
                          this->lease_timer =
                              this->owner.after(this->options.store_lease_ttl / renewals_per_lease,
