--- a/libs/control/src/seat_manager.cpp
+++ b/libs/control/src/seat_manager.cpp
@@ -206,7 +206,8 @@
         return;
     }
     if (!outcome && this->leaving && this->on_left) {
-        // The seats stay assigned to this incarnation until its store lease expires.
+        // Without an answer the seats stay assigned to this incarnation until its store lease
+        // expires.
         log_event(log_level::warning, "seats_not_returned", {{"detail", outcome.error().detail}});
         std::exchange(this->on_left, nullptr)();
         return;
