--- a/libs/control/include/control/loan_keeper.h
+++ b/libs/control/include/control/loan_keeper.h
@@ -7,9 +7,9 @@
 #include <vector>
 
 #include "control/seat_keeper.h"
-#include "decide/broker_slot.h"
 #include "decide/freshness.h"
-#include "decide/loan_book.h"
+#include "decide/lease_table.h"
+#include "decide/slot_limiter.h"
 #include "event/loop.h"
 #include "peers/mesh.h"
 
--- a/libs/decide/include/decide/shared_bucket.h
+++ b/libs/decide/include/decide/shared_bucket.h
@@ -3,7 +3,7 @@
 #include <optional>
 
 #include "base/clock.h"
-#include "decide/broker_slot.h"
+#include "decide/slot_limiter.h"
 
 /// \file
 /// A token bucket that several instances draw from without asking each other: each one keeps its
--- a/libs/decide/include/decide/broker_slot.h
+++ b/libs/decide/include/decide/slot_limiter.h
@@ -14,7 +14,7 @@
 /// bucket for each account with rate f*r and burst f*b. Over all pools and grants together this
 /// bounds what is admitted in any window of length T by r*T + b, because
 ///
-/// - the shares on loan never add up to more than 1 (decide/loan_book.h);
+/// - the shares on loan never add up to more than 1 (decide/lease_table.h);
 /// - tokens and outstanding grants of a bucket never exceed f*b, so a share that ends takes its
 ///   part of the burst with it;
 /// - a share that begins brings no tokens;
--- a/libs/decide/src/loan_book.cpp
+++ b/libs/decide/src/lease_table.cpp
@@ -1,4 +1,4 @@
-#include "decide/loan_book.h"
+#include "decide/lease_table.h"
 
 #include <algorithm>
 #include <cassert>
--- a/libs/decide/src/broker_slot.cpp
+++ b/libs/decide/src/slot_limiter.cpp
@@ -1,4 +1,4 @@
-#include "decide/broker_slot.h"
+#include "decide/slot_limiter.h"
 
 #include <algorithm>
 #include <cassert>
--- a/libs/decide/tests/loan_book_test.cpp
+++ b/libs/decide/tests/lease_table_test.cpp
@@ -1,6 +1,6 @@
 #include <boost/test/unit_test.hpp>
 
-#include "decide/loan_book.h"
+#include "decide/lease_table.h"
 
 using namespace knapweedknot;
 
--- a/libs/decide/tests/rate_bound_test.cpp
+++ b/libs/decide/tests/rate_bound_test.cpp
@@ -8,8 +8,8 @@
 
 #include <rapidcheck.h>
 
-#include "decide/broker_slot.h"
-#include "decide/loan_book.h"
+#include "decide/lease_table.h"
+#include "decide/slot_limiter.h"
 
 using namespace knapweedknot;
 
--- a/libs/decide/tests/broker_slot_test.cpp
+++ b/libs/decide/tests/slot_limiter_test.cpp
@@ -1,6 +1,6 @@
 #include <boost/test/unit_test.hpp>
 
-#include "decide/broker_slot.h"
+#include "decide/slot_limiter.h"
 
 using namespace knapweedknot;
 
