Name quota leases, seat plans and confirmations in the terms of the field

Loans, lenders, borrowers, recalls and vouchers made a reader learn a private vocabulary. broker_slot -> slot_limiter, slot_loan -> quota_lease, loan_book -> lease_table, slot_lending -> slot_lease, lend -> issue_leases, acknowledge -> record_acknowledgement, seat_view -> seat_plan_input, config_voucher -> config_confirmation, still_vouches -> can_confirm, and their fields; comments and test names reworded. Settings and wire keep "loan".

--- a/libs/control/include/control/acceptance.h
+++ b/libs/control/include/control/acceptance.h
@@ -74,7 +74,7 @@
     configuration& config;
     std::optional<announced> current;
     /// Announcements of others and of this instance whose outcome is not known here.
-    open_announcements open;
+    pending_announcements open;
     struct force_waiter {
         config_number number;
         time_point limit;
--- a/libs/control/include/control/loan_keeper.h
+++ b/libs/control/include/control/loan_keeper.h
@@ -25,7 +25,7 @@
 /// Parameters of the heartbeats.
 struct loan_keeper_options {
     duration heartbeat_interval{milliseconds(800)};
-    loan_times times;
+    lease_times times;
     freshness_times freshness;
 };
 
@@ -65,7 +65,7 @@
     std::function<bool()> own_vouch;
 
     /// The slot's state here; holds tokens only while others lend to this instance.
-    [[nodiscard]] broker_slot& slot(slot_id id) { return this->slots.at(id.value); }
+    [[nodiscard]] slot_limiter& slot(slot_id id) { return this->slots.at(id.value); }
     /// Instance that this one expects to broker the slot.
     [[nodiscard]] incarnation_id broker_of(slot_id id) const { return this->choices.at(id.value); }
     [[nodiscard]] bool is_own_choice(slot_id id) const {
@@ -77,7 +77,7 @@
     /// Live peers and this instance, in the order in which they should serve \p id.
     [[nodiscard]] std::vector<peer_info> ranked(slot_id id) const;
     /// Vouchers of all peers and of this instance.
-    [[nodiscard]] std::vector<config_voucher> vouchers(time_point now) const;
+    [[nodiscard]] std::vector<config_confirmation> vouchers(time_point now) const;
     [[nodiscard]] int own_voting_seats(time_point now) const {
         return this->seats.voting_seats(now);
     }
@@ -108,8 +108,8 @@
     seat_keeper& seats;
     loan_keeper_options options;
     time_point epoch;
-    loan_book book;
-    std::vector<broker_slot> slots;
+    lease_table book;
+    std::vector<slot_limiter> slots;
     std::vector<incarnation_id> choices;
     std::map<incarnation_id, peer_status> statuses;
     std::uint32_t sequence{0};
--- a/libs/control/include/control/seat_keeper.h
+++ b/libs/control/include/control/seat_keeper.h
@@ -62,7 +62,7 @@
     void lease_granted(const result<store_lease>& granted, time_point asked);
     void write_lease_mark();
     void lower_lending();
-    [[nodiscard]] seat_view view(time_point now) const;
+    [[nodiscard]] seat_plan_input view(time_point now) const;
     [[nodiscard]] int held_seats() const;
 
     loop& owner;
--- a/libs/control/include/control/token_client.h
+++ b/libs/control/include/control/token_client.h
@@ -76,7 +76,7 @@
     mesh& network;
     loan_keeper& loans;
     admission_mode mode;
-    broker_slot static_slot;
+    slot_limiter static_slot;
     std::unordered_map<account_id, account_queue> queues;
     std::unordered_map<std::uint64_t, account_id> requests;
     std::map<account_id, admission_counts> counted;
--- a/libs/control/src/acceptance.cpp
+++ b/libs/control/src/acceptance.cpp
@@ -30,7 +30,7 @@
     this->current->done = std::move(done);
     this->current->acknowledged.insert(this->network.self().incarnation);
     // The write may take effect without an answer, so this instance is held like the others.
-    note_announcement(this->open, patch_id, number, boot_clock::now());
+    record_announcement(this->open, patch_id, number, boot_clock::now());
     this->current->limit = this->owner.after(announce_limit, [this] {
         const handler reply = std::move(this->current->done);
         this->withdraw(this->current->number, this->current->patch_id);
@@ -142,7 +142,7 @@
 void acceptance::handle_announce(const peer_info& from, const wire::announceT& message) {
     const config_number number{message.config_number};
     if (number > this->config.number()) {
-        note_announcement(this->open, message.patch_id, number, boot_clock::now());
+        record_announcement(this->open, message.patch_id, number, boot_clock::now());
     }
     wire::announce_ackT ack;
     ack.config_number = message.config_number;
@@ -179,12 +179,12 @@
 }
 
 void acceptance::settle_pending() {
-    settle_announcements(this->open, this->config.number());
+    resolve_announcements(this->open, this->config.number());
 }
 
 bool acceptance::vouches() const {
-    return still_vouches(this->open, this->config.number(), this->loans.freshness(),
-                         boot_clock::now());
+    return can_confirm(this->open, this->config.number(), this->loans.freshness(),
+                       boot_clock::now());
 }
 
 bool acceptance::is_fresh() {
--- a/libs/control/src/loan_keeper.cpp
+++ b/libs/control/src/loan_keeper.cpp
@@ -32,8 +32,8 @@
     : owner(event_loop), network(peer_mesh), seats(keeper), options(keeper_options),
       epoch(boot_clock::now()), slots(slot_count), choices(slot_count) {
     this->book.slots.resize(slot_count);
-    for (broker_slot& one : this->slots) {
-        one.share_since = this->epoch;
+    for (slot_limiter& one : this->slots) {
+        one.share_changed_at = this->epoch;
     }
 }
 
@@ -146,22 +146,22 @@
     const incarnation_id self = this->network.self().incarnation;
     ++this->sequence;
     const auto listed =
-        lend(this->book, self, this->choices, this->sequence, this->options.times, now);
+        issue_leases(this->book, self, this->choices, this->sequence, this->options.times, now);
     const int lent = this->seats.lendable_seats(now);
     std::vector<bool> is_listed(slot_count, false);
     for (const slot_id id : listed) {
         is_listed[id.value] = true;
     }
     for (std::uint32_t i = 0; i < slot_count; ++i) {
-        broker_slot& one = this->slots[i];
-        if (one.loans.empty()) {
+        slot_limiter& one = this->slots[i];
+        if (one.leases.empty()) {
             one.total_seats = this->total_seats();
         }
-        if (is_listed[i] || one.loans.contains(self)) {
-            set_loan(one, self, {is_listed[i] ? lent : 0, now + this->options.times.length}, now);
+        if (is_listed[i] || one.leases.contains(self)) {
+            set_lease(one, self, {is_listed[i] ? lent : 0, now + this->options.times.length}, now);
         }
     }
-    acknowledge(this->book, self, this->sequence, now);
+    record_acknowledgement(this->book, self, this->sequence, now);
 }
 
 void loan_keeper::beat(incarnation_id to, time_point now) {
@@ -169,7 +169,7 @@
     ++this->sequence;
     std::uint64_t words[2] = {0, 0};
     for (const slot_id id :
-         lend(this->book, to, this->choices, this->sequence, this->options.times, now)) {
+         issue_leases(this->book, to, this->choices, this->sequence, this->options.times, now)) {
         words[id.value / slots_per_word] |= std::uint64_t{1} << (id.value % slots_per_word);
     }
     std::uint16_t flags = this->own_vouch() ? flag_vouches : 0;
@@ -191,7 +191,7 @@
     }
     peer_status& peer = found->second;
     const bool was_candidate = this->is_candidate(peer, now);
-    if (acknowledge(this->book, from.incarnation, fields.acknowledged(), now) > 0) {
+    if (record_acknowledgement(this->book, from.incarnation, fields.acknowledged(), now) > 0) {
         this->beat_soon();
     }
     if (fields.sequence() <= peer.processed) {
@@ -220,14 +220,14 @@
     bool ended = false;
     const incarnation_id lender = from.info.incarnation;
     for (std::uint32_t i = 0; i < slot_count; ++i) {
-        broker_slot& one = this->slots[i];
+        slot_limiter& one = this->slots[i];
         if (lists(fields, i)) {
-            if (one.loans.empty()) {
+            if (one.leases.empty()) {
                 one.total_seats = this->total_seats();
             }
-            set_loan(one, lender, {fields.lent_seats(), until}, now);
-        } else if (one.loans.contains(lender)) {
-            set_loan(one, lender, {0, until}, now);
+            set_lease(one, lender, {fields.lent_seats(), until}, now);
+        } else if (one.leases.contains(lender)) {
+            set_lease(one, lender, {0, until}, now);
             ended = true;
         }
     }
@@ -252,8 +252,8 @@
     }
 }
 
-std::vector<config_voucher> loan_keeper::vouchers(time_point now) const {
-    std::vector<config_voucher> all;
+std::vector<config_confirmation> loan_keeper::vouchers(time_point now) const {
+    std::vector<config_confirmation> all;
     all.push_back({this->seats.voting_seats(now), this->own_number(), this->own_vouch(), now});
     for (const auto& [incarnation, peer] : this->statuses) {
         if (peer.as_of) {
--- a/libs/control/src/seat_keeper.cpp
+++ b/libs/control/src/seat_keeper.cpp
@@ -147,8 +147,9 @@
     }
 }
 
-seat_view seat_keeper::view(time_point now) const {
-    seat_view seen{this->self.instance, this->self.incarnation, 0, this->leaving, this->gone, ""};
+seat_plan_input seat_keeper::view(time_point now) const {
+    seat_plan_input seen{
+        this->self.instance, this->self.incarnation, 0, this->leaving, this->gone, ""};
     seen.peers_address = to_string(this->self.peers_address);
     const bool must_keep = this->must_keep_seats && this->must_keep_seats();
     if (!must_keep && now - this->withheld_since >= this->options.loan_end) {
--- a/libs/control/src/token_client.cpp
+++ b/libs/control/src/token_client.cpp
@@ -32,14 +32,14 @@
     // The baseline gives each instance a fixed part that never ends.
     const time_point now = boot_clock::now();
     this->static_slot.total_seats = settings.max_instances;
-    this->static_slot.share_since = now;
-    set_loan(this->static_slot, incarnation_id{1}, {1, time_point::max()}, now);
+    this->static_slot.share_changed_at = now;
+    set_lease(this->static_slot, incarnation_id{1}, {1, time_point::max()}, now);
 }
 
 bool token_client::take_local(const client_account& account, time_point now) {
-    broker_slot& slot = this->mode == admission_mode::static_split
-                            ? this->static_slot
-                            : this->loans.slot(slot_of(account.id, slot_count));
+    slot_limiter& slot = this->mode == admission_mode::static_split
+                             ? this->static_slot
+                             : this->loans.slot(slot_of(account.id, slot_count));
     return take_token(slot, account.id, limit_of(account), now);
 }
 
@@ -48,9 +48,9 @@
         return false;
     }
     const slot_id id = slot_of(account.id, slot_count);
-    const broker_slot& slot = this->loans.slot(id);
-    return !this->loans.is_own_choice(id) || slot.seats_on_loan == 0 ||
-           now - slot.share_since < settling;
+    const slot_limiter& slot = this->loans.slot(id);
+    return !this->loans.is_own_choice(id) || slot.leased_seats == 0 ||
+           now - slot.share_changed_at < settling;
 }
 
 void token_client::admit(const client_account_ptr& account, time_point deadline,
@@ -157,14 +157,14 @@
     reply.id = request.id;
     const account_id id{request.account};
     const slot_id place = slot_of(id, slot_count);
-    broker_slot& slot = this->loans.slot(place);
-    if (account != nullptr && slot.seats_on_loan > 0) {
-        settle_grants(slot, id, from.incarnation, request.unspent, now);
+    slot_limiter& slot = this->loans.slot(place);
+    if (account != nullptr && slot.leased_seats > 0) {
+        release_grants(slot, id, from.incarnation, request.unspent, now);
         reply.granted = static_cast<std::uint32_t>(
             grant_tokens(slot, id, limit_of(*account), from.incarnation,
                          static_cast<int>(std::min(request.wanted, max_tokens_per_grant)), now,
                          now + grant_lifetime));
-        reply.is_broker = now - slot.share_since >= settling || reply.granted > 0;
+        reply.is_broker = now - slot.share_changed_at >= settling || reply.granted > 0;
     }
     this->network.send(from.incarnation, reply);
 }
--- a/libs/decide/include/decide/lease_table.h
+++ b/libs/decide/include/decide/lease_table.h
@@ -8,59 +8,64 @@
 #include "base/ids.h"
 
 /// \file
-/// The lender's side of loans: to whom a seat holder lends its seats' share of each slot.
+/// Quota leases that one seat holder has issued: for each slot, the broker that may use the share
+/// of this instance's seats. Leases are called loans in settings.
 ///
-/// A share is lent to one borrower at a time. It goes to another one only when the earlier loan
-/// has surely ended: its time has passed, or the borrower has acknowledged a later message that no
-/// longer lists the slot. Clocks of different instances are never compared: a borrower counts the
-/// loan from its own time stamp that the lender echoes, and the lender from its later send.
+/// A share is leased to one broker at a time. It is leased to another broker only after the earlier
+/// lease has ended for certain: it has expired, or its broker has acknowledged a later message that
+/// no longer lists the slot. Clocks of different instances are never compared: the broker counts
+/// the lease from its own time stamp, which the issuer echoes, and the issuer counts from the time
+/// at which it sends the echo, which is later.
 ///
-/// All functions are pure but for their first argument. Not thread safe.
+/// Functions modify only their first argument. Not thread safe.
 
 namespace knapweedknot {
 
-/// Times of the loan protocol.
-struct loan_times {
-    /// Length of a loan at the borrower, counted from its echoed time stamp.
+/// Timing of quota leases.
+struct lease_times {
+    /// Length of a lease at the broker, counted from its echoed time stamp.
     duration length{milliseconds(1800)};
-    /// Greatest difference between the rates of two clocks, as a share.
-    double drift{0.01};
+    /// Greatest difference between the rates of two clocks, as a fraction.
+    double max_clock_drift{0.01};
 };
 
-/// Where the share of one slot is.
-struct slot_lending {
-    /// Who may still hold the share; nothing when it is free.
-    std::optional<incarnation_id> borrower;
-    /// When the loan has surely ended.
-    time_point until;
-    /// First message to the borrower that did not list the slot; nothing while it is listed.
-    std::optional<std::uint32_t> recalled_by;
+/// Lease on the share of one slot.
+struct slot_lease {
+    /// Broker that may still use the share; empty when the share is free.
+    std::optional<incarnation_id> broker;
+    /// Time by the issuer's clock at which the lease has expired at the broker for certain.
+    time_point expires;
+    /// First message to the broker that did not list the slot; empty while the slot is listed.
+    std::optional<std::uint32_t> revoking_sequence;
 };
 
-/// All slots of one lender.
-struct loan_book {
-    std::vector<slot_lending> slots;
+/// Leases of one issuer.
+struct lease_table {
+    /// By slot number.
+    std::vector<slot_lease> slots;
 };
 
-/// Decides which slots the next message to \p borrower lists, and notes the loans as made.
-/// \param choices for each slot the instance that should broker it
-/// \param sequence number of the message, greater than that of all earlier ones to this borrower
-/// \return the listed slots; the message must be sent, or its loss is waited out
-/// \pre choices has one entry for each slot
-[[nodiscard]] std::vector<slot_id> lend(loan_book& book, incarnation_id borrower,
-                                        const std::vector<incarnation_id>& choices,
-                                        std::uint32_t sequence, const loan_times& times,
-                                        time_point now);
+/// Selects the slots that the next message to \p broker lists, and records their leases as issued
+/// or renewed.
+/// \param brokers the intended broker of each slot
+/// \param sequence number of the message, greater than that of all earlier ones to this broker
+/// \return the listed slots; if the message is not sent, their leases still count until they expire
+/// \pre brokers has one entry for each slot
+[[nodiscard]] std::vector<slot_id> issue_leases(lease_table& table, incarnation_id broker,
+                                                const std::vector<incarnation_id>& brokers,
+                                                std::uint32_t sequence, const lease_times& times,
+                                                time_point now);
 
-/// Notes that \p borrower has acted on the message \p sequence. Slots that it did not list are
-/// free at once. Returns how many became free.
-std::size_t acknowledge(loan_book& book, incarnation_id borrower, std::uint32_t sequence,
-                        time_point now);
+/// Records that \p broker has processed the message \p sequence. Shares of slots that this message
+/// no longer listed become free. Returns the number of slots freed.
+std::size_t record_acknowledgement(lease_table& table, incarnation_id broker,
+                                   std::uint32_t sequence, time_point now);
 
-/// Notes that the process \p borrower has ended for certain. Returns how many slots became free.
-std::size_t forget_borrower(loan_book& book, incarnation_id borrower, time_point now);
+/// Releases the leases of \p broker, whose process has ended for certain. Returns the number of
+/// slots freed.
+std::size_t release_leases(lease_table& table, incarnation_id broker, time_point now);
 
-/// When the share of every slot that is lent now has surely ended, if no more is lent.
-[[nodiscard]] time_point last_end(const loan_book& book, time_point now);
+/// Time at which all current leases have expired, or \p now when there are none.
+[[nodiscard]] time_point latest_expiry(const lease_table& table, time_point now);
 
 } // namespace knapweedknot
--- a/libs/decide/src/lease_table.cpp
+++ b/libs/decide/src/lease_table.cpp
@@ -7,53 +7,55 @@
 
 namespace {
 
-/// End of a loan by the lender's clock, allowing for a borrower whose clock runs slow.
-time_point end_of_loan(const loan_times& times, time_point now) {
-    return now + from_seconds(to_seconds(times.length) * (1 + times.drift));
+/// Expiry of a lease by the issuer's clock, allowing for a broker whose clock runs slow.
+time_point lease_expiry(const lease_times& times, time_point now) {
+    return now + from_seconds(to_seconds(times.length) * (1 + times.max_clock_drift));
 }
 
-bool is_free(const slot_lending& slot, time_point now) {
-    return !slot.borrower.has_value() || slot.until <= now;
+bool is_free(const slot_lease& slot, time_point now) {
+    return !slot.broker.has_value() || slot.expires <= now;
 }
 
-void release(slot_lending& slot, time_point now) {
-    slot.borrower.reset();
-    slot.until = now;
-    slot.recalled_by.reset();
+void release(slot_lease& slot, time_point now) {
+    slot.broker.reset();
+    slot.expires = now;
+    slot.revoking_sequence.reset();
 }
 
 } // namespace
 
-std::vector<slot_id> lend(loan_book& book, incarnation_id borrower,
-                          const std::vector<incarnation_id>& choices, std::uint32_t sequence,
-                          const loan_times& times, time_point now) {
-    assert(choices.size() == book.slots.size());
+std::vector<slot_id> issue_leases(lease_table& table, incarnation_id broker,
+                                  const std::vector<incarnation_id>& brokers,
+                                  std::uint32_t sequence, const lease_times& times,
+                                  time_point now) {
+    assert(brokers.size() == table.slots.size());
     std::vector<slot_id> listed;
-    for (std::uint32_t i = 0; i < choices.size(); ++i) {
-        slot_lending& slot = book.slots[i];
-        const bool holds = slot.borrower == borrower;
-        if (choices[i] != borrower) {
-            if (holds && !slot.recalled_by) {
-                slot.recalled_by = sequence;
+    for (std::uint32_t i = 0; i < brokers.size(); ++i) {
+        slot_lease& slot = table.slots[i];
+        const bool is_current = slot.broker == broker;
+        if (brokers[i] != broker) {
+            if (is_current && !slot.revoking_sequence) {
+                slot.revoking_sequence = sequence;
             }
             continue;
         }
-        if (!holds && !is_free(slot, now)) {
+        if (!is_current && !is_free(slot, now)) {
             continue;
         }
-        slot.borrower = borrower;
-        slot.until = end_of_loan(times, now);
-        slot.recalled_by.reset();
+        slot.broker = broker;
+        slot.expires = lease_expiry(times, now);
+        slot.revoking_sequence.reset();
         listed.push_back(slot_id{i});
     }
     return listed;
 }
 
-std::size_t acknowledge(loan_book& book, incarnation_id borrower, std::uint32_t sequence,
-                        time_point now) {
+std::size_t record_acknowledgement(lease_table& table, incarnation_id broker,
+                                   std::uint32_t sequence, time_point now) {
     std::size_t freed = 0;
-    for (slot_lending& slot : book.slots) {
-        if (slot.borrower == borrower && slot.recalled_by && *slot.recalled_by <= sequence) {
+    for (slot_lease& slot : table.slots) {
+        if (slot.broker == broker && slot.revoking_sequence &&
+            *slot.revoking_sequence <= sequence) {
             release(slot, now);
             ++freed;
         }
@@ -61,10 +63,10 @@
     return freed;
 }
 
-std::size_t forget_borrower(loan_book& book, incarnation_id borrower, time_point now) {
+std::size_t release_leases(lease_table& table, incarnation_id broker, time_point now) {
     std::size_t freed = 0;
-    for (slot_lending& slot : book.slots) {
-        if (slot.borrower == borrower) {
+    for (slot_lease& slot : table.slots) {
+        if (slot.broker == broker) {
             release(slot, now);
             ++freed;
         }
@@ -72,14 +74,14 @@
     return freed;
 }
 
-time_point last_end(const loan_book& book, time_point now) {
-    time_point last = now;
-    for (const slot_lending& slot : book.slots) {
-        if (slot.borrower) {
-            last = std::max(last, slot.until);
+time_point latest_expiry(const lease_table& table, time_point now) {
+    time_point latest = now;
+    for (const slot_lease& slot : table.slots) {
+        if (slot.broker) {
+            latest = std::max(latest, slot.expires);
         }
     }
-    return last;
+    return latest;
 }
 
 } // namespace knapweedknot
--- a/libs/decide/src/placement.cpp
+++ b/libs/decide/src/placement.cpp
@@ -13,7 +13,7 @@
 }
 
 std::uint64_t placement_weight(slot_id slot, const instance_id& instance) noexcept {
-    // Spreads neighbouring slots over distant seeds (the 64-bit golden ratio).
+    // Multiplies by the 64-bit golden ratio so that adjacent slots get unrelated seeds.
     return hash64(instance.value, (std::uint64_t{slot.value} + 1) * 0x9E3779B97F4A7C15ULL);
 }
 
--- a/libs/decide/src/seat_plan.cpp
+++ b/libs/decide/src/seat_plan.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-seat_holder* find_mutable(seat_record& record, incarnation_id incarnation) {
+seat_holder* find_mutable_holder(seat_record& record, incarnation_id incarnation) {
     const auto found = std::find_if(
         record.holders.begin(), record.holders.end(),
         [incarnation](const seat_holder& holder) { return holder.incarnation == incarnation; });
@@ -20,40 +20,41 @@
                                   : record.total_seats / static_cast<int>(record.holders.size());
 }
 
-void remove_gone(seat_record& record, const seat_view& view) {
-    std::erase_if(record.holders, [&view](const seat_holder& holder) {
-        return std::find(view.gone.begin(), view.gone.end(), holder.incarnation) != view.gone.end();
+void remove_terminated(seat_record& record, const seat_plan_input& input) {
+    std::erase_if(record.holders, [&input](const seat_holder& holder) {
+        return std::find(input.terminated.begin(), input.terminated.end(), holder.incarnation) !=
+               input.terminated.end();
     });
 }
 
-/// Adds the planning instance; it inherits the seats of its earlier incarnation, whose process
-/// cannot live on since the address is in use by this one.
-void join(seat_record& record, const seat_view& view) {
+/// Adds the planning instance, which inherits the seats of its earlier incarnations. Their
+/// processes must have ended, since this process is using their address.
+void join(seat_record& record, const seat_plan_input& input) {
     int inherited = 0;
     for (const seat_holder& holder : record.holders) {
-        inherited += holder.instance == view.self ? holder.seats : 0;
+        inherited += holder.instance == input.self ? holder.seats : 0;
     }
     std::erase_if(record.holders,
-                  [&view](const seat_holder& holder) { return holder.instance == view.self; });
-    record.holders.push_back({view.self, view.incarnation, inherited, view.peers_address});
+                  [&input](const seat_holder& holder) { return holder.instance == input.self; });
+    record.holders.push_back({input.self, input.incarnation, inherited, input.peers_address});
 }
 
-void give_back_surplus(seat_record& record, const seat_view& view) {
-    seat_holder* self = find_mutable(record, view.incarnation);
-    const int given = std::min(view.releasable, surplus_seats(record, view.incarnation));
+void release_surplus(seat_record& record, const seat_plan_input& input) {
+    seat_holder* self = find_mutable_holder(record, input.incarnation);
+    const int given = std::min(input.releasable, surplus_seats(record, input.incarnation));
     self->seats -= std::max(0, given);
 }
 
-void take_free(seat_record& record, const seat_view& view) {
-    seat_holder* self = find_mutable(record, view.incarnation);
+void claim_free_seats(seat_record& record, const seat_plan_input& input) {
+    seat_holder* self = find_mutable_holder(record, input.incarnation);
     const int missing = even_share(record) - self->seats;
     int taken = std::clamp(missing, 0, free_seats(record));
-    const bool others_have_theirs =
+    const bool others_have_even_share =
         std::all_of(record.holders.begin(), record.holders.end(), [&](const seat_holder& holder) {
             return &holder == self || holder.seats >= even_share(record);
         });
-    // What does not divide evenly goes to whoever finds it, one seat each.
-    if (others_have_theirs && self->seats + taken == even_share(record) &&
+    // Holders may claim one seat each of the remainder that does not divide evenly.
+    if (others_have_even_share && self->seats + taken == even_share(record) &&
         free_seats(record) > taken) {
         ++taken;
     }
@@ -87,24 +88,24 @@
     for (const seat_holder& holder : record.holders) {
         needed += std::max(0, share - holder.seats);
     }
-    // One seat above the even share may stay while nobody lacks it.
+    // One seat above the even share may be kept while no holder is below it.
     const int above = std::max(0, self->seats - share);
     return std::max(std::clamp(needed, 0, above), above - 1);
 }
 
-std::optional<seat_record> plan_seats(const seat_record& record, const seat_view& view) {
+std::optional<seat_record> plan_seats(const seat_record& record, const seat_plan_input& input) {
     seat_record planned = record;
-    remove_gone(planned, view);
-    if (view.leaving) {
-        std::erase_if(planned.holders, [&view](const seat_holder& holder) {
-            return holder.incarnation == view.incarnation;
+    remove_terminated(planned, input);
+    if (input.leaving) {
+        std::erase_if(planned.holders, [&input](const seat_holder& holder) {
+            return holder.incarnation == input.incarnation;
         });
     } else {
-        if (find_holder(planned, view.incarnation) == nullptr) {
-            join(planned, view);
+        if (find_holder(planned, input.incarnation) == nullptr) {
+            join(planned, input);
         }
-        give_back_surplus(planned, view);
-        take_free(planned, view);
+        release_surplus(planned, input);
+        claim_free_seats(planned, input);
     }
     if (planned == record) {
         return std::nullopt;
--- a/libs/entry/src/operator_service.cpp
+++ b/libs/entry/src/operator_service.cpp
@@ -270,7 +270,7 @@
     const seat_record& record = this->parts.seats.record();
     nlohmann::json slots = nlohmann::json::object();
     for (std::uint32_t i = 0; i < slot_count; ++i) {
-        if (const int seats = this->parts.loans.slot(slot_id{i}).seats_on_loan; seats > 0) {
+        if (const int seats = this->parts.loans.slot(slot_id{i}).leased_seats; seats > 0) {
             slots[std::to_string(i)] = seats;
         }
     }
