Reword the shared bucket and the refill share

note_unheard_tokens and the like did not tell what happens to the bucket. note_peer_tokens -> subtract_peer_tokens, note_unheard_tokens -> subtract_late_peer_tokens, take_future_token -> reserve_token, note_lost and note_heard -> mark_lost and clear_lost, unseen_successors -> unreachable_failovers; comments and test names reworded.

--- a/libs/decide/include/decide/refill_share.h
+++ b/libs/decide/include/decide/refill_share.h
@@ -7,42 +7,45 @@
 #include "base/ids.h"
 
 /// \file
-/// Which part of every account's refill an instance may count on.
+/// Fraction of every account's token refill that an instance may use while it cannot reach some of
+/// the other serving instances.
 ///
-/// Pattern: instances that serve are cut off from each other while their callers and the store
-/// reach them all. Each of them must then admit a share only, for as long as the others may go on.
+/// Instances that are partitioned from each other may all still reach their callers and the store.
+/// Each of them may then admit only a fraction of the rate, for as long as the others may still be
+/// admitting requests.
 ///
-/// Functions are pure but for their first argument. Not thread safe.
+/// Functions modify at most their first argument. Not thread safe.
 
 namespace knapweedknot {
 
-/// How long an instance that was lost may go on admitting.
+/// How long an instance whose connection was lost is assumed to admit requests.
 struct lost_instance_policy {
-    /// After its link was closed: its process has ended, or it connects again within this time.
-    duration after_close{seconds(5)};
-    /// After it has gone silent: it may be cut off from here only.
-    duration after_silence{seconds(60)};
-    /// A link that was silent for this long before it ended has gone silent.
-    duration silence{milliseconds(650)};
-    /// Callers may have gone on to other instances that cannot be heard either: so many for each
-    /// serving one that is missing.
-    double unseen_successors{0.5};
+    /// After its connection was closed: its process has ended, or it reconnects within this time.
+    duration close_timeout{seconds(5)};
+    /// After a silence: it may be partitioned from this instance only.
+    duration silence_timeout{seconds(60)};
+    /// A connection that was silent for this long before it ended counts as lost by silence.
+    duration silence_threshold{milliseconds(650)};
+    /// Callers of an unreachable instance may have failed over to instances that are unreachable
+    /// too. Assumed number of these for each unreachable serving instance.
+    double unreachable_failovers{0.5};
 };
 
-/// Lost instances that may go on admitting, and until when.
+/// Lost instances, each with the time until which it is assumed to admit requests.
 using lost_instances = std::unordered_map<instance_id, time_point>;
 
-/// Notes that a serving instance was lost whose last report is \p silent_for old.
-void note_lost(lost_instances& lost, const instance_id& instance, duration silent_for,
+/// Records that the connection to a serving instance was lost; its last report is \p silent_for
+/// old.
+void mark_lost(lost_instances& lost, const instance_id& instance, duration silent_for,
                const lost_instance_policy& policy, time_point now);
-/// Notes that the instance, or a newer process of it, was heard.
-void note_heard(lost_instances& lost, const instance_id& instance);
-
-/// Part of the refill, from 0 to 1, for one of the instances that serve.
-/// \param heard other serving instances that report as they should
-/// \param unheard connected serving instances that have missed reports
-[[nodiscard]] double refill_share(const lost_instances& lost, std::size_t heard,
-                                  std::size_t unheard, const lost_instance_policy& policy,
+/// Removes the instance once it, or a newer incarnation of it, was heard from.
+void clear_lost(lost_instances& lost, const instance_id& instance);
+
+/// Fraction of the refill, from 0 to 1, that this instance may use.
+/// \param on_time number of other serving instances whose reports arrive on time
+/// \param overdue number of connected serving instances whose reports are overdue
+[[nodiscard]] double refill_share(const lost_instances& lost, std::size_t on_time,
+                                  std::size_t overdue, const lost_instance_policy& policy,
                                   time_point now);
 
 } // namespace knapweedknot
--- a/libs/decide/src/refill_share.cpp
+++ b/libs/decide/src/refill_share.cpp
@@ -4,24 +4,24 @@
 
 namespace knapweedknot {
 
-void note_lost(lost_instances& lost, const instance_id& instance, duration silent_for,
+void mark_lost(lost_instances& lost, const instance_id& instance, duration silent_for,
                const lost_instance_policy& policy, time_point now) {
     std::erase_if(lost, [now](const auto& item) { return item.second <= now; });
-    lost[instance] =
-        now + (silent_for < policy.silence ? policy.after_close : policy.after_silence);
+    lost[instance] = now + (silent_for < policy.silence_threshold ? policy.close_timeout
+                                                                  : policy.silence_timeout);
 }
 
-void note_heard(lost_instances& lost, const instance_id& instance) {
+void clear_lost(lost_instances& lost, const instance_id& instance) {
     lost.erase(instance);
 }
 
-double refill_share(const lost_instances& lost, std::size_t heard, std::size_t unheard,
+double refill_share(const lost_instances& lost, std::size_t on_time, std::size_t overdue,
                     const lost_instance_policy& policy, time_point now) {
-    const auto gone = std::count_if(lost.begin(), lost.end(),
-                                    [now](const auto& item) { return item.second > now; });
-    const double counted_on = static_cast<double>(heard) + 1;
-    const double missing = static_cast<double>(unheard) + static_cast<double>(gone);
-    return counted_on / (counted_on + missing * (1 + policy.unseen_successors));
+    const auto lost_count = std::count_if(lost.begin(), lost.end(),
+                                          [now](const auto& item) { return item.second > now; });
+    const double reachable = static_cast<double>(on_time) + 1;
+    const double unreachable = static_cast<double>(overdue) + static_cast<double>(lost_count);
+    return reachable / (reachable + unreachable * (1 + policy.unreachable_failovers));
 }
 
 } // namespace knapweedknot
--- a/libs/decide/tests/refill_share_test.cpp
+++ b/libs/decide/tests/refill_share_test.cpp
@@ -12,30 +12,32 @@
 
 } // namespace
 
-// Pattern: a partition between instances that outlasts the time in which a link is given up.
-BOOST_AUTO_TEST_CASE(an_instance_that_went_silent_keeps_its_share_through_a_long_partition) {
+// Guards against a return to the full refill during a network partition between instances: the
+// connection is closed after some seconds of silence, but the other side still admits requests.
+BOOST_AUTO_TEST_CASE(a_silent_instance_is_counted_for_the_silence_timeout) {
     lost_instances lost;
     BOOST_TEST(refill_share(lost, 2, 0, policy, start) == 1.0);
     BOOST_TEST(refill_share(lost, 1, 1, policy, start) == 4.0 / 7);
-    note_lost(lost, other, seconds(7), policy, start);
+    mark_lost(lost, other, seconds(7), policy, start);
     BOOST_TEST(refill_share(lost, 1, 0, policy, start + seconds(50)) == 4.0 / 7);
     BOOST_TEST(refill_share(lost, 1, 0, policy, start + seconds(61)) == 1.0);
 }
 
-// Pattern: processes are killed and started again.
-BOOST_AUTO_TEST_CASE(an_instance_whose_process_has_ended_keeps_its_share_until_it_is_back) {
+// Guards against too large or too long a reduction of the refill after a process was restarted.
+BOOST_AUTO_TEST_CASE(
+    an_instance_with_a_closed_connection_is_counted_until_it_returns_or_times_out) {
     lost_instances lost;
-    note_lost(lost, other, milliseconds(100), policy, start);
+    mark_lost(lost, other, milliseconds(100), policy, start);
     BOOST_TEST(refill_share(lost, 0, 0, policy, start + seconds(4)) == 0.4);
     BOOST_TEST(refill_share(lost, 0, 0, policy, start + seconds(5)) == 1.0);
-    note_lost(lost, other, milliseconds(100), policy, start);
-    note_heard(lost, other);
+    mark_lost(lost, other, milliseconds(100), policy, start);
+    clear_lost(lost, other);
     BOOST_TEST(refill_share(lost, 0, 0, policy, start) == 1.0);
 }
 
-// Pattern: three serving instances are cut off from each other, and in two failure domains callers
-// go on to another instance that nobody hears either. Together they must not exceed the rate by
-// more than the users' rule allows.
+// Guards against admitting more than the rate and the permitted tenth during a partition: three
+// serving instances are isolated from each other, and in two failure domains callers fail over to a
+// further instance that is isolated as well.
 BOOST_AUTO_TEST_CASE(unseen_successors_stay_within_the_rate_and_a_tenth) {
     const lost_instances lost;
     const double first = refill_share(lost, 0, 2, policy, start);
--- a/libs/decide/tests/traffic_test.cpp
+++ b/libs/decide/tests/traffic_test.cpp
@@ -67,7 +67,7 @@
         while (!reports.empty() && reports.front().arrives <= now) {
             for (std::size_t i = 0; i < instances; ++i) {
                 if (i != reports.front().from) {
-                    note_peer_tokens(buckets[i], 1, times, now);
+                    subtract_peer_tokens(buckets[i], 1, times, now);
                 }
             }
             reports.pop_front();
@@ -127,11 +127,11 @@
     BOOST_TEST(together <= 6 * limit.rate_per_s);
     BOOST_TEST(together >= 6 * limit.rate_per_s * 0.95);
     const double before = buckets[0].tokens;
-    note_unheard_tokens(buckets[0], admitted[1], times, now);
-    note_unheard_tokens(buckets[0], admitted[2], times, now);
+    subtract_late_peer_tokens(buckets[0], admitted[1], times, now);
+    subtract_late_peer_tokens(buckets[0], admitted[2], times, now);
     BOOST_TEST(buckets[0].tokens > before - 1);
     // No share was set aside for an instance whose reports kept arriving, so its tokens count.
-    note_peer_tokens(buckets[0], 5, times, now);
+    subtract_peer_tokens(buckets[0], 5, times, now);
     BOOST_TEST(buckets[0].tokens <= before - 5);
 }
 
@@ -143,8 +143,8 @@
     bucket.tokens = 0;
     advance(bucket, {20, 20}, 0.25, start);
     BOOST_TEST((time_to_token(bucket, times) == milliseconds(200)));
-    BOOST_TEST(!take_future_token(bucket, times, milliseconds(150)).has_value());
-    BOOST_TEST(take_future_token(bucket, times, milliseconds(200)).has_value());
+    BOOST_TEST(!reserve_token(bucket, times, milliseconds(150)).has_value());
+    BOOST_TEST(reserve_token(bucket, times, milliseconds(200)).has_value());
 }
 
 // Guards against a debt that takes longer to pay back after the rate of an account is lowered while
@@ -152,7 +152,7 @@
 BOOST_AUTO_TEST_CASE(a_debt_is_paid_back_as_fast_under_a_lower_rate) {
     shared_bucket bucket = make_shared_bucket({30, 30}, start);
     const shared_bucket_times times;
-    note_peer_tokens(bucket, 90, times, start);
+    subtract_peer_tokens(bucket, 90, times, start);
     BOOST_TEST(bucket.tokens == -60);
     advance(bucket, {3, 3}, 1, start);
     BOOST_TEST(bucket.tokens == -6);
@@ -166,13 +166,13 @@
     BOOST_TEST(take_token(bucket, times));
     BOOST_TEST(take_token(bucket, times));
     BOOST_TEST(!take_token(bucket, times));
-    const auto first = take_future_token(bucket, times, milliseconds(250));
-    const auto second = take_future_token(bucket, times, milliseconds(250));
+    const auto first = reserve_token(bucket, times, milliseconds(250));
+    const auto second = reserve_token(bucket, times, milliseconds(250));
     BOOST_REQUIRE(first.has_value());
     BOOST_REQUIRE(second.has_value());
     BOOST_TEST((*first == milliseconds(100)));
     BOOST_TEST((*second == milliseconds(200)));
-    BOOST_TEST(!take_future_token(bucket, times, milliseconds(250)).has_value());
+    BOOST_TEST(!reserve_token(bucket, times, milliseconds(250)).has_value());
     advance(bucket, {10, 2}, 1, start + milliseconds(200));
     BOOST_TEST(!take_token(bucket, times));
     advance(bucket, {10, 2}, 1, start + milliseconds(300));
--- a/libs/proxy/src/account_rate_limiter.cpp
+++ b/libs/proxy/src/account_rate_limiter.cpp
@@ -91,7 +91,7 @@
     current.report_delay = std::max<duration>(
         current.report_delay, std::min<duration>(peers.oldest_report_age, max_report_gap));
     const auto wait =
-        take_future_token(state.bucket, current, state.is_estimate ? duration::zero() : max_wait);
+        reserve_token(state.bucket, current, state.is_estimate ? duration::zero() : max_wait);
     outcome.tokens = state.bucket.tokens;
     if (!wait) {
         outcome.retry_after = time_to_token(state.bucket, current);
@@ -157,11 +157,11 @@
         state.is_estimate = false;
         state.bucket.tokens = std::min(state.bucket.limit.burst, usage.tokens) -
                               (state.admitted - state.admitted_before_estimate);
-        state.bucket.refilled = now;
+        state.bucket.refilled_at = now;
         return;
     }
     if (admissions.count > 0) {
-        const auto note = admissions.was_overdue ? note_unheard_tokens : note_peer_tokens;
+        const auto note = admissions.was_overdue ? subtract_late_peer_tokens : subtract_peer_tokens;
         note(state.bucket, admissions.count, this->times, now);
     }
 }
--- a/libs/proxy/src/edge_gateway.cpp
+++ b/libs/proxy/src/edge_gateway.cpp
@@ -372,7 +372,7 @@
     const time_point now = boot_clock::now();
     const bool is_new =
         peer.report->uptime < std::min<duration>(now - this->started, new_process_time);
-    note_heard(this->lost_peers, peer.info.instance);
+    clear_lost(this->lost_peers, peer.info.instance);
     this->accounts.apply_peer_report(*peer.report, before, is_new, now);
     this->retries.apply_peer_report(peer.info.incarnation, *peer.report, before, now);
     for (const auto& [service, balanced] : this->balancers) {
@@ -384,7 +384,7 @@
     const time_point now = boot_clock::now();
     this->retries.remove_peer(peer.info.incarnation);
     if (peer.report && peer.report->serving) {
-        note_lost(this->lost_peers, peer.info.instance, now - peer.heard, lost_instance_policy{},
+        mark_lost(this->lost_peers, peer.info.instance, now - peer.heard, lost_instance_policy{},
                   now);
     }
 }
--- a/libs/proxy/src/retry_limiter.cpp
+++ b/libs/proxy/src/retry_limiter.cpp
@@ -105,7 +105,7 @@
         service_state& state = this->state_of(service, now);
         this->add_to_request_rate(state, usage.requests - previous.requests, now);
         if (usage.resends > previous.resends) {
-            note_peer_tokens(state.bucket, usage.resends - previous.resends, this->times, now);
+            subtract_peer_tokens(state.bucket, usage.resends - previous.resends, this->times, now);
         }
     }
     this->peer_crashes[peer] = report.crashes;
