--- a/libs/control/include/control/admission_controller.h
+++ b/libs/control/include/control/admission_controller.h
@@ -80,7 +80,7 @@
     mesh& network;
     heartbeat_service& heartbeats;
     admission_mode mode;
-    broker_slot static_slot;
+    slot_limiter static_slot;
     std::unordered_map<account_id, account_queue> queues;
     std::unordered_map<std::uint64_t, account_id> accounts_by_request;
     std::map<account_id, admission_counts> counts_by_account;
--- a/libs/control/include/control/config_quorum.h
+++ b/libs/control/include/control/config_quorum.h
@@ -77,7 +77,7 @@
     configuration& config;
     std::optional<announcement> own_announcement;
     /// Announcements, including those of this instance, whose outcome is unknown here.
-    open_announcements pending;
+    pending_announcements pending;
     struct in_force_waiter {
         config_number number;
         time_point limit;
--- a/libs/control/include/control/heartbeat_service.h
+++ b/libs/control/include/control/heartbeat_service.h
@@ -7,9 +7,9 @@
 #include <vector>
 
 #include "control/seat_manager.h"
-#include "decide/broker_slot.h"
 #include "decide/freshness.h"
-#include "decide/loan_book.h"
+#include "decide/lease_table.h"
+#include "decide/slot_limiter.h"
 #include "event/loop.h"
 #include "peers/mesh.h"
 
@@ -26,7 +26,7 @@
 /// Options of the heartbeat service.
 struct heartbeat_options {
     duration heartbeat_interval{milliseconds(800)};
-    loan_times times;
+    lease_times times;
     freshness_times freshness;
 };
 
@@ -71,7 +71,7 @@
     std::function<bool()> own_confirmation;
 
     /// Local state of the slot. It has tokens only while quota leases on it are in force.
-    [[nodiscard]] broker_slot& slot(slot_id id) { return this->slots.at(id.value); }
+    [[nodiscard]] slot_limiter& slot(slot_id id) { return this->slots.at(id.value); }
     /// Instance that should broker the slot, as seen from here.
     [[nodiscard]] incarnation_id broker_of(slot_id id) const { return this->brokers.at(id.value); }
     /// Whether this instance should broker the slot.
@@ -84,7 +84,7 @@
     /// Candidate brokers of slot \p id, in the order in which they should serve it.
     [[nodiscard]] std::vector<peer_info> ranked_instances(slot_id id) const;
     /// Latest configuration confirmations of all peers and of this instance.
-    [[nodiscard]] std::vector<config_voucher> confirmations(time_point now) const;
+    [[nodiscard]] std::vector<config_confirmation> confirmations(time_point now) const;
     [[nodiscard]] int own_voting_seats(time_point now) const {
         return this->seats.voting_seats(now);
     }
@@ -116,8 +116,8 @@
     seat_manager& seats;
     heartbeat_options options;
     time_point epoch;
-    loan_book issued_leases;
-    std::vector<broker_slot> slots;
+    lease_table issued_leases;
+    std::vector<slot_limiter> slots;
     std::vector<incarnation_id> brokers;
     std::map<incarnation_id, peer_status> statuses;
     std::uint32_t sequence{0};
--- a/libs/control/include/control/seat_manager.h
+++ b/libs/control/include/control/seat_manager.h
@@ -66,7 +66,7 @@
     void handle_lease(const result<store_lease>& granted, time_point requested_at);
     void write_holder_key();
     void withhold_surplus();
-    [[nodiscard]] seat_view view(time_point now) const;
+    [[nodiscard]] seat_plan_input view(time_point now) const;
     [[nodiscard]] int held_seats() const;
 
     loop& owner;
--- a/libs/control/src/admission_controller.cpp
+++ b/libs/control/src/admission_controller.cpp
@@ -35,14 +35,14 @@
     // With static_split each instance has one lease on a fixed part, which never expires.
     const time_point now = boot_clock::now();
     this->static_slot.total_seats = settings.max_instances;
-    this->static_slot.share_since = now;
-    set_loan(this->static_slot, incarnation_id{1}, {1, time_point::max()}, now);
+    this->static_slot.share_changed_at = now;
+    set_lease(this->static_slot, incarnation_id{1}, {1, time_point::max()}, now);
 }
 
 bool admission_controller::take_local_token(const client_account& account, time_point now) {
-    broker_slot& slot = this->mode == admission_mode::static_split
-                            ? this->static_slot
-                            : this->heartbeats.slot(slot_of(account.id, slot_count));
+    slot_limiter& slot = this->mode == admission_mode::static_split
+                             ? this->static_slot
+                             : this->heartbeats.slot(slot_of(account.id, slot_count));
     return take_token(slot, account.id, limit_of(account), now);
 }
 
@@ -51,9 +51,9 @@
         return false;
     }
     const slot_id id = slot_of(account.id, slot_count);
-    const broker_slot& slot = this->heartbeats.slot(id);
-    return !this->heartbeats.is_broker_of(id) || slot.seats_on_loan == 0 ||
-           now - slot.share_since < share_settling_time;
+    const slot_limiter& slot = this->heartbeats.slot(id);
+    return !this->heartbeats.is_broker_of(id) || slot.leased_seats == 0 ||
+           now - slot.share_changed_at < share_settling_time;
 }
 
 void admission_controller::admit(const client_account_ptr& account, time_point deadline,
@@ -162,14 +162,14 @@
     reply.id = request.id;
     const account_id id{request.account};
     const slot_id slot_of_account = slot_of(id, slot_count);
-    broker_slot& slot = this->heartbeats.slot(slot_of_account);
-    if (account != nullptr && slot.seats_on_loan > 0) {
-        settle_grants(slot, id, from.incarnation, request.unspent, now);
+    slot_limiter& slot = this->heartbeats.slot(slot_of_account);
+    if (account != nullptr && slot.leased_seats > 0) {
+        release_grants(slot, id, from.incarnation, request.unspent, now);
         reply.granted = static_cast<std::uint32_t>(
             grant_tokens(slot, id, limit_of(*account), from.incarnation,
                          static_cast<int>(std::min(request.wanted, max_tokens_per_grant)), now,
                          now + grant_lifetime));
-        reply.is_broker = now - slot.share_since >= share_settling_time || reply.granted > 0;
+        reply.is_broker = now - slot.share_changed_at >= share_settling_time || reply.granted > 0;
     }
     this->network.send(from.incarnation, reply);
 }
--- a/libs/control/src/config_quorum.cpp
+++ b/libs/control/src/config_quorum.cpp
@@ -31,7 +31,7 @@
     this->own_announcement->acknowledged.insert(this->network.self().incarnation);
     // The write may take effect although its answer is lost, so this instance also stops confirming
     // older numbers.
-    note_announcement(this->pending, patch_id, number, boot_clock::now());
+    record_announcement(this->pending, patch_id, number, boot_clock::now());
     this->own_announcement->timeout = this->owner.after(announce_timeout, [this] {
         const handler reply = std::move(this->own_announcement->done);
         this->withdraw(this->own_announcement->number, this->own_announcement->patch_id);
@@ -143,7 +143,7 @@
 void config_quorum::handle_announce(const peer_info& from, const wire::announceT& message) {
     const config_number number{message.config_number};
     if (number > this->config.number()) {
-        note_announcement(this->pending, message.patch_id, number, boot_clock::now());
+        record_announcement(this->pending, message.patch_id, number, boot_clock::now());
     }
     wire::announce_ackT ack;
     ack.config_number = message.config_number;
@@ -180,12 +180,12 @@
 }
 
 void config_quorum::resolve_pending() {
-    settle_announcements(this->pending, this->config.number());
+    resolve_announcements(this->pending, this->config.number());
 }
 
 bool config_quorum::confirms() const {
-    return still_vouches(this->pending, this->config.number(), this->heartbeats.freshness(),
-                         boot_clock::now());
+    return can_confirm(this->pending, this->config.number(), this->heartbeats.freshness(),
+                       boot_clock::now());
 }
 
 bool config_quorum::is_fresh() {
--- a/libs/control/src/heartbeat_service.cpp
+++ b/libs/control/src/heartbeat_service.cpp
@@ -32,8 +32,8 @@
     : owner(event_loop), network(peer_mesh), seats(seat_source), options(heartbeat_settings),
       epoch(boot_clock::now()), slots(slot_count), brokers(slot_count) {
     this->issued_leases.slots.resize(slot_count);
-    for (broker_slot& slot : this->slots) {
-        slot.share_since = this->epoch;
+    for (slot_limiter& slot : this->slots) {
+        slot.share_changed_at = this->epoch;
     }
 }
 
@@ -146,32 +146,32 @@
 void heartbeat_service::issue_own_leases(time_point now) {
     const incarnation_id self = this->network.self().incarnation;
     ++this->sequence;
-    const auto listed =
-        lend(this->issued_leases, self, this->brokers, this->sequence, this->options.times, now);
+    const auto listed = issue_leases(this->issued_leases, self, this->brokers, this->sequence,
+                                     this->options.times, now);
     const int leased = this->seats.leasable_seats(now);
     std::vector<bool> is_listed(slot_count, false);
     for (const slot_id id : listed) {
         is_listed[id.value] = true;
     }
     for (std::uint32_t i = 0; i < slot_count; ++i) {
-        broker_slot& slot = this->slots[i];
-        if (slot.loans.empty()) {
+        slot_limiter& slot = this->slots[i];
+        if (slot.leases.empty()) {
             slot.total_seats = this->total_seats();
         }
-        if (is_listed[i] || slot.loans.contains(self)) {
-            set_loan(slot, self, {is_listed[i] ? leased : 0, now + this->options.times.length},
-                     now);
+        if (is_listed[i] || slot.leases.contains(self)) {
+            set_lease(slot, self, {is_listed[i] ? leased : 0, now + this->options.times.length},
+                      now);
         }
     }
-    acknowledge(this->issued_leases, self, this->sequence, now);
+    record_acknowledgement(this->issued_leases, self, this->sequence, now);
 }
 
 void heartbeat_service::send_heartbeat(incarnation_id to, time_point now) {
     const peer_status& peer = this->statuses.at(to);
     ++this->sequence;
     std::uint64_t words[2] = {0, 0};
-    for (const slot_id id :
-         lend(this->issued_leases, to, this->brokers, this->sequence, this->options.times, now)) {
+    for (const slot_id id : issue_leases(this->issued_leases, to, this->brokers, this->sequence,
+                                         this->options.times, now)) {
         words[id.value / slots_per_word] |= std::uint64_t{1} << (id.value % slots_per_word);
     }
     std::uint16_t flags = this->own_confirmation() ? flag_confirms : 0;
@@ -194,7 +194,8 @@
     }
     peer_status& peer = found->second;
     const bool was_candidate = this->is_candidate(peer, now);
-    if (acknowledge(this->issued_leases, from.incarnation, fields.acknowledged(), now) > 0) {
+    if (record_acknowledgement(this->issued_leases, from.incarnation, fields.acknowledged(), now) >
+        0) {
         this->schedule_round();
     }
     if (fields.sequence() <= peer.last_sequence) {
@@ -223,14 +224,14 @@
     bool is_revoked = false;
     const incarnation_id issuer = from.info.incarnation;
     for (std::uint32_t i = 0; i < slot_count; ++i) {
-        broker_slot& slot = this->slots[i];
+        slot_limiter& slot = this->slots[i];
         if (lists_slot(fields, i)) {
-            if (slot.loans.empty()) {
+            if (slot.leases.empty()) {
                 slot.total_seats = this->total_seats();
             }
-            set_loan(slot, issuer, {fields.lent_seats(), expires}, now);
-        } else if (slot.loans.contains(issuer)) {
-            set_loan(slot, issuer, {0, expires}, now);
+            set_lease(slot, issuer, {fields.lent_seats(), expires}, now);
+        } else if (slot.leases.contains(issuer)) {
+            set_lease(slot, issuer, {0, expires}, now);
             is_revoked = true;
         }
     }
@@ -255,8 +256,8 @@
     }
 }
 
-std::vector<config_voucher> heartbeat_service::confirmations(time_point now) const {
-    std::vector<config_voucher> all;
+std::vector<config_confirmation> heartbeat_service::confirmations(time_point now) const {
+    std::vector<config_confirmation> all;
     all.push_back(
         {this->seats.voting_seats(now), this->own_config_number(), this->own_confirmation(), now});
     for (const auto& [incarnation, peer] : this->statuses) {
--- a/libs/control/src/seat_manager.cpp
+++ b/libs/control/src/seat_manager.cpp
@@ -149,9 +149,9 @@
     }
 }
 
-seat_view seat_manager::view(time_point now) const {
-    seat_view seen{this->self.instance, this->self.incarnation, 0,
-                   this->leaving,       this->terminated,       ""};
+seat_plan_input seat_manager::view(time_point now) const {
+    seat_plan_input seen{this->self.instance, this->self.incarnation, 0,
+                         this->leaving,       this->terminated,       ""};
     seen.peers_address = to_string(this->self.peers_address);
     const bool must_keep = this->must_keep_seats && this->must_keep_seats();
     if (!must_keep && now - this->withheld_since >= this->options.quota_lease_timeout) {
