Name the types and headers of the entry library by their function

once_keeper, answers.h, filters.h and "metrics" did not say what they hold. once_keeper -> idempotent_executor, answers.h -> responses.h (answer_error, _json, _text -> send_error_response, ...), filters.h -> request_preparation.h, metrics -> gateway_metrics, service_answer -> service_response, dispatch_ticket -> dispatch_id, presented_key -> api_key, operator_service_parts -> operator_service_dependencies. All targets build.

--- a/libs/entry/include/entry/gateway.h
+++ b/libs/entry/include/entry/gateway.h
@@ -10,10 +10,10 @@
 #include "control/heartbeat_service.h"
 #include "control/instance_list_poller.h"
 #include "control/settings.h"
-#include "entry/filters.h"
-#include "entry/metrics.h"
-#include "entry/once_keeper.h"
+#include "entry/gateway_metrics.h"
+#include "entry/idempotent_executor.h"
 #include "entry/prefix_collector.h"
+#include "entry/request_preparation.h"
 #include "entry/service_dispatcher.h"
 #include "event/http_server.h"
 
@@ -35,7 +35,7 @@
 
     [[nodiscard]] http_server& server() noexcept { return this->callers; }
     [[nodiscard]] prefix_collector& prefixes() noexcept { return this->collector; }
-    [[nodiscard]] metrics& measured() noexcept { return this->counters; }
+    [[nodiscard]] gateway_metrics& measured() noexcept { return this->counters; }
     [[nodiscard]] const std::map<service_id, std::unique_ptr<service_dispatcher>>&
     dispatchers() const noexcept {
         return this->by_service;
@@ -55,7 +55,7 @@
     void send_addresses(const context_ptr& context, const std::vector<peer_info>& named,
                         const prefix_collector::prefixes& issued);
     [[nodiscard]] std::vector<peer_info> name_instances(const client_account& account) const;
-    void pass_on(const context_ptr& context, result<service_answer> outcome);
+    void pass_on(const context_ptr& context, result<service_response> outcome);
     void refuse(const request_context& context, const error& problem);
     void answer_addresses(const context_ptr& context);
     [[nodiscard]] dispatcher_options make_dispatcher_options() const;
@@ -68,9 +68,9 @@
     heartbeat_service& loans;
     instance_list_poller& listing;
     mesh& network;
-    once_keeper once;
+    idempotent_executor once;
     prefix_collector collector;
-    metrics counters;
+    gateway_metrics counters;
     std::map<service_id, std::unique_ptr<service_dispatcher>> by_service;
     std::map<service_id, service_ptr> known_services;
     http_server callers;
--- a/libs/entry/include/entry/metrics.h
+++ b/libs/entry/include/entry/gateway_metrics.h
@@ -14,9 +14,9 @@
 namespace knapweedknot {
 
 /// Metrics of the request path. Not thread safe.
-class metrics {
+class gateway_metrics {
 public:
-    metrics();
+    gateway_metrics();
 
     /// Counts a request that ended as \p outcome ("answered" or an error kind's name) after
     /// \p total, of which \p upstream was spent on targets.
--- a/libs/entry/include/entry/once_keeper.h
+++ b/libs/entry/include/entry/idempotent_executor.h
@@ -17,13 +17,13 @@
 namespace knapweedknot {
 
 /// Remembers keys and answers. Not thread safe.
-class once_keeper {
+class idempotent_executor {
 public:
-    using handler = std::function<void(result<service_answer>)>;
+    using handler = std::function<void(result<service_response>)>;
     /// Starts the request; called for the first use of a key only.
     using starter = std::function<void(handler)>;
 
-    once_keeper(loop& owner, incarnation_id issuer);
+    idempotent_executor(loop& owner, incarnation_id issuer);
 
     /// A prefix for \p account.
     [[nodiscard]] std::string issue(const account_id& account) const;
@@ -38,12 +38,12 @@
 
 private:
     struct remembered {
-        std::unique_ptr<service_answer> answer;
+        std::unique_ptr<service_response> answer;
         std::vector<handler> waiting;
     };
 
     [[nodiscard]] std::uint64_t now_ms() const;
-    void settle(const std::string& key, result<service_answer> outcome);
+    void settle(const std::string& key, result<service_response> outcome);
 
     incarnation_id issuer;
     std::string secret;
--- a/libs/entry/include/entry/operator_service.h
+++ b/libs/entry/include/entry/operator_service.h
@@ -28,7 +28,7 @@
 namespace knapweedknot {
 
 /// What the operators' interface shows and changes.
-struct operator_service_parts {
+struct operator_service_dependencies {
     const instance_settings& settings;
     configuration& config;
     config_follower& follower;
@@ -45,7 +45,7 @@
 /// Serves operators. Not thread safe.
 class operator_service {
 public:
-    operator_service(loop& owner, const operator_service_parts& parts,
+    operator_service(loop& owner, const operator_service_dependencies& parts,
                      std::function<void()> start_drain);
 
     [[nodiscard]] result<void> listen();
@@ -70,7 +70,7 @@
     [[nodiscard]] nlohmann::json describe_accounts() const;
     [[nodiscard]] nlohmann::json describe_seats() const;
 
-    operator_service_parts parts;
+    operator_service_dependencies parts;
     std::function<void()> start_drain;
     http_server server;
 };
--- a/libs/entry/include/entry/prefix_collector.h
+++ b/libs/entry/include/entry/prefix_collector.h
@@ -6,7 +6,7 @@
 #include <unordered_map>
 #include <vector>
 
-#include "entry/once_keeper.h"
+#include "entry/idempotent_executor.h"
 #include "event/loop.h"
 #include "peers/mesh.h"
 
@@ -22,7 +22,7 @@
     using prefixes = std::map<incarnation_id, std::string>;
     using handler = std::function<void(const prefixes&)>;
 
-    prefix_collector(loop& owner, mesh& network, const once_keeper& own);
+    prefix_collector(loop& owner, mesh& network, const idempotent_executor& own);
 
     /// Calls \p done once with the prefixes of \p issuers for \p account.
     void collect(const account_id& account, const std::vector<incarnation_id>& issuers,
@@ -41,7 +41,7 @@
 
     loop& owner;
     mesh& network;
-    const once_keeper& own;
+    const idempotent_executor& own;
     std::unordered_map<std::uint64_t, collection> open;
     std::uint64_t last_id{0};
 };
--- a/libs/entry/include/entry/answers.h
+++ b/libs/entry/include/entry/responses.h
@@ -13,13 +13,14 @@
 
 /// Answers \p request with the table row of \p problem, as JSON, with the headers that tell a
 /// program the kind and whether the request ran.
-void answer_error(incoming_request& request, const error& problem, const instance_id& instance);
+void send_error_response(incoming_request& request, const error& problem,
+                         const instance_id& instance);
 
 /// Answers \p request with \p body as JSON.
-void answer_json(incoming_request& request, int status, const nlohmann::json& body);
+void send_json_response(incoming_request& request, int status, const nlohmann::json& body);
 
 /// Answers \p request with plain text.
-void answer_text(incoming_request& request, int status, const std::string& body,
-                 const std::string& content_type);
+void send_text_response(incoming_request& request, int status, const std::string& body,
+                        const std::string& content_type);
 
 } // namespace knapweedknot
--- a/libs/entry/include/entry/service_dispatcher.h
+++ b/libs/entry/include/entry/service_dispatcher.h
@@ -31,7 +31,7 @@
 };
 
 /// A whole answer and who gave it.
-struct service_answer {
+struct service_response {
     http_answer answer;
     target_id target;
     /// Time from the send to the target until its answer was whole.
@@ -39,7 +39,7 @@
 };
 
 /// Identifies a running request so that it can be cancelled.
-using dispatch_ticket = detail::strong_id<struct dispatch_ticket_tag, std::uint64_t>;
+using dispatch_id = detail::strong_id<struct dispatch_id_tag, std::uint64_t>;
 
 /// Parameters of a dispatcher that do not belong to the service.
 struct dispatcher_options {
@@ -67,16 +67,16 @@
 /// Dispatches for one service. Not thread safe.
 class service_dispatcher {
 public:
-    using handler = std::function<void(result<service_answer>)>;
+    using handler = std::function<void(result<service_response>)>;
 
     service_dispatcher(loop& owner, const service_ptr& service, dispatcher_options options);
 
     /// Takes a changed service. Running requests end where they are.
     void update(const service_ptr& service);
     /// Sends \p request and calls \p done once, at once or later.
-    dispatch_ticket dispatch(service_request request, handler done);
+    dispatch_id dispatch(service_request request, handler done);
     /// Cancels a request whose caller has gone; its handler is not called.
-    void cancel(dispatch_ticket ticket);
+    void cancel(dispatch_id ticket);
     [[nodiscard]] std::vector<target_view> view() const;
     [[nodiscard]] std::size_t queued() const noexcept { return this->waiting.size(); }
 
@@ -106,15 +106,15 @@
     };
     using job_ptr = std::shared_ptr<job>;
 
-    void start(dispatch_ticket ticket, const job_ptr& work);
-    void wait(dispatch_ticket ticket, const job_ptr& work);
-    void attempt(dispatch_ticket ticket, const job_ptr& work, const target_ptr& at);
-    void handle_outcome(dispatch_ticket ticket, const job_ptr& work, http_outcome outcome);
-    void handle_answer(dispatch_ticket ticket, const job_ptr& work, http_answer answer);
-    void handle_failure(dispatch_ticket ticket, const job_ptr& work, const http_failure& failure);
+    void start(dispatch_id ticket, const job_ptr& work);
+    void wait(dispatch_id ticket, const job_ptr& work);
+    void attempt(dispatch_id ticket, const job_ptr& work, const target_ptr& at);
+    void handle_outcome(dispatch_id ticket, const job_ptr& work, http_outcome outcome);
+    void handle_answer(dispatch_id ticket, const job_ptr& work, http_answer answer);
+    void handle_failure(dispatch_id ticket, const job_ptr& work, const http_failure& failure);
     [[nodiscard]] bool may_retry(const job& work, send_progress progress);
     void release(const job_ptr& work, bool reusable);
-    void finish(dispatch_ticket ticket, result<service_answer> outcome);
+    void finish(dispatch_id ticket, result<service_response> outcome);
     void serve_waiting();
     [[nodiscard]] target_ptr choose(const job& work);
     [[nodiscard]] std::vector<target_ptr> usable(time_point now) const;
@@ -126,8 +126,8 @@
     service_ptr current;
     dispatcher_options options;
     std::map<target_id, target_ptr> targets;
-    std::map<dispatch_ticket, job_ptr> jobs;
-    fair_queue<dispatch_ticket> waiting;
+    std::map<dispatch_id, job_ptr> jobs;
+    fair_queue<dispatch_id> waiting;
     retry_budget retries;
     std::uint64_t last_ticket{0};
     std::minstd_rand random;
--- a/libs/entry/src/gateway.cpp
+++ b/libs/entry/src/gateway.cpp
@@ -6,8 +6,8 @@
 
 #include "base/log.h"
 #include "decide/placement.h"
-#include "entry/answers.h"
 #include "entry/header_names.h"
+#include "entry/responses.h"
 
 namespace knapweedknot {
 
@@ -91,7 +91,7 @@
         return;
     }
     constexpr bool cancel_with_caller = true;
-    this->run(context, cancel_with_caller, [this, context](result<service_answer> outcome) {
+    this->run(context, cancel_with_caller, [this, context](result<service_response> outcome) {
         this->pass_on(context, std::move(outcome));
     });
 }
@@ -100,7 +100,7 @@
     if (context.incoming->method().empty() || !context.incoming->uri().starts_with('/')) {
         return fail(error_kind::bad_request, "use a served method and an absolute path");
     }
-    return read_key(context)
+    return read_api_key(context)
         .and_then([&] { return find_route(context, this->config); })
         .and_then([&] { return authenticate(context, this->config); })
         .and_then([&]() -> result<void> {
@@ -142,7 +142,7 @@
 void gateway::dispatch(const context_ptr& context, service_request&& request,
                        bool cancel_with_caller, service_dispatcher::handler done) {
     service_dispatcher& dispatcher = *this->by_service.at(context->matched_service->id);
-    auto ticket = std::make_shared<dispatch_ticket>();
+    auto ticket = std::make_shared<dispatch_id>();
     if (cancel_with_caller) {
         context->incoming->on_caller_gone([&dispatcher, ticket] { dispatcher.cancel(*ticket); });
     }
@@ -166,7 +166,7 @@
         [this, context](const service_dispatcher::handler& settle) {
             this->run(context, cancel_with_caller, settle);
         },
-        [this, context](result<service_answer> outcome) {
+        [this, context](result<service_response> outcome) {
             this->pass_on(context, std::move(outcome));
         });
 }
@@ -192,11 +192,11 @@
                 return;
             }
             const bool is_head = context->incoming->method() == "HEAD";
-            context->incoming->answer(make_relayed_answer(std::move(*outcome), is_head));
+            context->incoming->answer(make_relayed_response(std::move(*outcome), is_head));
         });
 }
 
-void gateway::pass_on(const context_ptr& context, result<service_answer> outcome) {
+void gateway::pass_on(const context_ptr& context, result<service_response> outcome) {
     incoming_request& incoming = *context->incoming;
     incoming.on_caller_gone(nullptr);
     if (!outcome) {
@@ -206,7 +206,7 @@
     const duration total = boot_clock::now() - context->arrived;
     this->counters.note_request("answered", total, outcome->spent);
     http_answer answer =
-        make_caller_answer(std::move(outcome->answer), incoming.method() == "HEAD");
+        make_caller_response(std::move(outcome->answer), incoming.method() == "HEAD");
     answer.headers.push_back({std::string(instance_header), this->settings.instance.value});
     answer.headers.push_back({std::string(target_header), outcome->target.value});
     incoming.answer(std::move(answer));
@@ -216,7 +216,7 @@
     const duration total = boot_clock::now() - context.arrived;
     this->counters.note_request(answer_for(problem.kind).name, total, duration::zero());
     if (!context.incoming->is_caller_gone()) {
-        answer_error(*context.incoming, problem, this->settings.instance);
+        send_error_response(*context.incoming, problem, this->settings.instance);
     }
 }
 
@@ -238,8 +238,8 @@
 }
 
 void gateway::answer_addresses(const context_ptr& context) {
-    const auto account = read_key(*context).and_then(
-        [&] { return find_account(context->presented_key, this->config); });
+    const auto account = read_api_key(*context).and_then(
+        [&] { return find_account(context->api_key, this->config); });
     if (!account) {
         this->refuse(*context, account.error());
         return;
@@ -269,9 +269,9 @@
         addresses.push_back(std::move(item));
     }
     if (!context->incoming->is_caller_gone()) {
-        answer_json(*context->incoming, 200,
-                    {{"addresses", addresses},
-                     {"keep_ms", to_milliseconds(this->settings.address_lifetime)}});
+        send_json_response(*context->incoming, 200,
+                           {{"addresses", addresses},
+                            {"keep_ms", to_milliseconds(this->settings.address_lifetime)}});
     }
 }
 
--- a/libs/entry/src/metrics.cpp
+++ b/libs/entry/src/gateway_metrics.cpp
@@ -1,4 +1,4 @@
-#include "entry/metrics.h"
+#include "entry/gateway_metrics.h"
 
 #include <sstream>
 
@@ -13,13 +13,13 @@
 
 } // namespace
 
-metrics::metrics()
+gateway_metrics::gateway_metrics()
     : total_ms(boost::histogram::make_histogram(
           latency_axis(latency_buckets, least_latency_ms, greatest_latency_ms))),
       added_ms(boost::histogram::make_histogram(
           latency_axis(latency_buckets, least_latency_ms, greatest_latency_ms))) {}
 
-void metrics::note_request(std::string_view outcome, duration total, duration upstream) {
+void gateway_metrics::note_request(std::string_view outcome, duration total, duration upstream) {
     const auto found = this->requests.find(outcome);
     if (found == this->requests.end()) {
         this->requests.emplace(outcome, 1);
@@ -34,7 +34,7 @@
     this->added_sum_ms += added_value;
 }
 
-std::string metrics::expose() const {
+std::string gateway_metrics::expose() const {
     std::ostringstream text;
     text << "# TYPE knapweedknot_requests_total counter\n";
     for (const auto& [outcome, count] : this->requests) {
@@ -51,8 +51,8 @@
     return all;
 }
 
-void metrics::expose_histogram(std::string& text, const std::string& name,
-                               const latency_histogram& values, double sum) {
+void gateway_metrics::expose_histogram(std::string& text, const std::string& name,
+                                       const latency_histogram& values, double sum) {
     std::ostringstream lines;
     lines << "# TYPE " << name << " histogram\n";
     double cumulative = values.at(-1);
--- a/libs/entry/src/once_keeper.cpp
+++ b/libs/entry/src/idempotent_executor.cpp
@@ -1,4 +1,4 @@
-#include "entry/once_keeper.h"
+#include "entry/idempotent_executor.h"
 
 #include <utility>
 
@@ -13,8 +13,8 @@
 // Answers beyond this are not kept; their repeats are told that the outcome is unknown.
 constexpr std::size_t max_answer_bytes = std::size_t{32} * 1024 * 1024;
 
-service_answer copy_of(const service_answer& original) {
-    service_answer copy;
+service_response copy_of(const service_response& original) {
+    service_response copy;
     copy.target = original.target;
     copy.spent = original.spent;
     copy.answer.status = original.answer.status;
@@ -30,7 +30,7 @@
 
 } // namespace
 
-once_keeper::once_keeper(loop& owner, incarnation_id own)
+idempotent_executor::idempotent_executor(loop& owner, incarnation_id own)
     : issuer(own), secret(random_hex(secret_bytes)), epoch(boot_clock::now()),
       expiry(owner.every(expiry_interval, [this] {
           this->table.expire(boot_clock::now(), [this](const std::string& key) {
@@ -44,16 +44,16 @@
           });
       })) {}
 
-std::uint64_t once_keeper::now_ms() const {
+std::uint64_t idempotent_executor::now_ms() const {
     return static_cast<std::uint64_t>(to_milliseconds(boot_clock::now() - this->epoch));
 }
 
-std::string once_keeper::issue(const account_id& account) const {
+std::string idempotent_executor::issue(const account_id& account) const {
     return make_idempotency_prefix(this->secret, this->issuer, this->now_ms(), account);
 }
 
-void once_keeper::run(const std::string& presented, const account_id& account,
-                      std::uint64_t fingerprint, const starter& start, handler done) {
+void idempotent_executor::run(const std::string& presented, const account_id& account,
+                              std::uint64_t fingerprint, const starter& start, handler done) {
     const auto key = parse_idempotency_key(presented);
     if (!key) {
         done(fail(error_kind::idempotency_key_invalid, "use PREFIX.UNIQUE"));
@@ -69,7 +69,7 @@
     switch (this->table.begin(presented, fingerprint, forget_at)) {
     case idempotency_key_state::first:
         this->outcomes[presented].waiting.push_back(std::move(done));
-        start([this, presented](result<service_answer> outcome) {
+        start([this, presented](result<service_response> outcome) {
             this->settle(presented, std::move(outcome));
         });
         return;
@@ -92,7 +92,7 @@
     }
 }
 
-void once_keeper::settle(const std::string& key, result<service_answer> outcome) {
+void idempotent_executor::settle(const std::string& key, result<service_response> outcome) {
     remembered& kept = this->outcomes.at(key);
     const std::vector<handler> waiting = std::move(kept.waiting);
     kept.waiting.clear();
@@ -101,7 +101,7 @@
         const std::size_t size = body_size(outcome->answer.body.get());
         if (this->answer_bytes + size <= max_answer_bytes) {
             this->answer_bytes += size;
-            kept.answer = std::make_unique<service_answer>(copy_of(*outcome));
+            kept.answer = std::make_unique<service_response>(copy_of(*outcome));
         }
     } else if (answer_for(outcome.error().kind).outcome == execution::not_run) {
         this->table.release(key);
--- a/libs/entry/src/operator_service.cpp
+++ b/libs/entry/src/operator_service.cpp
@@ -7,7 +7,7 @@
 #include "base/log.h"
 #include "base/settings_reader.h"
 #include "decide/placement.h"
-#include "entry/answers.h"
+#include "entry/responses.h"
 
 namespace knapweedknot {
 
@@ -57,7 +57,7 @@
 
 } // namespace
 
-operator_service::operator_service(loop& owner, const operator_service_parts& used,
+operator_service::operator_service(loop& owner, const operator_service_dependencies& used,
                                    std::function<void()> drain)
     : parts(used), start_drain(std::move(drain)),
       server(owner, http_server_limits{}, [this](const auto& request) { this->handle(request); }) {}
@@ -88,7 +88,7 @@
     }
     const auto author = this->operator_of(*request);
     if (!author) {
-        answer_error(*request, author.error(), this->parts.settings.instance);
+        send_error_response(*request, author.error(), this->parts.settings.instance);
         return;
     }
     this->handle_known(request, *author);
@@ -98,9 +98,9 @@
     const std::string_view path = request->path();
     const std::string_view method = request->method();
     if (path == "/v1/configuration" && method == "GET") {
-        answer_json(*request, status_ok,
-                    {{"number", this->parts.config.number().value},
-                     {"document", this->parts.config.document()}});
+        send_json_response(*request, status_ok,
+                           {{"number", this->parts.config.number().value},
+                            {"document", this->parts.config.document()}});
     } else if (path == "/v1/configuration" && method == "PATCH") {
         this->handle_patch(request, author);
     } else if (path == "/v1/history" && method == "GET") {
@@ -109,11 +109,11 @@
         this->answer_status(request);
     } else if (path == "/v1/drain" && method == "POST") {
         log_event(log_level::info, "drain_requested", {{"author", author}});
-        answer_json(*request, status_ok, {{"draining", true}});
+        send_json_response(*request, status_ok, {{"draining", true}});
         this->start_drain();
     } else {
-        answer_error(*request, {error_kind::not_found, "no such call"},
-                     this->parts.settings.instance);
+        send_error_response(*request, {error_kind::not_found, "no such call"},
+                            this->parts.settings.instance);
     }
 }
 
@@ -123,7 +123,7 @@
         return read_patch(*request, this->parts.config.document());
     });
     if (!patch) {
-        answer_error(*request, patch.error(), this->parts.settings.instance);
+        send_error_response(*request, patch.error(), this->parts.settings.instance);
         return;
     }
     patch_submission submission;
@@ -146,20 +146,20 @@
         return;
     }
     if (outcome) {
-        answer_json(
+        send_json_response(
             *request, status_ok,
             {{"number", outcome->number.value}, {"in_force_everywhere", outcome->in_force}});
         return;
     }
     if (outcome.error().kind != error_kind::configuration_conflict) {
-        answer_error(*request, outcome.error(), this->parts.settings.instance);
+        send_error_response(*request, outcome.error(), this->parts.settings.instance);
         return;
     }
-    answer_json(*request, answer_for(error_kind::configuration_conflict).http_status,
-                {{"error", "configuration_conflict"},
-                 {"detail", outcome.error().detail},
-                 {"number", this->parts.config.number().value},
-                 {"changes_since", this->changes_since(base)}});
+    send_json_response(*request, answer_for(error_kind::configuration_conflict).http_status,
+                       {{"error", "configuration_conflict"},
+                        {"detail", outcome.error().detail},
+                        {"number", this->parts.config.number().value},
+                        {"changes_since", this->changes_since(base)}});
 }
 
 nlohmann::json operator_service::changes_since(config_number base) const {
@@ -170,7 +170,7 @@
     const std::string text = request->query_value("after");
     const auto after = parse_number(text.empty() ? "0" : text, "after");
     if (!after) {
-        answer_error(*request, after.error(), this->parts.settings.instance);
+        send_error_response(*request, after.error(), this->parts.settings.instance);
         return;
     }
     const history_head& head = this->parts.follower.head();
@@ -185,8 +185,8 @@
     if (archive_key.empty()) {
         const std::string problem =
             newer.empty() ? "" : find_chain_problem(newer, newer.front().previous_hash);
-        answer_json(*request, status_ok,
-                    {{"entries", to_array(newer, after)}, {"chain_problem", problem}});
+        send_json_response(*request, status_ok,
+                           {{"entries", to_array(newer, after)}, {"chain_problem", problem}});
         return;
     }
     this->parts.store.get(archive_key, [this, request, after,
@@ -197,10 +197,10 @@
             return;
         }
         if (!archive) {
-            answer_error(*request,
-                         {error_kind::store_unavailable,
-                          "a part of the history cannot be read: " + archive.error().detail},
-                         this->parts.settings.instance);
+            send_error_response(*request,
+                                {error_kind::store_unavailable,
+                                 "a part of the history cannot be read: " + archive.error().detail},
+                                this->parts.settings.instance);
             return;
         }
         std::vector<history_entry> all = archive->entries;
@@ -280,21 +280,21 @@
 }
 
 void operator_service::answer_status(const request_ptr& request) {
-    answer_json(*request, status_ok,
-                {{"instance", this->parts.settings.instance.value},
-                 {"number", this->parts.config.number().value},
-                 {"fresh", this->parts.votes.is_fresh()},
-                 {"instances", this->describe_instances()},
-                 {"seats", this->describe_seats()},
-                 {"services", this->describe_services()},
-                 {"accounts", this->describe_accounts()},
-                 {"store_calls", this->parts.store.calls()},
-                 {"peer_bytes_sent", this->parts.network.traffic().sent},
-                 {"peer_datagrams_sent", this->parts.network.datagrams_sent()}});
+    send_json_response(*request, status_ok,
+                       {{"instance", this->parts.settings.instance.value},
+                        {"number", this->parts.config.number().value},
+                        {"fresh", this->parts.votes.is_fresh()},
+                        {"instances", this->describe_instances()},
+                        {"seats", this->describe_seats()},
+                        {"services", this->describe_services()},
+                        {"accounts", this->describe_accounts()},
+                        {"store_calls", this->parts.store.calls()},
+                        {"peer_bytes_sent", this->parts.network.traffic().sent},
+                        {"peer_datagrams_sent", this->parts.network.datagrams_sent()}});
 }
 
 void operator_service::answer_metrics(const request_ptr& request) {
-    metrics& measured = this->parts.front.measured();
+    gateway_metrics& measured = this->parts.front.measured();
     measured.set_gauge("configuration_number",
                        static_cast<double>(this->parts.config.number().value));
     measured.set_gauge("configuration_fresh", this->parts.votes.is_fresh() ? 1 : 0);
@@ -312,7 +312,7 @@
         measured.set_gauge("targets_ejected" + label, ejected);
         measured.set_gauge("requests_queued" + label, static_cast<double>(dispatcher->queued()));
     }
-    answer_text(*request, status_ok, measured.expose(), "text/plain; version=0.0.4");
+    send_text_response(*request, status_ok, measured.expose(), "text/plain; version=0.0.4");
 }
 
 } // namespace knapweedknot
--- a/libs/entry/src/prefix_collector.cpp
+++ b/libs/entry/src/prefix_collector.cpp
@@ -10,7 +10,8 @@
 
 } // namespace
 
-prefix_collector::prefix_collector(loop& event_loop, mesh& peer_mesh, const once_keeper& keeper)
+prefix_collector::prefix_collector(loop& event_loop, mesh& peer_mesh,
+                                   const idempotent_executor& keeper)
     : owner(event_loop), network(peer_mesh), own(keeper) {}
 
 void prefix_collector::collect(const account_id& account,
--- a/libs/entry/src/filters.cpp
+++ b/libs/entry/src/request_preparation.cpp
@@ -1,4 +1,4 @@
-#include "entry/filters.h"
+#include "entry/request_preparation.h"
 
 #include <algorithm>
 #include <array>
@@ -32,16 +32,16 @@
 
 } // namespace
 
-result<void> read_key(request_context& context) {
+result<void> read_api_key(request_context& context) {
     const std::string_view authorization = context.incoming->header("Authorization");
     if (!authorization.empty()) {
         if (!equal_ignoring_case(authorization.substr(0, bearer.size()), bearer)) {
             return fail(error_kind::key_missing, "use Authorization: Bearer KEY");
         }
-        context.presented_key = authorization.substr(bearer.size());
+        context.api_key = authorization.substr(bearer.size());
         return {};
     }
-    context.presented_key = context.incoming->header("X-Api-Key");
+    context.api_key = context.incoming->header("X-Api-Key");
     return {};
 }
 
@@ -64,12 +64,11 @@
     return {};
 }
 
-result<client_account_ptr> find_account(const std::string& presented_key,
-                                        const configuration& config) {
-    if (presented_key.empty()) {
+result<client_account_ptr> find_account(const std::string& api_key, const configuration& config) {
+    if (api_key.empty()) {
         return fail(error_kind::key_missing, "this route needs a key");
     }
-    const auto parts = split_key(presented_key);
+    const auto parts = split_key(api_key);
     if (!parts) {
         return fail(error_kind::key_unknown, "the key is unknown or withdrawn");
     }
@@ -84,7 +83,7 @@
     if (context.matched_route->open) {
         return {};
     }
-    auto account = find_account(context.presented_key, config);
+    auto account = find_account(context.api_key, config);
     if (!account) {
         return tl::unexpected(account.error());
     }
@@ -97,7 +96,7 @@
 }
 
 result<void> refuse_exposed_key(const request_context& context) {
-    const auto parts = split_key(context.presented_key);
+    const auto parts = split_key(context.api_key);
     if (!parts) {
         return {};
     }
@@ -180,7 +179,7 @@
     return hash64(text + body_text(context.incoming->body()));
 }
 
-http_answer make_relayed_answer(http_answer&& answer, bool is_head) {
+http_answer make_relayed_response(http_answer&& answer, bool is_head) {
     std::erase_if(answer.headers, [&](const http_header& header) {
         const bool is_length_of_head =
             is_head && equal_ignoring_case(header.name, "Content-Length");
@@ -189,9 +188,9 @@
     return std::move(answer);
 }
 
-http_answer make_caller_answer(http_answer&& answer, bool is_head) {
+http_answer make_caller_response(http_answer&& answer, bool is_head) {
     const http_headers all = answer.headers;
-    answer = make_relayed_answer(std::move(answer), is_head);
+    answer = make_relayed_response(std::move(answer), is_head);
     std::erase_if(answer.headers, [&all](const http_header& header) {
         return has_product_prefix(header.name) || is_listed_by_connection(all, header.name);
     });
--- a/libs/entry/src/answers.cpp
+++ b/libs/entry/src/responses.cpp
@@ -1,4 +1,4 @@
-#include "entry/answers.h"
+#include "entry/responses.h"
 
 #include "entry/header_names.h"
 
@@ -23,7 +23,8 @@
 
 } // namespace
 
-void answer_error(incoming_request& request, const error& problem, const instance_id& instance) {
+void send_error_response(incoming_request& request, const error& problem,
+                         const instance_id& instance) {
     const error_answer& row = answer_for(problem.kind);
     const nlohmann::json body = {
         {"error", row.name}, {"outcome", to_string(row.outcome)}, {"detail", problem.detail}};
@@ -37,12 +38,12 @@
     send(request, row.http_status, std::move(headers), body.dump() + '\n');
 }
 
-void answer_json(incoming_request& request, int status, const nlohmann::json& body) {
+void send_json_response(incoming_request& request, int status, const nlohmann::json& body) {
     send(request, status, {{"Content-Type", "application/json"}}, body.dump() + '\n');
 }
 
-void answer_text(incoming_request& request, int status, const std::string& body,
-                 const std::string& content_type) {
+void send_text_response(incoming_request& request, int status, const std::string& body,
+                        const std::string& content_type) {
     send(request, status, {{"Content-Type", content_type}}, body);
 }
 
--- a/libs/entry/src/service_dispatcher.cpp
+++ b/libs/entry/src/service_dispatcher.cpp
@@ -49,8 +49,8 @@
     this->serve_waiting();
 }
 
-dispatch_ticket service_dispatcher::dispatch(service_request request, handler done) {
-    const dispatch_ticket ticket{++this->last_ticket};
+dispatch_id service_dispatcher::dispatch(service_request request, handler done) {
+    const dispatch_id ticket{++this->last_ticket};
     auto work = std::make_shared<job>();
     work->wanted = std::move(request);
     work->done = std::move(done);
@@ -60,7 +60,7 @@
     return ticket;
 }
 
-void service_dispatcher::cancel(dispatch_ticket ticket) {
+void service_dispatcher::cancel(dispatch_id ticket) {
     const auto found = this->jobs.find(ticket);
     if (found == this->jobs.end()) {
         return;
@@ -73,7 +73,7 @@
     }
 }
 
-void service_dispatcher::start(dispatch_ticket ticket, const job_ptr& work) {
+void service_dispatcher::start(dispatch_id ticket, const job_ptr& work) {
     const time_point now = boot_clock::now();
     if (work->wanted.deadline - now < min_time_left) {
         this->finish(ticket, fail(error_kind::deadline_before_start, "no time left to run it"));
@@ -92,7 +92,7 @@
     }
 }
 
-void service_dispatcher::wait(dispatch_ticket ticket, const job_ptr& work) {
+void service_dispatcher::wait(dispatch_id ticket, const job_ptr& work) {
     const auto limit = static_cast<std::size_t>(this->current->policy.queue_limit);
     if (limit == 0 || !may_enqueue(this->waiting, work->wanted.account, limit)) {
         this->finish(ticket, fail(error_kind::overloaded, "the service's queue is full"));
@@ -113,7 +113,7 @@
         if (!has_room) {
             return;
         }
-        const dispatch_ticket ticket = *this->waiting.pop();
+        const dispatch_id ticket = *this->waiting.pop();
         const auto found = this->jobs.find(ticket);
         // A ticket without a job was cancelled or ran out of time.
         if (found == this->jobs.end()) {
@@ -178,8 +178,7 @@
     return first->health.latency_ms <= second->health.latency_ms ? first : second;
 }
 
-void service_dispatcher::attempt(dispatch_ticket ticket, const job_ptr& work,
-                                 const target_ptr& at) {
+void service_dispatcher::attempt(dispatch_id ticket, const job_ptr& work, const target_ptr& at) {
     ++work->attempts;
     work->at = at;
     work->sent = boot_clock::now();
@@ -211,7 +210,7 @@
     work->at.reset();
 }
 
-void service_dispatcher::handle_outcome(dispatch_ticket ticket, const job_ptr& work,
+void service_dispatcher::handle_outcome(dispatch_id ticket, const job_ptr& work,
                                         http_outcome outcome) {
     if (outcome) {
         this->handle_answer(ticket, work, std::move(*outcome));
@@ -221,7 +220,7 @@
     this->serve_waiting();
 }
 
-void service_dispatcher::handle_answer(dispatch_ticket ticket, const job_ptr& work,
+void service_dispatcher::handle_answer(dispatch_id ticket, const job_ptr& work,
                                        http_answer answer) {
     const time_point now = boot_clock::now();
     const target_ptr at = work->at;
@@ -249,7 +248,7 @@
         record_response(at->health, now - work->sent, now);
         this->judge(*at, now);
     }
-    this->finish(ticket, service_answer{std::move(answer), at->definition.id, now - work->sent});
+    this->finish(ticket, service_response{std::move(answer), at->definition.id, now - work->sent});
 }
 
 void service_dispatcher::judge(target_state& judged, time_point now) {
@@ -267,7 +266,7 @@
     }
 }
 
-void service_dispatcher::handle_failure(dispatch_ticket ticket, const job_ptr& work,
+void service_dispatcher::handle_failure(dispatch_id ticket, const job_ptr& work,
                                         const http_failure& failure) {
     const target_ptr at = work->at;
     this->release(work, false);
@@ -296,7 +295,7 @@
            take_retry(this->retries);
 }
 
-void service_dispatcher::finish(dispatch_ticket ticket, result<service_answer> outcome) {
+void service_dispatcher::finish(dispatch_id ticket, result<service_response> outcome) {
     const auto found = this->jobs.find(ticket);
     if (found == this->jobs.end()) {
         return;
--- a/programs/knapweedknotd/edge_instance.cpp
+++ b/programs/knapweedknotd/edge_instance.cpp
@@ -5,7 +5,7 @@
 #include "base/digest.h"
 #include "base/log.h"
 #include "decide/instance_choice.h"
-#include "entry/answers.h"
+#include "entry/responses.h"
 #include "platform/documents.h"
 #include "platform/edge_protocol.h"
 
@@ -169,16 +169,16 @@
 
 void edge_instance::handle_readiness(const std::shared_ptr<incoming_request>& request) {
     if (request->path() != platform::readiness_path) {
-        answer_text(*request, 404, "no such call\n", plain_text);
+        send_text_response(*request, 404, "no such call\n", plain_text);
         return;
     }
     const bool ready = this->is_ready();
-    answer_text(*request, ready ? 200 : 503, ready ? "ready\n" : "not ready\n", plain_text);
+    send_text_response(*request, ready ? 200 : 503, ready ? "ready\n" : "not ready\n", plain_text);
 }
 
 void edge_instance::handle_directory(const std::shared_ptr<incoming_request>& request) {
     if (request->path() != platform::directory_path) {
-        answer_text(*request, 404, "no such call\n", plain_text);
+        send_text_response(*request, 404, "no such call\n", plain_text);
         return;
     }
     const time_point now = boot_clock::now();
@@ -200,7 +200,7 @@
         named.push_back(chosen.callers_address);
     }
     if (named.empty()) {
-        answer_text(*request, 503, "no instance is ready\n", plain_text);
+        send_text_response(*request, 503, "no instance is ready\n", plain_text);
         return;
     }
     ++this->gateway.request_metrics().address_answers;
@@ -209,7 +209,7 @@
 }
 
 void edge_instance::handle_metrics(const std::shared_ptr<incoming_request>& request) {
-    answer_text(*request, 200, this->metrics_text(), plain_text);
+    send_text_response(*request, 200, this->metrics_text(), plain_text);
 }
 
 std::string edge_instance::metrics_text() const {
