--- a/libs/entry/include/entry/gateway.h
+++ b/libs/entry/include/entry/gateway.h
@@ -26,19 +26,19 @@
 class gateway {
 public:
     gateway(loop& owner, const instance_settings& settings, configuration& config,
-            config_quorum& votes, admission_controller& tokens, heartbeat_service& loans,
-            instance_list_poller& listing, mesh& network);
+            config_quorum& quorum, admission_controller& admission, heartbeat_service& heartbeats,
+            instance_list_poller& instance_list, mesh& network);
 
     [[nodiscard]] result<void> listen();
     /// Takes the services of a changed configuration.
     void update_services();
 
-    [[nodiscard]] http_server& server() noexcept { return this->callers; }
+    [[nodiscard]] http_server& server() noexcept { return this->caller_server; }
     [[nodiscard]] prefix_collector& prefixes() noexcept { return this->collector; }
-    [[nodiscard]] gateway_metrics& measured() noexcept { return this->counters; }
+    [[nodiscard]] gateway_metrics& request_metrics() noexcept { return this->metrics; }
     [[nodiscard]] const std::map<service_id, std::unique_ptr<service_dispatcher>>&
     dispatchers() const noexcept {
-        return this->by_service;
+        return this->service_dispatchers;
     }
 
 private:
@@ -47,33 +47,34 @@
     void handle(const std::shared_ptr<incoming_request>& request);
     [[nodiscard]] result<void> prepare(request_context& context) const;
     /// Admits the request if it has an account and sends it; \p done gets the outcome.
-    void run(const context_ptr& context, bool cancel_with_caller, service_dispatcher::handler done);
+    void admit_and_dispatch(const context_ptr& context, bool cancel_with_caller,
+                            service_dispatcher::handler done);
     void dispatch(const context_ptr& context, service_request&& request, bool cancel_with_caller,
                   service_dispatcher::handler done);
-    void run_once(const context_ptr& context, const std::string& key);
-    void pass_to_issuer(const context_ptr& context, incarnation_id issuer);
-    void send_addresses(const context_ptr& context, const std::vector<peer_info>& named,
-                        const prefix_collector::prefixes& issued);
-    [[nodiscard]] std::vector<peer_info> name_instances(const client_account& account) const;
-    void pass_on(const context_ptr& context, result<service_response> outcome);
+    void run_idempotent(const context_ptr& context, const std::string& key);
+    void forward_to_issuer(const context_ptr& context, incarnation_id issuer);
+    void send_addresses(const context_ptr& context, const std::vector<peer_info>& chosen,
+                        const prefix_collector::prefixes_by_issuer& prefixes);
+    [[nodiscard]] std::vector<peer_info> choose_instances(const client_account& account) const;
+    void finish(const context_ptr& context, result<service_response> outcome);
     void refuse(const request_context& context, const error& problem);
-    void answer_addresses(const context_ptr& context);
+    void handle_address_request(const context_ptr& context);
     [[nodiscard]] dispatcher_options make_dispatcher_options() const;
 
     loop& owner;
     const instance_settings& settings;
     configuration& config;
-    config_quorum& votes;
-    admission_controller& tokens;
-    heartbeat_service& loans;
-    instance_list_poller& listing;
+    config_quorum& quorum;
+    admission_controller& admission;
+    heartbeat_service& heartbeats;
+    instance_list_poller& instance_list;
     mesh& network;
-    idempotent_executor once;
+    idempotent_executor executor;
     prefix_collector collector;
-    gateway_metrics counters;
-    std::map<service_id, std::unique_ptr<service_dispatcher>> by_service;
-    std::map<service_id, service_ptr> known_services;
-    http_server callers;
+    gateway_metrics metrics;
+    std::map<service_id, std::unique_ptr<service_dispatcher>> service_dispatchers;
+    std::map<service_id, service_ptr> applied_services;
+    http_server caller_server;
 };
 
 } // namespace knapweedknot
--- a/libs/entry/include/entry/idempotent_executor.h
+++ b/libs/entry/include/entry/idempotent_executor.h
@@ -26,9 +26,9 @@
     idempotent_executor(loop& owner, incarnation_id issuer);
 
     /// A prefix for \p account.
-    [[nodiscard]] std::string issue(const account_id& account) const;
+    [[nodiscard]] std::string issue_prefix(const account_id& account) const;
     /// True for a key that this instance issued.
-    [[nodiscard]] bool is_own(const idempotency_key& key) const noexcept {
+    [[nodiscard]] bool is_issuer_of(const idempotency_key& key) const noexcept {
         return key.issuer == this->issuer;
     }
     /// Runs \p start if the key is new, and calls \p done once with the outcome of its one run. The
@@ -37,21 +37,21 @@
              const starter& start, handler done);
 
 private:
-    struct remembered {
-        std::unique_ptr<service_response> answer;
-        std::vector<handler> waiting;
+    struct outcome_record {
+        std::unique_ptr<service_response> response;
+        std::vector<handler> waiting_handlers;
     };
 
     [[nodiscard]] std::uint64_t now_ms() const;
-    void settle(const std::string& key, result<service_response> outcome);
+    void record_outcome(const std::string& key, result<service_response> outcome);
 
     incarnation_id issuer;
     std::string secret;
-    time_point epoch;
+    time_point started;
     idempotency_key_table table;
-    std::unordered_map<std::string, remembered> outcomes;
-    std::size_t answer_bytes{0};
-    timer expiry;
+    std::unordered_map<std::string, outcome_record> outcomes;
+    std::size_t cached_bytes{0};
+    timer expiry_timer;
 };
 
 } // namespace knapweedknot
--- a/libs/entry/include/entry/operator_service.h
+++ b/libs/entry/include/entry/operator_service.h
@@ -33,11 +33,11 @@
     configuration& config;
     config_follower& follower;
     patch_committer& committer;
-    config_quorum& votes;
-    heartbeat_service& loans;
+    config_quorum& quorum;
+    heartbeat_service& heartbeats;
     seat_manager& seats;
-    admission_controller& tokens;
-    gateway& front;
+    admission_controller& admission;
+    gateway& caller_gateway;
     store_client& store;
     mesh& network;
 };
@@ -45,7 +45,7 @@
 /// Serves operators. Not thread safe.
 class operator_service {
 public:
-    operator_service(loop& owner, const operator_service_dependencies& parts,
+    operator_service(loop& owner, const operator_service_dependencies& shared,
                      std::function<void()> start_drain);
 
     [[nodiscard]] result<void> listen();
@@ -54,23 +54,23 @@
     using request_ptr = std::shared_ptr<incoming_request>;
 
     void handle(const request_ptr& request);
-    void handle_known(const request_ptr& request, const std::string& author);
+    void handle_authenticated(const request_ptr& request, const std::string& author);
     void handle_patch(const request_ptr& request, const std::string& author);
-    void answer_accepted(const request_ptr& request, config_number base,
-                         const result<accepted_patch>& outcome);
+    void answer_patch(const request_ptr& request, config_number base,
+                      const result<accepted_patch>& outcome);
     void handle_history(const request_ptr& request);
     void collect_history(const request_ptr& request, std::uint64_t after,
                          const std::string& archive_key, std::vector<history_entry> newer);
     void answer_status(const request_ptr& request);
     void answer_metrics(const request_ptr& request);
-    [[nodiscard]] result<std::string> operator_of(const incoming_request& request) const;
+    [[nodiscard]] result<std::string> authenticate(const incoming_request& request) const;
     [[nodiscard]] nlohmann::json changes_since(config_number base) const;
     [[nodiscard]] nlohmann::json describe_instances() const;
     [[nodiscard]] nlohmann::json describe_services() const;
     [[nodiscard]] nlohmann::json describe_accounts() const;
     [[nodiscard]] nlohmann::json describe_seats() const;
 
-    operator_service_dependencies parts;
+    operator_service_dependencies shared;
     std::function<void()> start_drain;
     http_server server;
 };
--- a/libs/entry/include/entry/prefix_collector.h
+++ b/libs/entry/include/entry/prefix_collector.h
@@ -19,10 +19,10 @@
 class prefix_collector {
 public:
     /// Prefixes by issuer; instances that did not answer in time are missing.
-    using prefixes = std::map<incarnation_id, std::string>;
-    using handler = std::function<void(const prefixes&)>;
+    using prefixes_by_issuer = std::map<incarnation_id, std::string>;
+    using handler = std::function<void(const prefixes_by_issuer&)>;
 
-    prefix_collector(loop& owner, mesh& network, const idempotent_executor& own);
+    prefix_collector(loop& owner, mesh& network, const idempotent_executor& executor);
 
     /// Calls \p done once with the prefixes of \p issuers for \p account.
     void collect(const account_id& account, const std::vector<incarnation_id>& issuers,
@@ -31,18 +31,18 @@
     void handle_reply(const peer_info& from, const wire::prefix_replyT& reply);
 
 private:
-    struct collection {
-        std::size_t missing{0};
-        prefixes found;
+    struct pending_collection {
+        std::size_t outstanding{0};
+        prefixes_by_issuer received;
         handler done;
-        timer limit;
+        timer timeout;
     };
     void finish(std::uint64_t id);
 
     loop& owner;
     mesh& network;
-    const idempotent_executor& own;
-    std::unordered_map<std::uint64_t, collection> open;
+    const idempotent_executor& executor;
+    std::unordered_map<std::uint64_t, pending_collection> pending;
     std::uint64_t last_id{0};
 };
 
--- a/libs/entry/include/entry/request_preparation.h
+++ b/libs/entry/include/entry/request_preparation.h
@@ -17,16 +17,16 @@
 /// What is known of a request on its way through an instance.
 struct request_context {
     std::shared_ptr<incoming_request> incoming;
-    time_point arrived;
+    time_point arrived_at;
     time_point deadline;
-    route_ptr matched_route;
-    service_ptr matched_service;
+    route_ptr route;
+    service_ptr service;
     /// Null on a route that is open to all.
     client_account_ptr account;
     /// The presented key; never logged and never sent on.
     std::string api_key;
     /// True when a target may run the request more than once.
-    bool repeatable{false};
+    bool idempotent{false};
 };
 
 /// Takes the presented key from "Authorization: Bearer KEY" or "X-Api-Key: KEY", if there is one.
--- a/libs/entry/include/entry/service_dispatcher.h
+++ b/libs/entry/include/entry/service_dispatcher.h
@@ -22,20 +22,20 @@
 
 /// A request for a service.
 struct service_request {
-    http_request request;
+    http_request message;
     /// Whose turn it is in the queue; empty on open routes.
     account_id account;
     time_point deadline;
     /// True when a target may run it more than once.
-    bool repeatable{false};
+    bool idempotent{false};
 };
 
 /// A whole answer and who gave it.
 struct service_response {
-    http_answer answer;
+    http_answer message;
     target_id target;
     /// Time from the send to the target until its answer was whole.
-    duration spent{duration::zero()};
+    duration response_time{duration::zero()};
 };
 
 /// Identifies a running request so that it can be cancelled.
@@ -69,16 +69,16 @@
 public:
     using handler = std::function<void(result<service_response>)>;
 
-    service_dispatcher(loop& owner, const service_ptr& service, dispatcher_options options);
+    service_dispatcher(loop& owner, const service_ptr& served, dispatcher_options options);
 
     /// Takes a changed service. Running requests end where they are.
-    void update(const service_ptr& service);
+    void update(const service_ptr& changed);
     /// Sends \p request and calls \p done once, at once or later.
     dispatch_id dispatch(service_request request, handler done);
     /// Cancels a request whose caller has gone; its handler is not called.
-    void cancel(dispatch_id ticket);
-    [[nodiscard]] std::vector<target_view> view() const;
-    [[nodiscard]] std::size_t queued() const noexcept { return this->waiting.size(); }
+    void cancel(dispatch_id id);
+    [[nodiscard]] std::vector<target_view> target_views() const;
+    [[nodiscard]] std::size_t queued() const noexcept { return this->queue.size(); }
 
 private:
     struct target_state {
@@ -92,44 +92,45 @@
     };
     using target_ptr = std::shared_ptr<target_state>;
 
-    struct job {
-        service_request wanted;
-        handler done;
+    struct pending_request {
+        service_request request;
+        handler on_done;
         /// Targets that refused or failed the request.
-        std::set<target_id> tried;
-        int attempts{0};
+        std::set<target_id> tried_targets;
+        int send_count{0};
         /// Target and connection of the running attempt.
-        target_ptr at;
+        target_ptr target;
         std::unique_ptr<http_connection> connection;
-        time_point sent;
-        timer expiry;
+        time_point sent_at;
+        timer deadline_timer;
     };
-    using job_ptr = std::shared_ptr<job>;
-
-    void start(dispatch_id ticket, const job_ptr& work);
-    void wait(dispatch_id ticket, const job_ptr& work);
-    void attempt(dispatch_id ticket, const job_ptr& work, const target_ptr& at);
-    void handle_outcome(dispatch_id ticket, const job_ptr& work, http_outcome outcome);
-    void handle_answer(dispatch_id ticket, const job_ptr& work, http_answer answer);
-    void handle_failure(dispatch_id ticket, const job_ptr& work, const http_failure& failure);
-    [[nodiscard]] bool may_retry(const job& work, send_progress progress);
-    void release(const job_ptr& work, bool reusable);
-    void finish(dispatch_id ticket, result<service_response> outcome);
-    void serve_waiting();
-    [[nodiscard]] target_ptr choose(const job& work);
-    [[nodiscard]] std::vector<target_ptr> usable(time_point now) const;
-    [[nodiscard]] int limit_per_target() const;
-    [[nodiscard]] health_policy policy() const;
-    void judge(target_state& judged, time_point now);
+    using pending_request_ptr = std::shared_ptr<pending_request>;
+
+    void start(dispatch_id id, const pending_request_ptr& pending);
+    void enqueue(dispatch_id id, const pending_request_ptr& pending);
+    void send(dispatch_id id, const pending_request_ptr& pending, const target_ptr& target);
+    void handle_outcome(dispatch_id id, const pending_request_ptr& pending, http_outcome outcome);
+    void handle_response(dispatch_id id, const pending_request_ptr& pending, http_answer answer);
+    void handle_failure(dispatch_id id, const pending_request_ptr& pending,
+                        const http_failure& failure);
+    [[nodiscard]] bool may_retry(const pending_request& pending, send_progress progress);
+    void release_connection(const pending_request_ptr& pending, bool reusable);
+    void finish(dispatch_id id, result<service_response> outcome);
+    void dispatch_queued();
+    [[nodiscard]] target_ptr choose(const pending_request& pending);
+    [[nodiscard]] std::vector<target_ptr> targets_in_rotation(time_point now) const;
+    [[nodiscard]] int max_requests_per_target() const;
+    [[nodiscard]] health_policy make_health_policy() const;
+    void check_latency(target_state& checked, time_point now);
 
     loop& owner;
-    service_ptr current;
+    service_ptr service;
     dispatcher_options options;
     std::map<target_id, target_ptr> targets;
-    std::map<dispatch_id, job_ptr> jobs;
-    fair_queue<dispatch_id> waiting;
+    std::map<dispatch_id, pending_request_ptr> pending_requests;
+    fair_queue<dispatch_id> queue;
     retry_budget retries;
-    std::uint64_t last_ticket{0};
+    std::uint64_t last_id{0};
     std::minstd_rand random;
 };
 
--- a/libs/entry/src/gateway.cpp
+++ b/libs/entry/src/gateway.cpp
@@ -16,7 +16,7 @@
 constexpr std::string_view addresses_path = "/v1/addresses";
 // Callers of an account get one more address for each of these.
 constexpr double rate_per_address = 2000;
-constexpr std::size_t least_addresses = 2;
+constexpr std::size_t min_addresses = 2;
 
 http_server_limits caller_limits(const instance_settings& settings) {
     http_server_limits limits;
@@ -27,17 +27,19 @@
 
 } // namespace
 
-gateway::gateway(loop& event_loop, const instance_settings& instance, configuration& config_used,
-                 config_quorum& acceptance_used, admission_controller& token_source,
-                 heartbeat_service& keeper, instance_list_poller& list, mesh& peer_mesh)
-    : owner(event_loop), settings(instance), config(config_used), votes(acceptance_used),
-      tokens(token_source), loans(keeper), listing(list), network(peer_mesh),
-      once(event_loop, peer_mesh.self().incarnation), collector(event_loop, peer_mesh, once),
-      callers(event_loop, caller_limits(instance),
-              [this](const auto& request) { this->handle(request); }) {}
+gateway::gateway(loop& event_loop, const instance_settings& own_settings,
+                 configuration& current_config, config_quorum& current_quorum,
+                 admission_controller& rate_admission, heartbeat_service& peer_heartbeats,
+                 instance_list_poller& instance_poller, mesh& peer_mesh)
+    : owner(event_loop), settings(own_settings), config(current_config), quorum(current_quorum),
+      admission(rate_admission), heartbeats(peer_heartbeats), instance_list(instance_poller),
+      network(peer_mesh), executor(event_loop, peer_mesh.self().incarnation),
+      collector(event_loop, peer_mesh, executor),
+      caller_server(event_loop, caller_limits(own_settings),
+                    [this](const auto& request) { this->handle(request); }) {}
 
 result<void> gateway::listen() {
-    return this->callers.listen(this->settings.callers_address);
+    return this->caller_server.listen(this->settings.callers_address);
 }
 
 dispatcher_options gateway::make_dispatcher_options() const {
@@ -46,7 +48,7 @@
     options.limits.max_header_bytes = this->settings.max_header_bytes;
     options.limits.max_body_bytes = this->settings.max_answer_bytes;
     options.source_ip = this->settings.callers_address.ip;
-    options.is_leaving = [&list = this->listing](const endpoint& address) {
+    options.is_leaving = [&list = this->instance_list](const endpoint& address) {
         return list.is_leaving(address);
     };
     return options;
@@ -54,12 +56,12 @@
 
 void gateway::update_services() {
     for (const auto& [id, defined] : this->config.services()) {
-        service_ptr& known = this->known_services[id];
-        if (known == defined) {
+        service_ptr& applied = this->applied_services[id];
+        if (applied == defined) {
             continue;
         }
-        known = defined;
-        std::unique_ptr<service_dispatcher>& dispatcher = this->by_service[id];
+        applied = defined;
+        std::unique_ptr<service_dispatcher>& dispatcher = this->service_dispatchers[id];
         if (dispatcher == nullptr) {
             dispatcher = std::make_unique<service_dispatcher>(this->owner, defined,
                                                               this->make_dispatcher_options());
@@ -68,7 +70,7 @@
         }
     }
     // A removed service's dispatcher stays while it has work; it gets no new work.
-    std::erase_if(this->known_services, [this](const auto& item) {
+    std::erase_if(this->applied_services, [this](const auto& item) {
         return this->config.find_service(item.first) == nullptr;
     });
 }
@@ -76,9 +78,9 @@
 void gateway::handle(const std::shared_ptr<incoming_request>& request) {
     auto context = std::make_shared<request_context>();
     context->incoming = request;
-    context->arrived = boot_clock::now();
+    context->arrived_at = boot_clock::now();
     if (request->path() == addresses_path) {
-        this->answer_addresses(context);
+        this->handle_address_request(context);
         return;
     }
     if (const auto prepared = this->prepare(*context); !prepared) {
@@ -87,13 +89,14 @@
     }
     const std::string key(request->header(idempotency_key_header));
     if (context->account != nullptr && !key.empty()) {
-        this->run_once(context, key);
+        this->run_idempotent(context, key);
         return;
     }
     constexpr bool cancel_with_caller = true;
-    this->run(context, cancel_with_caller, [this, context](result<service_response> outcome) {
-        this->pass_on(context, std::move(outcome));
-    });
+    this->admit_and_dispatch(context, cancel_with_caller,
+                             [this, context](result<service_response> outcome) {
+                                 this->finish(context, std::move(outcome));
+                             });
 }
 
 result<void> gateway::prepare(request_context& context) const {
@@ -104,7 +107,7 @@
         .and_then([&] { return find_route(context, this->config); })
         .and_then([&] { return authenticate(context, this->config); })
         .and_then([&]() -> result<void> {
-            if (context.account != nullptr && !this->votes.is_fresh()) {
+            if (context.account != nullptr && !this->quorum.is_fresh()) {
                 return fail(error_kind::configuration_stale,
                             "this instance cannot tell whether the key still stands");
             }
@@ -114,12 +117,12 @@
         .and_then([&] { return set_deadline(context); });
 }
 
-void gateway::run(const context_ptr& context, bool cancel_with_caller,
-                  service_dispatcher::handler done) {
-    const account_id payer = context->account == nullptr ? account_id{} : context->account->id;
+void gateway::admit_and_dispatch(const context_ptr& context, bool cancel_with_caller,
+                                 service_dispatcher::handler done) {
+    const account_id account = context->account == nullptr ? account_id{} : context->account->id;
     // Made before any wait, since the caller may be gone by then.
     auto request = std::make_shared<service_request>(service_request{
-        make_target_request(*context), payer, context->deadline, context->repeatable});
+        make_target_request(*context), account, context->deadline, context->idempotent});
     if (context->account == nullptr) {
         this->dispatch(context, std::move(*request), cancel_with_caller, std::move(done));
         return;
@@ -127,55 +130,55 @@
     const auto is_wanted = [context, cancel_with_caller] {
         return !cancel_with_caller || !context->incoming->is_caller_gone();
     };
-    this->tokens.admit(context->account, context->deadline, is_wanted,
-                       [this, context, request, cancel_with_caller,
-                        reply = std::move(done)](const result<void>& outcome) {
-                           if (!outcome) {
-                               reply(tl::unexpected(outcome.error()));
-                           } else {
-                               this->dispatch(context, std::move(*request), cancel_with_caller,
-                                              reply);
-                           }
-                       });
+    this->admission.admit(context->account, context->deadline, is_wanted,
+                          [this, context, request, cancel_with_caller,
+                           on_done = std::move(done)](const result<void>& outcome) {
+                              if (!outcome) {
+                                  on_done(tl::unexpected(outcome.error()));
+                              } else {
+                                  this->dispatch(context, std::move(*request), cancel_with_caller,
+                                                 on_done);
+                              }
+                          });
 }
 
 void gateway::dispatch(const context_ptr& context, service_request&& request,
                        bool cancel_with_caller, service_dispatcher::handler done) {
-    service_dispatcher& dispatcher = *this->by_service.at(context->matched_service->id);
-    auto ticket = std::make_shared<dispatch_id>();
+    service_dispatcher& dispatcher = *this->service_dispatchers.at(context->service->id);
+    auto id = std::make_shared<dispatch_id>();
     if (cancel_with_caller) {
-        context->incoming->on_caller_gone([&dispatcher, ticket] { dispatcher.cancel(*ticket); });
+        context->incoming->on_caller_gone([&dispatcher, id] { dispatcher.cancel(*id); });
     }
-    *ticket = dispatcher.dispatch(std::move(request), std::move(done));
+    *id = dispatcher.dispatch(std::move(request), std::move(done));
 }
 
-void gateway::run_once(const context_ptr& context, const std::string& key) {
+void gateway::run_idempotent(const context_ptr& context, const std::string& key) {
     const auto parsed = parse_idempotency_key(key);
     if (!parsed) {
         this->refuse(*context, {error_kind::idempotency_key_invalid,
                                 "use a prefix from /v1/addresses, a dot, and a text of your own"});
         return;
     }
-    if (!this->once.is_own(*parsed)) {
-        this->pass_to_issuer(context, parsed->issuer);
+    if (!this->executor.is_issuer_of(*parsed)) {
+        this->forward_to_issuer(context, parsed->issuer);
         return;
     }
     constexpr bool cancel_with_caller = false;
-    this->once.run(
+    this->executor.run(
         key, context->account->id, fingerprint_of(*context),
-        [this, context](const service_dispatcher::handler& settle) {
-            this->run(context, cancel_with_caller, settle);
+        [this, context](const service_dispatcher::handler& done) {
+            this->admit_and_dispatch(context, cancel_with_caller, done);
         },
         [this, context](result<service_response> outcome) {
-            this->pass_on(context, std::move(outcome));
+            this->finish(context, std::move(outcome));
         });
 }
 
 /// Only the issuer knows whether the request ran before.
-void gateway::pass_to_issuer(const context_ptr& context, incarnation_id issuer) {
-    const auto found = this->loans.peers().find(issuer);
+void gateway::forward_to_issuer(const context_ptr& context, incarnation_id issuer) {
+    const auto found = this->heartbeats.peers().find(issuer);
     const bool was_passed_on = !context->incoming->header(passed_on_header).empty();
-    if (found == this->loans.peers().end() || !found->second.connected || was_passed_on) {
+    if (found == this->heartbeats.peers().end() || !found->second.connected || was_passed_on) {
         this->refuse(*context, {error_kind::outcome_unknown,
                                 "the instance that issued the prefix cannot be reached"});
         return;
@@ -196,74 +199,76 @@
         });
 }
 
-void gateway::pass_on(const context_ptr& context, result<service_response> outcome) {
+void gateway::finish(const context_ptr& context, result<service_response> outcome) {
     incoming_request& incoming = *context->incoming;
     incoming.on_caller_gone(nullptr);
     if (!outcome) {
         this->refuse(*context, outcome.error());
         return;
     }
-    const duration total = boot_clock::now() - context->arrived;
-    this->counters.note_request("answered", total, outcome->spent);
+    const duration total = boot_clock::now() - context->arrived_at;
+    this->metrics.record_request("answered", total, outcome->response_time);
     http_answer answer =
-        make_caller_response(std::move(outcome->answer), incoming.method() == "HEAD");
+        make_caller_response(std::move(outcome->message), incoming.method() == "HEAD");
     answer.headers.push_back({std::string(instance_header), this->settings.instance.value});
     answer.headers.push_back({std::string(target_header), outcome->target.value});
     incoming.answer(std::move(answer));
 }
 
 void gateway::refuse(const request_context& context, const error& problem) {
-    const duration total = boot_clock::now() - context.arrived;
-    this->counters.note_request(answer_for(problem.kind).name, total, duration::zero());
+    const duration total = boot_clock::now() - context.arrived_at;
+    this->metrics.record_request(answer_for(problem.kind).name, total, duration::zero());
     if (!context.incoming->is_caller_gone()) {
         send_error_response(*context.incoming, problem, this->settings.instance);
     }
 }
 
-std::vector<peer_info> gateway::name_instances(const client_account& account) const {
-    const auto more = static_cast<std::size_t>(std::ceil(account.rate_per_s / rate_per_address));
-    std::vector<peer_info> ranked = this->loans.ranked_instances(slot_of(account.id, slot_count));
+std::vector<peer_info> gateway::choose_instances(const client_account& account) const {
+    const auto by_rate = static_cast<std::size_t>(std::ceil(account.rate_per_s / rate_per_address));
+    std::vector<peer_info> ranked =
+        this->heartbeats.ranked_instances(slot_of(account.id, slot_count));
     // The second address is in another failure domain where there is one.
     if (ranked.size() > 2) {
-        const auto elsewhere =
+        const auto in_other_domain =
             std::find_if(ranked.begin() + 1, ranked.end(), [&ranked](const peer_info& peer) {
                 return peer.failure_domain != ranked.front().failure_domain;
             });
-        if (elsewhere != ranked.end()) {
-            std::rotate(ranked.begin() + 1, elsewhere, elsewhere + 1);
+        if (in_other_domain != ranked.end()) {
+            std::rotate(ranked.begin() + 1, in_other_domain, in_other_domain + 1);
         }
     }
-    ranked.resize(std::min(ranked.size(), std::max(least_addresses, more)));
+    ranked.resize(std::min(ranked.size(), std::max(min_addresses, by_rate)));
     return ranked;
 }
 
-void gateway::answer_addresses(const context_ptr& context) {
+void gateway::handle_address_request(const context_ptr& context) {
     const auto account = read_api_key(*context).and_then(
         [&] { return find_account(context->api_key, this->config); });
     if (!account) {
         this->refuse(*context, account.error());
         return;
     }
-    const std::vector<peer_info> named = this->name_instances(**account);
+    const std::vector<peer_info> chosen = this->choose_instances(**account);
     std::vector<incarnation_id> issuers;
-    issuers.reserve(named.size());
-    for (const peer_info& peer : named) {
+    issuers.reserve(chosen.size());
+    for (const peer_info& peer : chosen) {
         issuers.push_back(peer.incarnation);
     }
-    this->collector.collect((*account)->id, issuers,
-                            [this, context, named](const prefix_collector::prefixes& issued) {
-                                this->send_addresses(context, named, issued);
-                            });
+    this->collector.collect(
+        (*account)->id, issuers,
+        [this, context, chosen](const prefix_collector::prefixes_by_issuer& prefixes) {
+            this->send_addresses(context, chosen, prefixes);
+        });
 }
 
-void gateway::send_addresses(const context_ptr& context, const std::vector<peer_info>& named,
-                             const prefix_collector::prefixes& issued) {
+void gateway::send_addresses(const context_ptr& context, const std::vector<peer_info>& chosen,
+                             const prefix_collector::prefixes_by_issuer& prefixes) {
     nlohmann::json addresses = nlohmann::json::array();
-    for (const peer_info& peer : named) {
+    for (const peer_info& peer : chosen) {
         nlohmann::json item = {{"address", to_string(peer.callers_address)},
                                {"instance", peer.instance.value},
                                {"failure_domain", peer.failure_domain.value}};
-        if (const auto prefix = issued.find(peer.incarnation); prefix != issued.end()) {
+        if (const auto prefix = prefixes.find(peer.incarnation); prefix != prefixes.end()) {
             item["idempotency_prefix"] = prefix->second;
         }
         addresses.push_back(std::move(item));
--- a/libs/entry/src/gateway_metrics.cpp
+++ b/libs/entry/src/gateway_metrics.cpp
@@ -7,19 +7,19 @@
 namespace {
 
 constexpr unsigned latency_buckets = 60;
-constexpr double least_latency_ms = 0.01;
-constexpr double greatest_latency_ms = 100'000;
+constexpr double min_latency_ms = 0.01;
+constexpr double max_latency_ms = 100'000;
 constexpr double ms_per_second = 1000;
 
 } // namespace
 
 gateway_metrics::gateway_metrics()
     : total_ms(boost::histogram::make_histogram(
-          latency_axis(latency_buckets, least_latency_ms, greatest_latency_ms))),
+          latency_axis(latency_buckets, min_latency_ms, max_latency_ms))),
       added_ms(boost::histogram::make_histogram(
-          latency_axis(latency_buckets, least_latency_ms, greatest_latency_ms))) {}
+          latency_axis(latency_buckets, min_latency_ms, max_latency_ms))) {}
 
-void gateway_metrics::note_request(std::string_view outcome, duration total, duration upstream) {
+void gateway_metrics::record_request(std::string_view outcome, duration total, duration upstream) {
     const auto found = this->requests.find(outcome);
     if (found == this->requests.end()) {
         this->requests.emplace(outcome, 1);
@@ -34,7 +34,7 @@
     this->added_sum_ms += added_value;
 }
 
-std::string gateway_metrics::expose() const {
+std::string gateway_metrics::to_text() const {
     std::ostringstream text;
     text << "# TYPE knapweedknot_requests_total counter\n";
     for (const auto& [outcome, count] : this->requests) {
@@ -46,13 +46,13 @@
         text << "knapweedknot_" << name << ' ' << value << '\n';
     }
     std::string all = text.str();
-    expose_histogram(all, "knapweedknot_request_duration_ms", this->total_ms, this->total_sum_ms);
-    expose_histogram(all, "knapweedknot_added_duration_ms", this->added_ms, this->added_sum_ms);
+    write_histogram(all, "knapweedknot_request_duration_ms", this->total_ms, this->total_sum_ms);
+    write_histogram(all, "knapweedknot_added_duration_ms", this->added_ms, this->added_sum_ms);
     return all;
 }
 
-void gateway_metrics::expose_histogram(std::string& text, const std::string& name,
-                                       const latency_histogram& values, double sum) {
+void gateway_metrics::write_histogram(std::string& text, const std::string& name,
+                                      const latency_histogram& values, double sum) {
     std::ostringstream lines;
     lines << "# TYPE " << name << " histogram\n";
     double cumulative = values.at(-1);
--- a/libs/entry/src/idempotent_executor.cpp
+++ b/libs/entry/src/idempotent_executor.cpp
@@ -11,15 +11,15 @@
 constexpr std::size_t secret_bytes = 32;
 constexpr duration expiry_interval = seconds(1);
 // Answers beyond this are not kept; their repeats are told that the outcome is unknown.
-constexpr std::size_t max_answer_bytes = std::size_t{32} * 1024 * 1024;
+constexpr std::size_t max_cached_bytes = std::size_t{32} * 1024 * 1024;
 
 service_response copy_of(const service_response& original) {
     service_response copy;
     copy.target = original.target;
-    copy.spent = original.spent;
-    copy.answer.status = original.answer.status;
-    copy.answer.headers = original.answer.headers;
-    append_copy(copy.answer.body.get(), original.answer.body.get());
+    copy.response_time = original.response_time;
+    copy.message.status = original.message.status;
+    copy.message.headers = original.message.headers;
+    append_copy(copy.message.body.get(), original.message.body.get());
     return copy;
 }
 
@@ -31,13 +31,13 @@
 } // namespace
 
 idempotent_executor::idempotent_executor(loop& owner, incarnation_id own)
-    : issuer(own), secret(random_hex(secret_bytes)), epoch(boot_clock::now()),
-      expiry(owner.every(expiry_interval, [this] {
+    : issuer(own), secret(random_hex(secret_bytes)), started(boot_clock::now()),
+      expiry_timer(owner.every(expiry_interval, [this] {
           this->table.expire(boot_clock::now(), [this](const std::string& key) {
               const auto found = this->outcomes.find(key);
               if (found != this->outcomes.end()) {
-                  if (found->second.answer != nullptr) {
-                      this->answer_bytes -= body_size(found->second.answer->answer.body.get());
+                  if (found->second.response != nullptr) {
+                      this->cached_bytes -= body_size(found->second.response->message.body.get());
                   }
                   this->outcomes.erase(found);
               }
@@ -45,10 +45,10 @@
       })) {}
 
 std::uint64_t idempotent_executor::now_ms() const {
-    return static_cast<std::uint64_t>(to_milliseconds(boot_clock::now() - this->epoch));
+    return static_cast<std::uint64_t>(to_milliseconds(boot_clock::now() - this->started));
 }
 
-std::string idempotent_executor::issue(const account_id& account) const {
+std::string idempotent_executor::issue_prefix(const account_id& account) const {
     return make_idempotency_prefix(this->secret, this->issuer, this->now_ms(), account);
 }
 
@@ -65,20 +65,20 @@
         return;
     }
     const time_point forget_at =
-        this->epoch + milliseconds(key->issued_ms) + idempotency_prefix_lifetime;
+        this->started + milliseconds(key->issued_ms) + idempotency_prefix_lifetime;
     switch (this->table.begin(presented, fingerprint, forget_at)) {
     case idempotency_key_state::first:
-        this->outcomes[presented].waiting.push_back(std::move(done));
+        this->outcomes[presented].waiting_handlers.push_back(std::move(done));
         start([this, presented](result<service_response> outcome) {
-            this->settle(presented, std::move(outcome));
+            this->record_outcome(presented, std::move(outcome));
         });
         return;
     case idempotency_key_state::running:
-        this->outcomes[presented].waiting.push_back(std::move(done));
+        this->outcomes[presented].waiting_handlers.push_back(std::move(done));
         return;
     case idempotency_key_state::done:
-        if (const auto found = this->outcomes.find(presented); found->second.answer != nullptr) {
-            done(copy_of(*found->second.answer));
+        if (const auto found = this->outcomes.find(presented); found->second.response != nullptr) {
+            done(copy_of(*found->second.response));
             return;
         }
         done(unknown_outcome());
@@ -92,16 +92,16 @@
     }
 }
 
-void idempotent_executor::settle(const std::string& key, result<service_response> outcome) {
-    remembered& kept = this->outcomes.at(key);
-    const std::vector<handler> waiting = std::move(kept.waiting);
-    kept.waiting.clear();
+void idempotent_executor::record_outcome(const std::string& key, result<service_response> outcome) {
+    outcome_record& record = this->outcomes.at(key);
+    const std::vector<handler> waiting_handlers = std::move(record.waiting_handlers);
+    record.waiting_handlers.clear();
     if (outcome) {
         this->table.finish(key);
-        const std::size_t size = body_size(outcome->answer.body.get());
-        if (this->answer_bytes + size <= max_answer_bytes) {
-            this->answer_bytes += size;
-            kept.answer = std::make_unique<service_response>(copy_of(*outcome));
+        const std::size_t size = body_size(outcome->message.body.get());
+        if (this->cached_bytes + size <= max_cached_bytes) {
+            this->cached_bytes += size;
+            record.response = std::make_unique<service_response>(copy_of(*outcome));
         }
     } else if (answer_for(outcome.error().kind).outcome == execution::not_run) {
         this->table.release(key);
@@ -109,7 +109,7 @@
     } else {
         this->table.mark_outcome_unknown(key);
     }
-    for (const handler& done : waiting) {
+    for (const handler& done : waiting_handlers) {
         if (outcome) {
             done(copy_of(*outcome));
         } else {
--- a/libs/entry/src/operator_service.cpp
+++ b/libs/entry/src/operator_service.cpp
@@ -57,23 +57,23 @@
 
 } // namespace
 
-operator_service::operator_service(loop& owner, const operator_service_dependencies& used,
+operator_service::operator_service(loop& owner, const operator_service_dependencies& common,
                                    std::function<void()> drain)
-    : parts(used), start_drain(std::move(drain)),
+    : shared(common), start_drain(std::move(drain)),
       server(owner, http_server_limits{}, [this](const auto& request) { this->handle(request); }) {}
 
 result<void> operator_service::listen() {
-    return this->server.listen(this->parts.settings.operators_address);
+    return this->server.listen(this->shared.settings.operators_address);
 }
 
-result<std::string> operator_service::operator_of(const incoming_request& request) const {
+result<std::string> operator_service::authenticate(const incoming_request& request) const {
     constexpr std::string_view bearer = "Bearer ";
     const std::string_view presented = request.header("Authorization");
     if (!presented.starts_with(bearer)) {
         return fail(error_kind::key_missing, "use Authorization: Bearer TOKEN");
     }
     const std::string hash = sha256_hex(presented.substr(bearer.size()));
-    for (const auto& [name, expected] : this->parts.settings.operators) {
+    for (const auto& [name, expected] : this->shared.settings.operators) {
         if (equal_constant_time(hash, expected)) {
             return name;
         }
@@ -86,21 +86,21 @@
         this->answer_metrics(request);
         return;
     }
-    const auto author = this->operator_of(*request);
+    const auto author = this->authenticate(*request);
     if (!author) {
-        send_error_response(*request, author.error(), this->parts.settings.instance);
+        send_error_response(*request, author.error(), this->shared.settings.instance);
         return;
     }
-    this->handle_known(request, *author);
+    this->handle_authenticated(request, *author);
 }
 
-void operator_service::handle_known(const request_ptr& request, const std::string& author) {
+void operator_service::handle_authenticated(const request_ptr& request, const std::string& author) {
     const std::string_view path = request->path();
     const std::string_view method = request->method();
     if (path == "/v1/configuration" && method == "GET") {
         send_json_response(*request, status_ok,
-                           {{"number", this->parts.config.number().value},
-                            {"document", this->parts.config.document()}});
+                           {{"number", this->shared.config.number().value},
+                            {"document", this->shared.config.document()}});
     } else if (path == "/v1/configuration" && method == "PATCH") {
         this->handle_patch(request, author);
     } else if (path == "/v1/history" && method == "GET") {
@@ -113,17 +113,17 @@
         this->start_drain();
     } else {
         send_error_response(*request, {error_kind::not_found, "no such call"},
-                            this->parts.settings.instance);
+                            this->shared.settings.instance);
     }
 }
 
 void operator_service::handle_patch(const request_ptr& request, const std::string& author) {
     const auto base = parse_number(request->query_value("base"), "base");
     const auto patch = base.and_then([&](std::uint64_t /*unused*/) {
-        return read_patch(*request, this->parts.config.document());
+        return read_patch(*request, this->shared.config.document());
     });
     if (!patch) {
-        send_error_response(*request, patch.error(), this->parts.settings.instance);
+        send_error_response(*request, patch.error(), this->shared.settings.instance);
         return;
     }
     patch_submission submission;
@@ -134,14 +134,14 @@
     if (submission.patch_id.empty()) {
         submission.patch_id = random_hex(patch_id_bytes);
     }
-    this->parts.committer.submit(std::move(submission),
-                                 [this, request, base = config_number{*base}](const auto& outcome) {
-                                     this->answer_accepted(request, base, outcome);
-                                 });
+    this->shared.committer.submit(
+        std::move(submission), [this, request, base = config_number{*base}](const auto& outcome) {
+            this->answer_patch(request, base, outcome);
+        });
 }
 
-void operator_service::answer_accepted(const request_ptr& request, config_number base,
-                                       const result<accepted_patch>& outcome) {
+void operator_service::answer_patch(const request_ptr& request, config_number base,
+                                    const result<accepted_patch>& outcome) {
     if (request->is_caller_gone()) {
         return;
     }
@@ -152,28 +152,28 @@
         return;
     }
     if (outcome.error().kind != error_kind::configuration_conflict) {
-        send_error_response(*request, outcome.error(), this->parts.settings.instance);
+        send_error_response(*request, outcome.error(), this->shared.settings.instance);
         return;
     }
     send_json_response(*request, answer_for(error_kind::configuration_conflict).http_status,
                        {{"error", "configuration_conflict"},
                         {"detail", outcome.error().detail},
-                        {"number", this->parts.config.number().value},
+                        {"number", this->shared.config.number().value},
                         {"changes_since", this->changes_since(base)}});
 }
 
 nlohmann::json operator_service::changes_since(config_number base) const {
-    return to_array(this->parts.follower.head().tail, base.value);
+    return to_array(this->shared.follower.head().tail, base.value);
 }
 
 void operator_service::handle_history(const request_ptr& request) {
     const std::string text = request->query_value("after");
     const auto after = parse_number(text.empty() ? "0" : text, "after");
     if (!after) {
-        send_error_response(*request, after.error(), this->parts.settings.instance);
+        send_error_response(*request, after.error(), this->shared.settings.instance);
         return;
     }
-    const history_head& head = this->parts.follower.head();
+    const history_head& head = this->shared.follower.head();
     const bool needs_archive = *after < head.snapshot.number.value;
     this->collect_history(request, *after, needs_archive ? head.snapshot.archive_key : "",
                           head.tail);
@@ -189,8 +189,8 @@
                            {{"entries", to_array(newer, after)}, {"chain_problem", problem}});
         return;
     }
-    this->parts.store.get(archive_key, [this, request, after,
-                                        kept = std::move(newer)](const auto& value) {
+    this->shared.store.get(archive_key, [this, request, after,
+                                         collected = std::move(newer)](const auto& value) {
         const auto archive =
             value.and_then([](const store_value& found) { return decode_archive(found.data); });
         if (request->is_caller_gone()) {
@@ -200,29 +200,30 @@
             send_error_response(*request,
                                 {error_kind::store_unavailable,
                                  "a part of the history cannot be read: " + archive.error().detail},
-                                this->parts.settings.instance);
+                                this->shared.settings.instance);
             return;
         }
         std::vector<history_entry> all = archive->entries;
-        const bool reaches = all.empty() || all.front().number.value <= after + 1;
-        all.insert(all.end(), kept.begin(), kept.end());
-        this->collect_history(request, after, reaches ? "" : archive->previous_key, std::move(all));
+        const bool is_complete = all.empty() || all.front().number.value <= after + 1;
+        all.insert(all.end(), collected.begin(), collected.end());
+        this->collect_history(request, after, is_complete ? "" : archive->previous_key,
+                              std::move(all));
     });
 }
 
 nlohmann::json operator_service::describe_instances() const {
     nlohmann::json list = nlohmann::json::array();
-    const peer_info& self = this->parts.network.self();
+    const peer_info& self = this->shared.network.self();
     const time_point now = boot_clock::now();
     list.push_back({{"instance", self.instance.value},
                     {"failure_domain", self.failure_domain.value},
                     {"callers_address", to_string(self.callers_address)},
-                    {"number", this->parts.config.number().value},
-                    {"held_seats", this->parts.loans.own_voting_seats(now)},
-                    {"lent_seats", this->parts.loans.own_leasable_seats(now)},
+                    {"number", this->shared.config.number().value},
+                    {"held_seats", this->shared.heartbeats.own_voting_seats(now)},
+                    {"lent_seats", this->shared.heartbeats.own_leasable_seats(now)},
                     {"connected", true},
                     {"self", true}});
-    for (const auto& [incarnation, peer] : this->parts.loans.peers()) {
+    for (const auto& [incarnation, peer] : this->shared.heartbeats.peers()) {
         list.push_back({{"instance", peer.info.instance.value},
                         {"failure_domain", peer.info.failure_domain.value},
                         {"callers_address", to_string(peer.info.callers_address)},
@@ -238,9 +239,9 @@
 
 nlohmann::json operator_service::describe_services() const {
     nlohmann::json services = nlohmann::json::object();
-    for (const auto& [id, dispatcher] : this->parts.front.dispatchers()) {
+    for (const auto& [id, dispatcher] : this->shared.caller_gateway.dispatchers()) {
         nlohmann::json targets = nlohmann::json::object();
-        for (const target_view& target : dispatcher->view()) {
+        for (const target_view& target : dispatcher->target_views()) {
             targets[target.id.value] = {
                 {"in_flight", target.in_flight},   {"ejected", target.ejected},
                 {"leaving", target.leaving},       {"reason", target.reason},
@@ -254,23 +255,23 @@
 
 nlohmann::json operator_service::describe_accounts() const {
     nlohmann::json accounts = nlohmann::json::object();
-    for (const auto& [id, counted] : this->parts.tokens.counts()) {
+    for (const auto& [id, counts] : this->shared.admission.counts()) {
         const slot_id slot = slot_of(id, slot_count);
-        accounts[id.value] = {{"admitted_here", counted.from_local_bucket},
-                              {"admitted_by_grant", counted.by_grant},
-                              {"refused_over_rate", counted.refused},
-                              {"refused_without_broker", counted.timed_out},
+        accounts[id.value] = {{"admitted_here", counts.from_local_bucket},
+                              {"admitted_by_grant", counts.by_grant},
+                              {"refused_over_rate", counts.refused},
+                              {"refused_without_broker", counts.timed_out},
                               {"slot", slot.value},
-                              {"brokered_here", this->parts.loans.is_broker_of(slot)}};
+                              {"brokered_here", this->shared.heartbeats.is_broker_of(slot)}};
     }
     return accounts;
 }
 
 nlohmann::json operator_service::describe_seats() const {
-    const seat_record& record = this->parts.seats.record();
+    const seat_record& record = this->shared.seats.record();
     nlohmann::json slots = nlohmann::json::object();
     for (std::uint32_t i = 0; i < slot_count; ++i) {
-        if (const int seats = this->parts.loans.slot(slot_id{i}).leased_seats; seats > 0) {
+        if (const int seats = this->shared.heartbeats.slot(slot_id{i}).leased_seats; seats > 0) {
             slots[std::to_string(i)] = seats;
         }
     }
@@ -281,38 +282,38 @@
 
 void operator_service::answer_status(const request_ptr& request) {
     send_json_response(*request, status_ok,
-                       {{"instance", this->parts.settings.instance.value},
-                        {"number", this->parts.config.number().value},
-                        {"fresh", this->parts.votes.is_fresh()},
+                       {{"instance", this->shared.settings.instance.value},
+                        {"number", this->shared.config.number().value},
+                        {"fresh", this->shared.quorum.is_fresh()},
                         {"instances", this->describe_instances()},
                         {"seats", this->describe_seats()},
                         {"services", this->describe_services()},
                         {"accounts", this->describe_accounts()},
-                        {"store_calls", this->parts.store.calls()},
-                        {"peer_bytes_sent", this->parts.network.traffic().sent},
-                        {"peer_datagrams_sent", this->parts.network.datagrams_sent()}});
+                        {"store_calls", this->shared.store.calls()},
+                        {"peer_bytes_sent", this->shared.network.traffic().sent},
+                        {"peer_datagrams_sent", this->shared.network.datagrams_sent()}});
 }
 
 void operator_service::answer_metrics(const request_ptr& request) {
-    gateway_metrics& measured = this->parts.front.measured();
-    measured.set_gauge("configuration_number",
-                       static_cast<double>(this->parts.config.number().value));
-    measured.set_gauge("configuration_fresh", this->parts.votes.is_fresh() ? 1 : 0);
-    measured.set_gauge("seats_held", this->parts.loans.own_voting_seats(boot_clock::now()));
-    measured.set_gauge("store_calls", static_cast<double>(this->parts.store.calls()));
-    measured.set_gauge("peer_bytes_sent", static_cast<double>(this->parts.network.traffic().sent));
-    measured.set_gauge("requests_running",
-                       static_cast<double>(this->parts.front.server().running_requests()));
-    for (const auto& [id, dispatcher] : this->parts.front.dispatchers()) {
+    gateway_metrics& metrics = this->shared.caller_gateway.request_metrics();
+    metrics.set_gauge("configuration_number",
+                      static_cast<double>(this->shared.config.number().value));
+    metrics.set_gauge("configuration_fresh", this->shared.quorum.is_fresh() ? 1 : 0);
+    metrics.set_gauge("seats_held", this->shared.heartbeats.own_voting_seats(boot_clock::now()));
+    metrics.set_gauge("store_calls", static_cast<double>(this->shared.store.calls()));
+    metrics.set_gauge("peer_bytes_sent", static_cast<double>(this->shared.network.traffic().sent));
+    metrics.set_gauge("requests_running",
+                      static_cast<double>(this->shared.caller_gateway.server().running_requests()));
+    for (const auto& [id, dispatcher] : this->shared.caller_gateway.dispatchers()) {
         double ejected = 0;
-        for (const target_view& target : dispatcher->view()) {
+        for (const target_view& target : dispatcher->target_views()) {
             ejected += target.ejected ? 1 : 0;
         }
         const std::string label = "{service=\"" + id.value + "\"}";
-        measured.set_gauge("targets_ejected" + label, ejected);
-        measured.set_gauge("requests_queued" + label, static_cast<double>(dispatcher->queued()));
+        metrics.set_gauge("targets_ejected" + label, ejected);
+        metrics.set_gauge("requests_queued" + label, static_cast<double>(dispatcher->queued()));
     }
-    send_text_response(*request, status_ok, measured.expose(), "text/plain; version=0.0.4");
+    send_text_response(*request, status_ok, metrics.to_text(), "text/plain; version=0.0.4");
 }
 
 } // namespace knapweedknot
--- a/libs/entry/src/request_preparation.cpp
+++ b/libs/entry/src/request_preparation.cpp
@@ -15,10 +15,10 @@
 
 namespace {
 
-constexpr std::string_view bearer = "Bearer ";
+constexpr std::string_view bearer_prefix = "Bearer ";
 constexpr long long max_deadline_ms = 600'000;
 
-constexpr std::array<std::string_view, 2> key_headers{"Authorization", "X-Api-Key"};
+constexpr std::array<std::string_view, 2> api_key_headers{"Authorization", "X-Api-Key"};
 
 template <std::size_t Count>
 bool is_one_of(std::string_view name, const std::array<std::string_view, Count>& names) {
@@ -35,10 +35,10 @@
 result<void> read_api_key(request_context& context) {
     const std::string_view authorization = context.incoming->header("Authorization");
     if (!authorization.empty()) {
-        if (!equal_ignoring_case(authorization.substr(0, bearer.size()), bearer)) {
+        if (!equal_ignoring_case(authorization.substr(0, bearer_prefix.size()), bearer_prefix)) {
             return fail(error_kind::key_missing, "use Authorization: Bearer KEY");
         }
-        context.api_key = authorization.substr(bearer.size());
+        context.api_key = authorization.substr(bearer_prefix.size());
         return {};
     }
     context.api_key = context.incoming->header("X-Api-Key");
@@ -47,18 +47,17 @@
 
 result<void> find_route(request_context& context, const configuration& config) {
     const std::string_view path = context.incoming->path();
-    context.matched_route =
-        config.find_route(host_without_port(context.incoming->header("Host")), path);
-    if (context.matched_route == nullptr) {
+    context.route = config.find_route(host_without_port(context.incoming->header("Host")), path);
+    if (context.route == nullptr) {
         return fail(error_kind::route_not_found, "no route for this path");
     }
-    const auto& methods = context.matched_route->methods;
+    const auto& methods = context.route->methods;
     if (!methods.empty() && !methods.contains(std::string(context.incoming->method()))) {
         return fail(error_kind::route_not_found, "the route does not serve this method");
     }
-    context.matched_service = config.find_service(context.matched_route->service);
-    const idempotency rule = context.matched_route->repeatable;
-    context.repeatable =
+    context.service = config.find_service(context.route->service);
+    const idempotency rule = context.route->repeatable;
+    context.idempotent =
         rule == idempotency::always ||
         (rule == idempotency::by_method && is_idempotent_method(context.incoming->method()));
     return {};
@@ -68,26 +67,26 @@
     if (api_key.empty()) {
         return fail(error_kind::key_missing, "this route needs a key");
     }
-    const auto parts = split_key(api_key);
-    if (!parts) {
+    const auto key_parts = split_key(api_key);
+    if (!key_parts) {
         return fail(error_kind::key_unknown, "the key is unknown or withdrawn");
     }
-    const key_owner owner = config.find_key(parts->key_id);
-    if (owner.account == nullptr || !key_matches(owner.key, parts->secret)) {
+    const key_owner owner = config.find_key(key_parts->key_id);
+    if (owner.account == nullptr || !key_matches(owner.key, key_parts->secret)) {
         return fail(error_kind::key_unknown, "the key is unknown or withdrawn");
     }
     return owner.account;
 }
 
 result<void> authenticate(request_context& context, const configuration& config) {
-    if (context.matched_route->open) {
+    if (context.route->open) {
         return {};
     }
     auto account = find_account(context.api_key, config);
     if (!account) {
         return tl::unexpected(account.error());
     }
-    const auto& allowed = context.matched_route->accounts;
+    const auto& allowed = context.route->accounts;
     if (!allowed.empty() && !allowed.contains((*account)->id.value)) {
         return fail(error_kind::account_not_allowed, "the account may not use this route");
     }
@@ -96,20 +95,22 @@
 }
 
 result<void> refuse_exposed_key(const request_context& context) {
-    const auto parts = split_key(context.api_key);
-    if (!parts) {
+    const auto key_parts = split_key(context.api_key);
+    if (!key_parts) {
         return {};
     }
-    const std::string_view secret = parts->secret;
-    const auto shows = [secret](std::string_view text) {
+    const std::string_view secret = key_parts->secret;
+    const auto contains_secret = [secret](std::string_view text) {
         return text.find(secret) != std::string_view::npos;
     };
     const std::string& uri = context.incoming->uri();
-    if (shows(uri) || (uri.find('%') != std::string::npos && shows(decode_uri_component(uri)))) {
+    if (contains_secret(uri) ||
+        (uri.find('%') != std::string::npos && contains_secret(decode_uri_component(uri)))) {
         return fail(error_kind::key_exposed, "the URI holds the key");
     }
     for (const auto& [name, value] : context.incoming->headers()) {
-        if (!is_one_of(name, key_headers) && (shows(value) || shows(name))) {
+        if (!is_one_of(name, api_key_headers) &&
+            (contains_secret(value) || contains_secret(name))) {
             return fail(error_kind::key_exposed, "a header that targets see holds the key");
         }
     }
@@ -119,7 +120,7 @@
 result<void> set_deadline(request_context& context) {
     const std::string_view text = context.incoming->header(deadline_header);
     if (text.empty()) {
-        context.deadline = context.arrived + context.matched_service->policy.request_timeout;
+        context.deadline = context.arrived_at + context.service->policy.request_timeout;
         return {};
     }
     long long value = 0;
@@ -129,7 +130,7 @@
         return fail(error_kind::bad_request,
                     std::string(deadline_header) + " must be from 1 to 600000 ms, a whole number");
     }
-    context.deadline = context.arrived + milliseconds(value);
+    context.deadline = context.arrived_at + milliseconds(value);
     return {};
 }
 
@@ -139,7 +140,7 @@
     request.method = std::string(incoming.method());
     request.uri = incoming.uri();
     for (const auto& [name, value] : incoming.headers()) {
-        const bool is_dropped = is_hop_by_hop(name) || is_one_of(name, key_headers) ||
+        const bool is_dropped = is_hop_by_hop(name) || is_one_of(name, api_key_headers) ||
                                 has_product_prefix(name) ||
                                 is_listed_by_connection(incoming.headers(), name);
         if (!is_dropped) {
--- a/libs/entry/src/service_dispatcher.cpp
+++ b/libs/entry/src/service_dispatcher.cpp
@@ -14,299 +14,306 @@
 constexpr int max_attempts = 3;
 // Work that has less time left than this is not started.
 constexpr duration min_time_left = milliseconds(1);
-constexpr int lowest_server_error = 500;
+constexpr int first_server_error = 500;
 
-bool says_not_run(const http_answer& answer) {
+bool is_not_run_response(const http_answer& answer) {
     const std::string* outcome = find_header(answer.headers, outcome_header);
     return outcome != nullptr && *outcome == to_string(execution::not_run);
 }
 
 } // namespace
 
-service_dispatcher::service_dispatcher(loop& event_loop, const service_ptr& service,
+service_dispatcher::service_dispatcher(loop& event_loop, const service_ptr& served,
                                        dispatcher_options dispatch_options)
     : owner(event_loop), options(std::move(dispatch_options)),
       random(static_cast<std::minstd_rand::result_type>(random_nonzero())) {
-    this->update(service);
+    this->update(served);
 }
 
-void service_dispatcher::update(const service_ptr& service) {
-    this->current = service;
+void service_dispatcher::update(const service_ptr& changed) {
+    this->service = changed;
     for (auto& [id, state] : this->targets) {
-        const auto kept = service->targets.find(id);
-        if (kept == service->targets.end() || kept->second.address != state->definition.address) {
+        const auto kept = changed->targets.find(id);
+        if (kept == changed->targets.end() || kept->second.address != state->definition.address) {
             state->removed = true;
         }
     }
     std::erase_if(this->targets, [](const auto& item) { return item.second->removed; });
-    for (const auto& [id, definition] : service->targets) {
+    for (const auto& [id, definition] : changed->targets) {
         const auto [place, is_new] = this->targets.try_emplace(id);
         if (is_new) {
             place->second = std::make_shared<target_state>();
         }
         place->second->definition = definition;
     }
-    this->serve_waiting();
+    this->dispatch_queued();
 }
 
 dispatch_id service_dispatcher::dispatch(service_request request, handler done) {
-    const dispatch_id ticket{++this->last_ticket};
-    auto work = std::make_shared<job>();
-    work->wanted = std::move(request);
-    work->done = std::move(done);
-    this->jobs[ticket] = work;
-    record_attempt(this->retries, this->current->policy.retry_budget);
-    this->start(ticket, work);
-    return ticket;
+    const dispatch_id id{++this->last_id};
+    auto pending = std::make_shared<pending_request>();
+    pending->request = std::move(request);
+    pending->on_done = std::move(done);
+    this->pending_requests[id] = pending;
+    record_attempt(this->retries, this->service->policy.retry_budget);
+    this->start(id, pending);
+    return id;
 }
 
-void service_dispatcher::cancel(dispatch_id ticket) {
-    const auto found = this->jobs.find(ticket);
-    if (found == this->jobs.end()) {
+void service_dispatcher::cancel(dispatch_id id) {
+    const auto found = this->pending_requests.find(id);
+    if (found == this->pending_requests.end()) {
         return;
     }
-    const job_ptr work = found->second;
-    this->jobs.erase(found);
-    if (work->at != nullptr) {
-        this->release(work, false);
-        this->serve_waiting();
+    const pending_request_ptr pending = found->second;
+    this->pending_requests.erase(found);
+    if (pending->target != nullptr) {
+        this->release_connection(pending, false);
+        this->dispatch_queued();
     }
 }
 
-void service_dispatcher::start(dispatch_id ticket, const job_ptr& work) {
+void service_dispatcher::start(dispatch_id id, const pending_request_ptr& pending) {
     const time_point now = boot_clock::now();
-    if (work->wanted.deadline - now < min_time_left) {
-        this->finish(ticket, fail(error_kind::deadline_before_start, "no time left to run it"));
+    if (pending->request.deadline - now < min_time_left) {
+        this->finish(id, fail(error_kind::deadline_before_start, "no time left to run it"));
         return;
     }
-    if (this->usable(now).empty()) {
-        this->finish(ticket, fail(error_kind::no_target, "the service has no target"));
+    if (this->targets_in_rotation(now).empty()) {
+        this->finish(id, fail(error_kind::no_target, "the service has no target"));
         return;
     }
-    if (const target_ptr chosen = this->choose(*work); chosen != nullptr) {
-        this->attempt(ticket, work, chosen);
-    } else if (work->attempts == 0) {
-        this->wait(ticket, work);
+    if (const target_ptr chosen = this->choose(*pending); chosen != nullptr) {
+        this->send(id, pending, chosen);
+    } else if (pending->send_count == 0) {
+        this->enqueue(id, pending);
     } else {
-        this->finish(ticket, fail(error_kind::overloaded, "every target refused it"));
+        this->finish(id, fail(error_kind::overloaded, "every target refused it"));
     }
 }
 
-void service_dispatcher::wait(dispatch_id ticket, const job_ptr& work) {
-    const auto limit = static_cast<std::size_t>(this->current->policy.queue_limit);
-    if (limit == 0 || !may_enqueue(this->waiting, work->wanted.account, limit)) {
-        this->finish(ticket, fail(error_kind::overloaded, "the service's queue is full"));
+void service_dispatcher::enqueue(dispatch_id id, const pending_request_ptr& pending) {
+    const auto limit = static_cast<std::size_t>(this->service->policy.queue_limit);
+    if (limit == 0 || !may_enqueue(this->queue, pending->request.account, limit)) {
+        this->finish(id, fail(error_kind::overloaded, "the service's queue is full"));
         return;
     }
-    this->waiting.push(work->wanted.account, ticket);
-    work->expiry = this->owner.after(work->wanted.deadline - boot_clock::now(), [this, ticket] {
-        this->finish(ticket, fail(error_kind::deadline_before_start, "no target was free in time"));
-    });
+    this->queue.push(pending->request.account, id);
+    pending->deadline_timer =
+        this->owner.after(pending->request.deadline - boot_clock::now(), [this, id] {
+            this->finish(id, fail(error_kind::deadline_before_start, "no target was free in time"));
+        });
 }
 
-void service_dispatcher::serve_waiting() {
-    while (this->waiting.size() > 0) {
-        const bool has_room =
+void service_dispatcher::dispatch_queued() {
+    while (this->queue.size() > 0) {
+        const bool has_capacity =
             std::any_of(this->targets.begin(), this->targets.end(), [this](const auto& item) {
-                return item.second->in_flight < this->limit_per_target();
+                return item.second->in_flight < this->max_requests_per_target();
             });
-        if (!has_room) {
+        if (!has_capacity) {
             return;
         }
-        const dispatch_id ticket = *this->waiting.pop();
-        const auto found = this->jobs.find(ticket);
-        // A ticket without a job was cancelled or ran out of time.
-        if (found == this->jobs.end()) {
+        const dispatch_id id = *this->queue.pop();
+        const auto found = this->pending_requests.find(id);
+        // A request that is not pending was cancelled or ran out of time.
+        if (found == this->pending_requests.end()) {
             continue;
         }
-        const job_ptr work = found->second;
-        work->expiry = timer();
-        if (this->choose(*work) == nullptr) {
-            this->wait(ticket, work);
+        const pending_request_ptr pending = found->second;
+        pending->deadline_timer = timer();
+        if (this->choose(*pending) == nullptr) {
+            this->enqueue(id, pending);
             return;
         }
-        this->start(ticket, work);
+        this->start(id, pending);
     }
 }
 
-int service_dispatcher::limit_per_target() const {
-    const service_policy& rules = this->current->policy;
-    const int connections = std::max(1, rules.connections_per_target / this->options.max_instances);
-    return std::min(rules.slots_per_target, connections);
+int service_dispatcher::max_requests_per_target() const {
+    const service_policy& policy = this->service->policy;
+    const int connections =
+        std::max(1, policy.connections_per_target / this->options.max_instances);
+    return std::min(policy.slots_per_target, connections);
 }
 
-health_policy service_dispatcher::policy() const {
-    const service_policy& rules = this->current->policy;
-    return {rules.failures_to_eject, rules.slow_factor, rules.ejection_time, rules.ejection_limit};
+health_policy service_dispatcher::make_health_policy() const {
+    const service_policy& policy = this->service->policy;
+    return {policy.failures_to_eject, policy.slow_factor, policy.ejection_time,
+            policy.ejection_limit};
 }
 
-std::vector<service_dispatcher::target_ptr> service_dispatcher::usable(time_point now) const {
-    std::vector<target_ptr> staying;
+std::vector<service_dispatcher::target_ptr>
+service_dispatcher::targets_in_rotation(time_point now) const {
+    std::vector<target_ptr> available;
     std::vector<const target_health*> healths;
     for (const auto& [id, state] : this->targets) {
         if (!this->options.is_leaving || !this->options.is_leaving(state->definition.address)) {
-            staying.push_back(state);
+            available.push_back(state);
             healths.push_back(&state->health);
         }
     }
     std::vector<target_ptr> rotation;
-    const auto floor = static_cast<std::size_t>(std::max(1, this->current->policy.floor));
+    const auto floor = static_cast<std::size_t>(std::max(1, this->service->policy.floor));
     for (const std::size_t position : in_rotation(healths, floor, now)) {
-        rotation.push_back(staying[position]);
+        rotation.push_back(available[position]);
     }
     return rotation;
 }
 
 /// The better of two random candidates by running requests, then by latency.
-service_dispatcher::target_ptr service_dispatcher::choose(const job& work) {
-    std::vector<target_ptr> free;
-    for (const target_ptr& state : this->usable(boot_clock::now())) {
-        if (state->in_flight < this->limit_per_target() &&
-            !work.tried.contains(state->definition.id)) {
-            free.push_back(state);
+service_dispatcher::target_ptr service_dispatcher::choose(const pending_request& pending) {
+    std::vector<target_ptr> candidates;
+    for (const target_ptr& state : this->targets_in_rotation(boot_clock::now())) {
+        if (state->in_flight < this->max_requests_per_target() &&
+            !pending.tried_targets.contains(state->definition.id)) {
+            candidates.push_back(state);
         }
     }
-    if (free.empty()) {
+    if (candidates.empty()) {
         return nullptr;
     }
-    std::uniform_int_distribution<std::size_t> draw(0, free.size() - 1);
-    const target_ptr& first = free[draw(this->random)];
-    const target_ptr& second = free[draw(this->random)];
+    std::uniform_int_distribution<std::size_t> draw(0, candidates.size() - 1);
+    const target_ptr& first = candidates[draw(this->random)];
+    const target_ptr& second = candidates[draw(this->random)];
     if (first->in_flight != second->in_flight) {
         return first->in_flight < second->in_flight ? first : second;
     }
     return first->health.latency_ms <= second->health.latency_ms ? first : second;
 }
 
-void service_dispatcher::attempt(dispatch_id ticket, const job_ptr& work, const target_ptr& at) {
-    ++work->attempts;
-    work->at = at;
-    work->sent = boot_clock::now();
-    ++at->in_flight;
-    ++at->requests;
-    if (at->idle.empty()) {
-        work->connection = std::make_unique<http_connection>(
-            this->owner, at->definition.address, this->options.limits, this->options.source_ip);
+void service_dispatcher::send(dispatch_id id, const pending_request_ptr& pending,
+                              const target_ptr& target) {
+    ++pending->send_count;
+    pending->target = target;
+    pending->sent_at = boot_clock::now();
+    ++target->in_flight;
+    ++target->requests;
+    if (target->idle.empty()) {
+        pending->connection = std::make_unique<http_connection>(
+            this->owner, target->definition.address, this->options.limits, this->options.source_ip);
     } else {
-        work->connection = std::move(at->idle.back());
-        at->idle.pop_back();
+        pending->connection = std::move(target->idle.back());
+        target->idle.pop_back();
     }
-    const duration left = work->wanted.deadline - work->sent;
-    http_headers& headers = work->wanted.request.headers;
+    const duration left = pending->request.deadline - pending->sent_at;
+    http_headers& headers = pending->request.message.headers;
     std::erase_if(headers,
                   [](const http_header& header) { return header.name == deadline_header; });
     headers.push_back({std::string(deadline_header), std::to_string(to_milliseconds(left))});
-    work->connection->send(work->wanted.request, left, [this, ticket, work](http_outcome outcome) {
-        this->handle_outcome(ticket, work, std::move(outcome));
-    });
+    pending->connection->send(pending->request.message, left,
+                              [this, id, pending](http_outcome outcome) {
+                                  this->handle_outcome(id, pending, std::move(outcome));
+                              });
 }
 
-void service_dispatcher::release(const job_ptr& work, bool reusable) {
-    --work->at->in_flight;
-    if (reusable && !work->at->removed) {
-        work->at->idle.push_back(std::move(work->connection));
+void service_dispatcher::release_connection(const pending_request_ptr& pending, bool reusable) {
+    --pending->target->in_flight;
+    if (reusable && !pending->target->removed) {
+        pending->target->idle.push_back(std::move(pending->connection));
     }
-    work->connection.reset();
-    work->at.reset();
+    pending->connection.reset();
+    pending->target.reset();
 }
 
-void service_dispatcher::handle_outcome(dispatch_id ticket, const job_ptr& work,
+void service_dispatcher::handle_outcome(dispatch_id id, const pending_request_ptr& pending,
                                         http_outcome outcome) {
     if (outcome) {
-        this->handle_answer(ticket, work, std::move(*outcome));
+        this->handle_response(id, pending, std::move(*outcome));
     } else {
-        this->handle_failure(ticket, work, outcome.error());
+        this->handle_failure(id, pending, outcome.error());
     }
-    this->serve_waiting();
+    this->dispatch_queued();
 }
 
-void service_dispatcher::handle_answer(dispatch_id ticket, const job_ptr& work,
-                                       http_answer answer) {
+void service_dispatcher::handle_response(dispatch_id id, const pending_request_ptr& pending,
+                                         http_answer answer) {
     const time_point now = boot_clock::now();
-    const target_ptr at = work->at;
-    const bool reusable = work->connection->is_reusable();
-    this->release(work, reusable);
-    if (says_not_run(answer)) {
+    const target_ptr target = pending->target;
+    const bool reusable = pending->connection->is_reusable();
+    this->release_connection(pending, reusable);
+    if (is_not_run_response(answer)) {
         // The target is loaded or leaving, which is no fault; another one may have room.
-        work->tried.insert(at->definition.id);
-        if (work->attempts < max_attempts) {
-            this->start(ticket, work);
+        pending->tried_targets.insert(target->definition.id);
+        if (pending->send_count < max_attempts) {
+            this->start(id, pending);
         } else {
-            this->finish(ticket, fail(error_kind::overloaded, "every target refused it"));
+            this->finish(id, fail(error_kind::overloaded, "every target refused it"));
         }
         return;
     }
-    if (answer.status >= lowest_server_error) {
-        ++at->failures;
-        if (record_failure(at->health, this->policy(), now)) {
+    if (answer.status >= first_server_error) {
+        ++target->failures;
+        if (record_failure(target->health, this->make_health_policy(), now)) {
             log_event(log_level::warning, "target_ejected",
-                      {{"service", this->current->id.value},
-                       {"target", at->definition.id.value},
-                       {"reason", at->health.reason}});
+                      {{"service", this->service->id.value},
+                       {"target", target->definition.id.value},
+                       {"reason", target->health.reason}});
         }
     } else {
-        record_response(at->health, now - work->sent, now);
-        this->judge(*at, now);
+        record_response(target->health, now - pending->sent_at, now);
+        this->check_latency(*target, now);
     }
-    this->finish(ticket, service_response{std::move(answer), at->definition.id, now - work->sent});
+    this->finish(
+        id, service_response{std::move(answer), target->definition.id, now - pending->sent_at});
 }
 
-void service_dispatcher::judge(target_state& judged, time_point now) {
-    std::vector<double> others;
+void service_dispatcher::check_latency(target_state& checked, time_point now) {
+    std::vector<double> other_latencies_ms;
     for (const auto& [id, state] : this->targets) {
-        if (state.get() != &judged && state->health.latency_samples > 0) {
-            others.push_back(state->health.latency_ms);
+        if (state.get() != &checked && state->health.latency_samples > 0) {
+            other_latencies_ms.push_back(state->health.latency_ms);
         }
     }
-    if (eject_if_slow(judged.health, others, this->policy(), now)) {
+    if (eject_if_slow(checked.health, other_latencies_ms, this->make_health_policy(), now)) {
         log_event(log_level::warning, "target_ejected",
-                  {{"service", this->current->id.value},
-                   {"target", judged.definition.id.value},
-                   {"reason", judged.health.reason}});
+                  {{"service", this->service->id.value},
+                   {"target", checked.definition.id.value},
+                   {"reason", checked.health.reason}});
     }
 }
 
-void service_dispatcher::handle_failure(dispatch_id ticket, const job_ptr& work,
+void service_dispatcher::handle_failure(dispatch_id id, const pending_request_ptr& pending,
                                         const http_failure& failure) {
-    const target_ptr at = work->at;
-    this->release(work, false);
-    ++at->failures;
-    if (record_failure(at->health, this->policy(), boot_clock::now())) {
+    const target_ptr target = pending->target;
+    this->release_connection(pending, false);
+    ++target->failures;
+    if (record_failure(target->health, this->make_health_policy(), boot_clock::now())) {
         // Idle connections may have failed in the same way.
-        at->idle.clear();
+        target->idle.clear();
         log_event(log_level::warning, "target_ejected",
-                  {{"service", this->current->id.value},
-                   {"target", at->definition.id.value},
-                   {"reason", at->health.reason},
+                  {{"service", this->service->id.value},
+                   {"target", target->definition.id.value},
+                   {"reason", target->health.reason},
                    {"detail", failure.problem.detail}});
     }
-    work->tried.insert(at->definition.id);
-    if (this->may_retry(*work, failure.progress)) {
-        this->start(ticket, work);
+    pending->tried_targets.insert(target->definition.id);
+    if (this->may_retry(*pending, failure.progress)) {
+        this->start(id, pending);
         return;
     }
-    this->finish(ticket, tl::unexpected(failure.problem));
+    this->finish(id, tl::unexpected(failure.problem));
 }
 
-bool service_dispatcher::may_retry(const job& work, send_progress progress) {
-    const bool has_time = work.wanted.deadline - boot_clock::now() >= min_time_left;
-    const bool is_safe = progress == send_progress::not_connected || work.wanted.repeatable;
-    return work.attempts < max_attempts && has_time && is_safe && this->choose(work) != nullptr &&
-           take_retry(this->retries);
+bool service_dispatcher::may_retry(const pending_request& pending, send_progress progress) {
+    const bool has_time = pending.request.deadline - boot_clock::now() >= min_time_left;
+    const bool is_safe = progress == send_progress::not_connected || pending.request.idempotent;
+    return pending.send_count < max_attempts && has_time && is_safe &&
+           this->choose(pending) != nullptr && take_retry(this->retries);
 }
 
-void service_dispatcher::finish(dispatch_id ticket, result<service_response> outcome) {
-    const auto found = this->jobs.find(ticket);
-    if (found == this->jobs.end()) {
+void service_dispatcher::finish(dispatch_id id, result<service_response> outcome) {
+    const auto found = this->pending_requests.find(id);
+    if (found == this->pending_requests.end()) {
         return;
     }
-    const job_ptr work = found->second;
-    this->jobs.erase(found);
-    work->expiry = timer();
-    work->done(std::move(outcome));
+    const pending_request_ptr pending = found->second;
+    this->pending_requests.erase(found);
+    pending->deadline_timer = timer();
+    pending->on_done(std::move(outcome));
 }
 
-std::vector<target_view> service_dispatcher::view() const {
+std::vector<target_view> service_dispatcher::target_views() const {
     std::vector<target_view> views;
     const time_point now = boot_clock::now();
     for (const auto& [id, state] : this->targets) {
