Describe the entry library in plain technical English

Its comments spoke of refusals, rows and givers of answers and left out which errors a step returns and when a handler is called. They now state function, errors and reasons in the terms of libs/proxy, such as power of two choices, retry and time to the deadline. Comments only.

--- a/libs/entry/include/entry/gateway.h
+++ b/libs/entry/include/entry/gateway.h
@@ -18,7 +18,8 @@
 #include "event/http_server.h"
 
 /// \file
-/// The request path of an instance: parse, route, authenticate, admit, dispatch, answer.
+/// Request processing of an instance: routing, authentication, rate limiting, idempotency keys and
+/// load balancing.
 
 namespace knapweedknot {
 
@@ -29,8 +30,9 @@
             config_quorum& quorum, admission_controller& admission, heartbeat_service& heartbeats,
             instance_list_poller& instance_list, mesh& network);
 
+    /// Starts to listen on the callers' address.
     [[nodiscard]] result<void> listen();
-    /// Takes the services of a changed configuration.
+    /// Applies the services of a changed configuration.
     void update_services();
 
     [[nodiscard]] http_server& server() noexcept { return this->caller_server; }
@@ -46,7 +48,9 @@
 
     void handle(const std::shared_ptr<incoming_request>& request);
     [[nodiscard]] result<void> prepare(request_context& context) const;
-    /// Admits the request if it has an account and sends it; \p done gets the outcome.
+    /// Applies the account's rate limit, if the request has an account, and dispatches it.
+    /// \param cancel_with_caller true when the request is cancelled once its caller disconnects
+    /// \param done called with the outcome
     void admit_and_dispatch(const context_ptr& context, bool cancel_with_caller,
                             service_dispatcher::handler done);
     void dispatch(const context_ptr& context, service_request&& request, bool cancel_with_caller,
--- a/libs/entry/include/entry/gateway_metrics.h
+++ b/libs/entry/include/entry/gateway_metrics.h
@@ -9,21 +9,24 @@
 #include "base/clock.h"
 
 /// \file
-/// Counters and histograms of an instance, in the usual text exposition format.
+/// Request counters, gauges and latency histograms of an instance in the Prometheus text exposition
+/// format.
 
 namespace knapweedknot {
 
-/// Metrics of the request path. Not thread safe.
+/// Metrics of a gateway. Not thread safe.
 class gateway_metrics {
 public:
     gateway_metrics();
 
-    /// Counts a request that ended as \p outcome ("answered" or an error kind's name) after
-    /// \p total, of which \p upstream was spent on targets.
+    /// Records a request.
+    /// \param outcome "answered", or the name of an error kind
+    /// \param total time from its arrival to its response
+    /// \param upstream part of \p total that was spent waiting for the target's response
     void record_request(std::string_view outcome, duration total, duration upstream);
-    /// Sets a value that is reported as a gauge.
+    /// Sets the gauge \p name, which may include labels.
     void set_gauge(const std::string& name, double value) { this->gauges[name] = value; }
-    /// All metrics as text.
+    /// Formats all metrics as text.
     [[nodiscard]] std::string to_text() const;
 
 private:
--- a/libs/entry/include/entry/header_names.h
+++ b/libs/entry/include/entry/header_names.h
@@ -3,27 +3,31 @@
 #include <string_view>
 
 /// \file
-/// Names of the headers that the product adds or reads.
+/// Names of the HTTP headers that the product reads and writes.
 
 namespace knapweedknot {
 
-/// Caller to instance and instance to target: time left for the answer, in milliseconds.
+/// Caller to instance and instance to target: milliseconds left until the deadline.
 inline constexpr std::string_view deadline_header = "Knapweedknot-Deadline-Ms";
-/// Instance to target: the client account of the request.
+/// Instance to target: client account of the request.
 inline constexpr std::string_view account_header = "Knapweedknot-Account";
-/// Instance to caller: the instance that answered.
+/// Instance to caller: id of the instance that responded.
 inline constexpr std::string_view instance_header = "Knapweedknot-Instance";
-/// Instance to caller: the target that answered.
+/// Instance to caller: id of the target that responded.
 inline constexpr std::string_view target_header = "Knapweedknot-Target";
-/// Instance to caller: the error kind of a refusal.
+/// Instance to caller: error kind of an error response.
 inline constexpr std::string_view error_header = "Knapweedknot-Error";
-/// In a refusal, also by a target: "not_run", "ran" or "may_have_run".
+/// Instance or target to its client, in an error response: whether the request ran, as "not_run",
+/// "ran" or "may_have_run".
 inline constexpr std::string_view outcome_header = "Knapweedknot-Outcome";
-/// Instance to instance: the request was passed on to the issuer of its idempotency key.
+/// Instance to instance: the request was forwarded to the issuer of its idempotency key, and must
+/// not be forwarded again.
 inline constexpr std::string_view passed_on_header = "Knapweedknot-Passed-On";
-/// Caller to instance and on to the target: names one piece of work, "PREFIX.UNIQUE".
+/// Caller to instance and instance to target: "PREFIX.UNIQUE", the same in every retry of one
+/// request.
 inline constexpr std::string_view idempotency_key_header = "Idempotency-Key";
-/// Prefix of all of them; a caller's other headers with it are dropped.
+/// Prefix of the product's own headers. Headers with it are removed from the requests of callers
+/// and the responses of targets before these are forwarded.
 inline constexpr std::string_view product_header_prefix = "Knapweedknot-";
 
 } // namespace knapweedknot
--- a/libs/entry/include/entry/idempotent_executor.h
+++ b/libs/entry/include/entry/idempotent_executor.h
@@ -11,28 +11,30 @@
 #include "event/loop.h"
 
 /// \file
-/// Requests under idempotency keys that this instance issued: each runs once at most, and repeats
-/// get the first answer.
+/// Requests with idempotency keys whose prefix this instance issued: each runs at most once, and
+/// its retries get the same response.
 
 namespace knapweedknot {
 
-/// Remembers keys and answers. Not thread safe.
+/// Issues prefixes, and records keys and responses until the prefix expires. Not thread safe.
 class idempotent_executor {
 public:
     using handler = std::function<void(result<service_response>)>;
-    /// Starts the request; called for the first use of a key only.
+    /// Starts the request, and calls the handler once with its outcome.
     using starter = std::function<void(handler)>;
 
     idempotent_executor(loop& owner, incarnation_id issuer);
 
-    /// A prefix for \p account.
+    /// Issues a prefix of idempotency keys for \p account.
     [[nodiscard]] std::string issue_prefix(const account_id& account) const;
-    /// True for a key that this instance issued.
+    /// True when this instance issued the prefix of \p key.
     [[nodiscard]] bool is_issuer_of(const idempotency_key& key) const noexcept {
         return key.issuer == this->issuer;
     }
-    /// Runs \p start if the key is new, and calls \p done once with the outcome of its one run. The
-    /// error is also outcome_unknown, idempotency_key_invalid, _expired or _reused.
+    /// Calls \p start if the key \p presented is new, and calls \p done once with the outcome of
+    /// the only run. In addition to the errors of that run, the error can be outcome_unknown,
+    /// idempotency_key_invalid, idempotency_key_expired or idempotency_key_reused.
+    /// \param fingerprint hash of the request, the same for every retry
     void run(const std::string& presented, const account_id& account, std::uint64_t fingerprint,
              const starter& start, handler done);
 
--- a/libs/entry/include/entry/operator_service.h
+++ b/libs/entry/include/entry/operator_service.h
@@ -13,21 +13,21 @@
 #include "event/http_server.h"
 
 /// \file
-/// The operators' interface of an instance, on a listener of its own.
+/// HTTP interface of an instance for operators, on a separate listener.
 ///
 ///     GET   /v1/configuration          {"number", "document"}
-///     PATCH /v1/configuration?base=N   a merge patch or a JSON patch, by Content-Type
+///     PATCH /v1/configuration?base=N   applies a merge patch or a JSON patch, by Content-Type
 ///     GET   /v1/history?after=N        accepted patches, oldest first
 ///     GET   /v1/status                 instances, seats, targets, accounts
-///     POST  /v1/drain                  starts a graceful stop
-///     GET   /metrics                   without a token
+///     POST  /v1/drain                  starts a graceful shutdown
+///     GET   /metrics                   metrics; needs no token
 ///
-/// All others need "Authorization: Bearer TOKEN" of an operator named in the settings; the name
-/// goes into the audit trail.
+/// All calls but /metrics need "Authorization: Bearer TOKEN" with the token of an operator in the
+/// settings. The operator's name is recorded in the history and in the log.
 
 namespace knapweedknot {
 
-/// What the operators' interface shows and changes.
+/// Components that the operator service uses. All must outlive it.
 struct operator_service_dependencies {
     const instance_settings& settings;
     configuration& config;
@@ -48,6 +48,7 @@
     operator_service(loop& owner, const operator_service_dependencies& shared,
                      std::function<void()> start_drain);
 
+    /// Starts to listen on the operators' address.
     [[nodiscard]] result<void> listen();
 
 private:
--- a/libs/entry/include/entry/prefix_collector.h
+++ b/libs/entry/include/entry/prefix_collector.h
@@ -11,22 +11,24 @@
 #include "peers/mesh.h"
 
 /// \file
-/// Collects idempotency prefixes from the instances that an answer of addresses names.
+/// Collects idempotency key prefixes from the instances listed in an address response.
 
 namespace knapweedknot {
 
-/// Asks other instances for prefixes. Not thread safe.
+/// Requests prefixes from other instances. Not thread safe.
 class prefix_collector {
 public:
-    /// Prefixes by issuer; instances that did not answer in time are missing.
+    /// Prefixes by issuer, without the instances that did not reply in time.
     using prefixes_by_issuer = std::map<incarnation_id, std::string>;
     using handler = std::function<void(const prefixes_by_issuer&)>;
 
     prefix_collector(loop& owner, mesh& network, const idempotent_executor& executor);
 
-    /// Calls \p done once with the prefixes of \p issuers for \p account.
+    /// Calls \p done once with the prefixes of \p issuers for \p account, possibly before this
+    /// returns.
     void collect(const account_id& account, const std::vector<incarnation_id>& issuers,
                  handler done);
+    /// Issues a prefix for an account and sends it to the requesting instance.
     void handle_request(const peer_info& from, const wire::prefix_requestT& request);
     void handle_reply(const peer_info& from, const wire::prefix_replyT& reply);
 
--- a/libs/entry/include/entry/request_preparation.h
+++ b/libs/entry/include/entry/request_preparation.h
@@ -9,50 +9,57 @@
 #include "event/http_server.h"
 
 /// \file
-/// The steps that a request passes before anything waits: each is a function over the request's
-/// context that succeeds or gives the refusal.
+/// Route matching, authentication and header rewriting of requests. A step succeeds and fills in
+/// the request's context, or returns the error to refuse the request with.
 
 namespace knapweedknot {
 
-/// What is known of a request on its way through an instance.
+/// State of a request while an instance processes it.
 struct request_context {
     std::shared_ptr<incoming_request> incoming;
     time_point arrived_at;
     time_point deadline;
     route_ptr route;
     service_ptr service;
-    /// Null on a route that is open to all.
+    /// Null on open routes, which need no API key.
     client_account_ptr account;
-    /// The presented key; never logged and never sent on.
+    /// The caller's API key. Never logged and never sent to a target.
     std::string api_key;
-    /// True when a target may run the request more than once.
+    /// True when the request may be run more than once, so that it can be retried.
     bool idempotent{false};
 };
 
-/// Takes the presented key from "Authorization: Bearer KEY" or "X-Api-Key: KEY", if there is one.
+/// Reads the API key from "Authorization: Bearer KEY" or "X-Api-Key: KEY". Without either header
+/// the key is empty. The error is key_missing.
 [[nodiscard]] result<void> read_api_key(request_context& context);
-/// Finds the route and its service.
+/// Finds the route and its service. The error is route_not_found.
 [[nodiscard]] result<void> find_route(request_context& context, const configuration& config);
-/// Finds the account of the presented key and checks that it may use the route. Open routes pass.
+/// Finds the account of the API key and checks that it may use the route. Open routes need none.
+/// The error is key_missing, key_unknown or account_not_allowed.
 [[nodiscard]] result<void> authenticate(request_context& context, const configuration& config);
-/// Finds the account of the presented key, whatever the route.
+/// Finds the account of \p api_key. The error is key_missing or key_unknown.
 [[nodiscard]] result<client_account_ptr> find_account(const std::string& api_key,
                                                       const configuration& config);
-/// Refuses a request that would show the presented key to a target in its URI or in a header.
+/// Refuses a request whose URI or headers would disclose the API key's secret to a target. The
+/// error is key_exposed.
 [[nodiscard]] result<void> refuse_exposed_key(const request_context& context);
-/// Sets the deadline from the caller's header or the service's policy.
+/// Sets the deadline from the caller's header, or from the service's request timeout if there is
+/// none. The error is bad_request.
 [[nodiscard]] result<void> set_deadline(request_context& context);
 
-/// The request to send to a target: without keys, hop-by-hop headers and the product's own ones,
-/// with the account's name. The body is shared with the incoming request.
+/// Builds the request to send to a target. Removes the API key, hop-by-hop headers and headers of
+/// the product, and adds the account's name. The body is shared with the incoming request.
 [[nodiscard]] http_request make_target_request(const request_context& context);
-/// The request to pass on to another instance, with the key and the time that is left.
+/// Builds the request to forward to another instance, with the API key and \p left as its time to
+/// the deadline.
 [[nodiscard]] http_request make_instance_request(const request_context& context, duration left);
-/// The same answer of another instance: without hop-by-hop headers, framed anew.
+/// Builds the response to forward from another instance: its response without hop-by-hop headers.
+/// The response to a HEAD request keeps its Content-Length.
 [[nodiscard]] http_answer make_relayed_response(http_answer&& answer, bool is_head);
-/// Hash of what the request asks for: method, URI and body.
+/// Hash of the method, URI and body.
 [[nodiscard]] std::uint64_t fingerprint_of(const request_context& context);
-/// The answer to pass on: without hop-by-hop headers, framed anew.
+/// Builds the response to forward from a target: like make_relayed_response(), and also without the
+/// headers of the product and those that its Connection header lists.
 [[nodiscard]] http_answer make_caller_response(http_answer&& answer, bool is_head);
 
 } // namespace knapweedknot
--- a/libs/entry/include/entry/responses.h
+++ b/libs/entry/include/entry/responses.h
@@ -7,19 +7,19 @@
 #include "event/http_server.h"
 
 /// \file
-/// Answers that an instance makes itself.
+/// Responses that an instance generates itself.
 
 namespace knapweedknot {
 
-/// Answers \p request with the table row of \p problem, as JSON, with the headers that tell a
-/// program the kind and whether the request ran.
+/// Sends the response for the error kind of \p problem: its HTTP status, a JSON body, and headers
+/// with the error kind and whether the request ran.
 void send_error_response(incoming_request& request, const error& problem,
                          const instance_id& instance);
 
-/// Answers \p request with \p body as JSON.
+/// Responds to \p request with \p body as JSON.
 void send_json_response(incoming_request& request, int status, const nlohmann::json& body);
 
-/// Answers \p request with plain text.
+/// Responds to \p request with \p body as text of \p content_type.
 void send_text_response(incoming_request& request, int status, const std::string& body,
                         const std::string& content_type);
 
--- a/libs/entry/include/entry/service_dispatcher.h
+++ b/libs/entry/include/entry/service_dispatcher.h
@@ -16,43 +16,43 @@
 #include "event/loop.h"
 
 /// \file
-/// Sends requests to the targets of one service: chooses, queues, retries and cancels.
+/// Load balancing of one service: target choice, queueing, retries and cancellation.
 
 namespace knapweedknot {
 
-/// A request for a service.
+/// An admitted request.
 struct service_request {
     http_request message;
-    /// Whose turn it is in the queue; empty on open routes.
+    /// Account that the fair queue counts the request under; empty on open routes.
     account_id account;
     time_point deadline;
-    /// True when a target may run it more than once.
+    /// True when the request may be run more than once, so that it can be retried.
     bool idempotent{false};
 };
 
-/// A whole answer and who gave it.
+/// A target's complete response.
 struct service_response {
     http_answer message;
     target_id target;
-    /// Time from the send to the target until its answer was whole.
+    /// Time from the start of the attempt to its complete response.
     duration response_time{duration::zero()};
 };
 
-/// Identifies a running request so that it can be cancelled.
+/// Identifies a request for cancellation.
 using dispatch_id = detail::strong_id<struct dispatch_id_tag, std::uint64_t>;
 
-/// Parameters of a dispatcher that do not belong to the service.
+/// Options shared by the dispatchers of all services.
 struct dispatcher_options {
-    /// Instances that share a target's connections.
+    /// Number of instances that share the connections allowed to a target.
     int max_instances{44};
     http_client_limits limits;
-    /// Local address of connections to targets.
+    /// Local IP address of connections to targets.
     std::string source_ip;
-    /// True for an address that the platform lists as leaving.
+    /// Returns true for an address that the platform lists as leaving.
     std::function<bool(const endpoint&)> is_leaving;
 };
 
-/// What operators see of a target.
+/// State of a target, as shown to operators.
 struct target_view {
     target_id id;
     int in_flight{0};
@@ -64,18 +64,19 @@
     std::uint64_t failures{0};
 };
 
-/// Dispatches for one service. Not thread safe.
+/// Balances the requests for one service over its targets. Not thread safe.
 class service_dispatcher {
 public:
     using handler = std::function<void(result<service_response>)>;
 
     service_dispatcher(loop& owner, const service_ptr& served, dispatcher_options options);
 
-    /// Takes a changed service. Running requests end where they are.
+    /// Applies a changed service. Requests running at a removed target continue there.
     void update(const service_ptr& changed);
-    /// Sends \p request and calls \p done once, at once or later.
+    /// Sends or queues \p request. Calls \p done exactly once, possibly before this returns, unless
+    /// the request is cancelled.
     dispatch_id dispatch(service_request request, handler done);
-    /// Cancels a request whose caller has gone; its handler is not called.
+    /// Cancels a request whose caller has disconnected. Its handler is not called.
     void cancel(dispatch_id id);
     [[nodiscard]] std::vector<target_view> target_views() const;
     [[nodiscard]] std::size_t queued() const noexcept { return this->queue.size(); }
@@ -95,10 +96,10 @@
     struct pending_request {
         service_request request;
         handler on_done;
-        /// Targets that refused or failed the request.
+        /// Targets that refused the request or failed.
         std::set<target_id> tried_targets;
         int send_count{0};
-        /// Target and connection of the running attempt.
+        /// Target and connection of the running attempt; null while there is none.
         target_ptr target;
         std::unique_ptr<http_connection> connection;
         time_point sent_at;
--- a/libs/entry/src/gateway.cpp
+++ b/libs/entry/src/gateway.cpp
@@ -14,7 +14,7 @@
 namespace {
 
 constexpr std::string_view addresses_path = "/v1/addresses";
-// Callers of an account get one more address for each of these.
+// Request rate of an account, per second, for which its callers get one address.
 constexpr double rate_per_address = 2000;
 constexpr std::size_t min_addresses = 2;
 
@@ -69,7 +69,8 @@
             dispatcher->update(defined);
         }
     }
-    // A removed service's dispatcher stays while it has work; it gets no new work.
+    // The dispatcher of a removed service is kept, as it may still have running requests. It gets
+    // no new requests.
     std::erase_if(this->applied_services, [this](const auto& item) {
         return this->config.find_service(item.first) == nullptr;
     });
@@ -120,7 +121,7 @@
 void gateway::admit_and_dispatch(const context_ptr& context, bool cancel_with_caller,
                                  service_dispatcher::handler done) {
     const account_id account = context->account == nullptr ? account_id{} : context->account->id;
-    // Made before any wait, since the caller may be gone by then.
+    // Built before the wait for admission, as the caller may disconnect during it.
     auto request = std::make_shared<service_request>(service_request{
         make_target_request(*context), account, context->deadline, context->idempotent});
     if (context->account == nullptr) {
@@ -174,7 +175,7 @@
         });
 }
 
-/// Only the issuer knows whether the request ran before.
+/// Only the issuer knows whether a request with the key has run before.
 void gateway::forward_to_issuer(const context_ptr& context, incarnation_id issuer) {
     const auto found = this->heartbeats.peers().find(issuer);
     const bool was_passed_on = !context->incoming->header(passed_on_header).empty();
@@ -227,7 +228,8 @@
     const auto by_rate = static_cast<std::size_t>(std::ceil(account.rate_per_s / rate_per_address));
     std::vector<peer_info> ranked =
         this->heartbeats.ranked_instances(slot_of(account.id, slot_count));
-    // The second address is in another failure domain where there is one.
+    // The second address is in another failure domain if possible, so that the failure of one
+    // domain leaves the caller an address.
     if (ranked.size() > 2) {
         const auto in_other_domain =
             std::find_if(ranked.begin() + 1, ranked.end(), [&ranked](const peer_info& peer) {
--- a/libs/entry/src/idempotent_executor.cpp
+++ b/libs/entry/src/idempotent_executor.cpp
@@ -10,7 +10,8 @@
 
 constexpr std::size_t secret_bytes = 32;
 constexpr duration expiry_interval = seconds(1);
-// Answers beyond this are not kept; their repeats are told that the outcome is unknown.
+// Bound on the bodies of recorded responses. A response that would exceed it is not recorded, and
+// retries of its request get outcome_unknown.
 constexpr std::size_t max_cached_bytes = std::size_t{32} * 1024 * 1024;
 
 service_response copy_of(const service_response& original) {
--- a/libs/entry/src/operator_service.cpp
+++ b/libs/entry/src/operator_service.cpp
@@ -26,7 +26,7 @@
     return value;
 }
 
-/// The submitted patch as a merge patch against \p document.
+/// Reads the patch in the request's body as a merge patch on \p document.
 result<nlohmann::json> read_patch(const incoming_request& request, const nlohmann::json& document) {
     const std::string_view type = request.header("Content-Type");
     auto body = parse_json_with_comments(body_text(request.body()));
--- a/libs/entry/src/service_dispatcher.cpp
+++ b/libs/entry/src/service_dispatcher.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 constexpr int max_attempts = 3;
-// Work that has less time left than this is not started.
+// Requests with less time left than this are not sent.
 constexpr duration min_time_left = milliseconds(1);
 constexpr int first_server_error = 500;
 
@@ -116,7 +116,7 @@
         }
         const dispatch_id id = *this->queue.pop();
         const auto found = this->pending_requests.find(id);
-        // A request that is not pending was cancelled or ran out of time.
+        // The request was cancelled or its deadline has passed.
         if (found == this->pending_requests.end()) {
             continue;
         }
@@ -161,7 +161,8 @@
     return rotation;
 }
 
-/// The better of two random candidates by running requests, then by latency.
+/// Power of two choices: of two random candidates, takes the one with fewer running requests, or
+/// with the lower latency if they have equally many.
 service_dispatcher::target_ptr service_dispatcher::choose(const pending_request& pending) {
     std::vector<target_ptr> candidates;
     for (const target_ptr& state : this->targets_in_rotation(boot_clock::now())) {
@@ -233,7 +234,8 @@
     const bool reusable = pending->connection->is_reusable();
     this->release_connection(pending, reusable);
     if (is_not_run_response(answer)) {
-        // The target is loaded or leaving, which is no fault; another one may have room.
+        // The target is overloaded or shutting down. This does not count as a failure, and another
+        // target may have capacity.
         pending->tried_targets.insert(target->definition.id);
         if (pending->send_count < max_attempts) {
             this->start(id, pending);
@@ -279,7 +281,7 @@
     this->release_connection(pending, false);
     ++target->failures;
     if (record_failure(target->health, this->make_health_policy(), boot_clock::now())) {
-        // Idle connections may have failed in the same way.
+        // The idle connections may be broken too.
         target->idle.clear();
         log_event(log_level::warning, "target_ejected",
                   {{"service", this->service->id.value},
