--- a/libs/entry/include/entry/operator_service.h
+++ b/libs/entry/include/entry/operator_service.h
@@ -13,31 +13,31 @@
 #include "event/http_server.h"
 
 /// \file
-/// The operators' interface of an instance, on a listener of its own.
+/// HTTP interface of an instance for operators, on a separate listener.
 ///
 ///     GET   /v1/configuration          {"number", "document"}
-///     PATCH /v1/configuration?base=N   a merge patch or a JSON patch, by Content-Type
+///     PATCH /v1/configuration?base=N   applies a merge patch or a JSON patch, by Content-Type
 ///     GET   /v1/history?after=N        accepted patches, oldest first
 ///     GET   /v1/status                 instances, seats, targets, accounts
-///     POST  /v1/drain                  starts a graceful stop
-///     GET   /metrics                   without a token
+///     POST  /v1/drain                  starts a graceful shutdown
+///     GET   /metrics                   metrics; needs no token
 ///
-/// All others need "Authorization: Bearer TOKEN" of an operator named in the settings; the name
-/// goes into the audit trail.
+/// All calls but /metrics need "Authorization: Bearer TOKEN" with the token of an operator in the
+/// settings. The operator's name is recorded in the history and in the log.
 
 namespace knapweedknot {
 
-/// What the operators' interface shows and changes.
-struct operator_service_parts {
+/// Components that the operator service uses. All must outlive it.
+struct operator_service_dependencies {
     const instance_settings& settings;
     configuration& config;
     config_follower& follower;
     patch_committer& committer;
-    config_quorum& votes;
-    heartbeat_service& loans;
+    config_quorum& quorum;
+    heartbeat_service& heartbeats;
     seat_manager& seats;
-    admission_controller& tokens;
-    gateway& front;
+    admission_controller& admission;
+    gateway& caller_gateway;
     store_client& store;
     mesh& network;
 };
@@ -45,32 +45,33 @@
 /// Serves operators. Not thread safe.
 class operator_service {
 public:
-    operator_service(loop& owner, const operator_service_parts& parts,
+    operator_service(loop& owner, const operator_service_dependencies& shared,
                      std::function<void()> start_drain);
 
+    /// Starts to listen on the operators' address.
     [[nodiscard]] result<void> listen();
 
 private:
     using request_ptr = std::shared_ptr<incoming_request>;
 
     void handle(const request_ptr& request);
-    void handle_known(const request_ptr& request, const std::string& author);
+    void handle_authenticated(const request_ptr& request, const std::string& author);
     void handle_patch(const request_ptr& request, const std::string& author);
-    void answer_accepted(const request_ptr& request, config_number base,
-                         const result<accepted_patch>& outcome);
+    void answer_patch(const request_ptr& request, config_number base,
+                      const result<accepted_patch>& outcome);
     void handle_history(const request_ptr& request);
     void collect_history(const request_ptr& request, std::uint64_t after,
                          const std::string& archive_key, std::vector<history_entry> newer);
     void answer_status(const request_ptr& request);
     void answer_metrics(const request_ptr& request);
-    [[nodiscard]] result<std::string> operator_of(const incoming_request& request) const;
+    [[nodiscard]] result<std::string> authenticate(const incoming_request& request) const;
     [[nodiscard]] nlohmann::json changes_since(config_number base) const;
     [[nodiscard]] nlohmann::json describe_instances() const;
     [[nodiscard]] nlohmann::json describe_services() const;
     [[nodiscard]] nlohmann::json describe_accounts() const;
     [[nodiscard]] nlohmann::json describe_seats() const;
 
-    operator_service_parts parts;
+    operator_service_dependencies shared;
     std::function<void()> start_drain;
     http_server server;
 };
