Reword the event loop, sockets and URIs

loop_monitor spoke of looking and of the worst; timer's bool was described wrongly (it stays true after a one-shot callback ran). take_worst -> take_max_lateness, look -> measure, looking -> probe_timer; comments in plain terms.

--- a/libs/event/include/event/http_methods.h
+++ b/libs/event/include/event/http_methods.h
@@ -3,7 +3,7 @@
 #include <string_view>
 
 /// \file
-/// What RFC 9110 says of methods. All functions are thread safe.
+/// Properties of HTTP methods (RFC 9110, 9.2). All functions are thread safe.
 
 namespace knapweedknot {
 
--- a/libs/event/include/event/loop.h
+++ b/libs/event/include/event/loop.h
@@ -10,7 +10,7 @@
 struct event_base;
 
 /// \file
-/// The event loop of a process, its timers and its signals, over libevent.
+/// An event loop with timers and signal handlers, over libevent.
 
 namespace knapweedknot {
 
@@ -23,12 +23,12 @@
 };
 } // namespace detail
 
-/// A callback that runs later. Destroying the timer cancels it. Not thread safe; lives on the
-/// thread of its loop and not longer than the loop.
+/// Handle of a scheduled callback or a signal handler; destroying it cancels the callback. Not
+/// thread safe: use it only on the thread of its loop, and destroy it before the loop.
 class timer {
 public:
     timer() = default;
-    /// True while the callback is still to run, or for a repeated one until it is cancelled.
+    /// True from scheduling until the handle is reset; it stays true after a one-shot callback ran.
     explicit operator bool() const noexcept { return this->owned != nullptr; }
 
 private:
@@ -40,22 +40,22 @@
     std::unique_ptr<state, state_deleter> owned;
 };
 
-/// One event loop on one thread. Everything registered with it runs on the thread that calls run.
+/// A single-threaded event loop. All callbacks run on the thread that calls run.
 class loop {
 public:
     loop();
 
     /// Runs until stop is called.
     void run();
-    /// Makes run return after the current callbacks.
+    /// Makes run return after the current callback.
     void stop();
     /// Runs \p callback every \p interval until the timer is destroyed.
     [[nodiscard]] timer every(duration interval, std::function<void()> callback);
     /// Runs \p callback once after \p delay, unless the timer is destroyed before.
     [[nodiscard]] timer after(duration delay, std::function<void()> callback);
-    /// Runs \p callback once in the next round of the loop.
+    /// Runs \p callback once in the next iteration of the loop. It cannot be cancelled.
     void post(std::function<void()> callback);
-    /// Runs \p callback whenever the process receives \p signal.
+    /// Runs \p callback for each \p signal that the process receives, until the timer is destroyed.
     [[nodiscard]] timer on_signal(int signal, std::function<void()> callback);
     /// The libevent handle, owned by the loop.
     [[nodiscard]] event_base* handle() const noexcept { return this->base.get(); }
--- a/libs/event/include/event/loop_monitor.h
+++ b/libs/event/include/event/loop_monitor.h
@@ -4,25 +4,25 @@
 #include "event/loop.h"
 
 /// \file
-/// Measures how late a loop runs its callbacks: the time that whatever arrives waits in the
-/// process.
+/// Measures event loop lateness: how long a due callback waits until the loop runs it.
 
 namespace knapweedknot {
 
-/// Watches one loop. Not thread safe; lives on the thread of its loop.
+/// Measures the lateness of one loop with a periodic timer. Not thread safe; use it only on the
+/// thread of its loop.
 class loop_monitor {
 public:
     explicit loop_monitor(loop& owner);
 
-    /// Longest lateness of a callback since the last call.
-    [[nodiscard]] duration take_worst() noexcept;
+    /// Returns the maximum lateness since the last call and resets it.
+    [[nodiscard]] duration take_max_lateness() noexcept;
 
 private:
-    void look();
+    void measure();
 
     time_point expected;
-    duration worst{duration::zero()};
-    timer looking;
+    duration max_lateness{duration::zero()};
+    timer probe_timer;
 };
 
 } // namespace knapweedknot
--- a/libs/event/include/event/socket_address.h
+++ b/libs/event/include/event/socket_address.h
@@ -7,16 +7,17 @@
 #include "base/endpoint.h"
 
 /// \file
-/// Endpoints in the form of the socket interface.
+/// Conversion of endpoints to socket addresses, and creation of sockets.
 
 namespace knapweedknot {
 
-/// \p address for bind, connect and sendto. Thread safe.
+/// Converts \p address for bind, connect and sendto. Thread safe.
 /// \pre address.ip is a valid IPv4 address
 [[nodiscard]] sockaddr_in to_socket_address(const endpoint& address);
 
-/// A non-blocking TCP socket without Nagle's delay; -1 when the process has no descriptor left.
-/// \param source_ip local address to connect from; empty for the system's choice
+/// Creates a non-blocking TCP socket with Nagle's algorithm disabled; -1 when that fails, for
+/// example because the process has no file descriptor left.
+/// \param source_ip local IP address to bind to; empty lets the system choose
 [[nodiscard]] int make_tcp_socket(const std::string& source_ip);
 
 } // namespace knapweedknot
--- a/libs/event/include/event/uri.h
+++ b/libs/event/include/event/uri.h
@@ -8,19 +8,19 @@
 
 namespace knapweedknot {
 
-/// \p text with every character percent-encoded that RFC 3986 does not leave unreserved.
+/// Percent-encodes all characters of \p text except the unreserved ones of RFC 3986.
 [[nodiscard]] std::string encode_uri_component(const std::string& text);
 
-/// \p text without percent-encoding; "+" stands for a blank.
+/// Decodes percent-encoded \p text; "+" decodes to a space.
 [[nodiscard]] std::string decode_uri_component(const std::string& text);
 
-/// Value of the parameter \p name in \p query, decoded; empty when there is none.
+/// Decoded value of the parameter \p name in \p query; empty when there is none.
 [[nodiscard]] std::string query_parameter(std::string_view query, const std::string& name);
 
-/// \p host, the value of a Host header, without its port.
+/// The value \p host of a Host header without its port.
 [[nodiscard]] std::string_view host_without_port(std::string_view host) noexcept;
 
-/// The path of \p uri, without query and fragment, not decoded.
+/// The path of \p uri without query and fragment, not decoded.
 [[nodiscard]] std::string_view path_of(std::string_view uri) noexcept;
 
 } // namespace knapweedknot
--- a/libs/event/src/loop.cpp
+++ b/libs/event/src/loop.cpp
@@ -30,7 +30,7 @@
     std::function<void()> callback;
 
     static void fire(evutil_socket_t /*unused*/, short /*unused*/, void* argument) {
-        // The callback may destroy this timer, so it runs from a copy.
+        // The callback may destroy this timer and with it the stored function, so run a copy.
         const std::function<void()> copy = static_cast<state*>(argument)->callback;
         copy();
     }
@@ -49,7 +49,7 @@
 }
 
 loop::loop() {
-    // A peer that closes its end must not end the process.
+    // Writing to a connection that the peer has closed must not terminate the process.
     std::signal(SIGPIPE, SIG_IGN);
     using config_ptr = std::unique_ptr<event_config, decltype(&event_config_free)>;
     const config_ptr config(event_config_new(), &event_config_free);
@@ -88,14 +88,14 @@
 
 timer loop::make_timer(int signal_or_none, short flags, duration interval,
                        std::function<void()> callback) {
-    timer made;
-    made.owned.reset(new timer::state{});
-    made.owned->callback = std::move(callback);
-    made.owned->registration.reset(
-        event_new(this->base.get(), signal_or_none, flags, &timer::state::fire, made.owned.get()));
+    timer created;
+    created.owned.reset(new timer::state{});
+    created.owned->callback = std::move(callback);
+    created.owned->registration.reset(event_new(this->base.get(), signal_or_none, flags,
+                                                &timer::state::fire, created.owned.get()));
     const timeval delay = to_timeval(interval);
-    event_add(made.owned->registration.get(), signal_or_none >= 0 ? nullptr : &delay);
-    return made;
+    event_add(created.owned->registration.get(), signal_or_none >= 0 ? nullptr : &delay);
+    return created;
 }
 
 } // namespace knapweedknot
--- a/libs/event/src/loop_monitor.cpp
+++ b/libs/event/src/loop_monitor.cpp
@@ -7,22 +7,22 @@
 
 namespace {
 
-constexpr duration look_interval = milliseconds(200);
+constexpr duration probe_interval = milliseconds(200);
 
 } // namespace
 
 loop_monitor::loop_monitor(loop& owner)
-    : expected(boot_clock::now() + look_interval),
-      looking(owner.every(look_interval, [this] { this->look(); })) {}
+    : expected(boot_clock::now() + probe_interval),
+      probe_timer(owner.every(probe_interval, [this] { this->measure(); })) {}
 
-void loop_monitor::look() {
+void loop_monitor::measure() {
     const time_point now = boot_clock::now();
-    this->worst = std::max<duration>(this->worst, now - this->expected);
-    this->expected = now + look_interval;
+    this->max_lateness = std::max<duration>(this->max_lateness, now - this->expected);
+    this->expected = now + probe_interval;
 }
 
-duration loop_monitor::take_worst() noexcept {
-    return std::exchange(this->worst, duration::zero());
+duration loop_monitor::take_max_lateness() noexcept {
+    return std::exchange(this->max_lateness, duration::zero());
 }
 
 } // namespace knapweedknot
--- a/libs/event/src/socket_address.cpp
+++ b/libs/event/src/socket_address.cpp
@@ -15,18 +15,19 @@
 }
 
 int make_tcp_socket(const std::string& source_ip) {
-    const int made = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    if (made < 0) {
-        return made;
+    const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (descriptor < 0) {
+        return descriptor;
     }
     const int on = 1;
-    setsockopt(made, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
     if (!source_ip.empty()) {
-        setsockopt(made, IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, &on, sizeof on);
+        setsockopt(descriptor, IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, &on, sizeof on);
         const sockaddr_in source = to_socket_address({source_ip, 0});
-        static_cast<void>(bind(made, reinterpret_cast<const sockaddr*>(&source), sizeof source));
+        static_cast<void>(
+            bind(descriptor, reinterpret_cast<const sockaddr*>(&source), sizeof source));
     }
-    return made;
+    return descriptor;
 }
 
 } // namespace knapweedknot
--- a/programs/knapweedknotd/load_log.cpp
+++ b/programs/knapweedknotd/load_log.cpp
@@ -43,7 +43,7 @@
 
 void load_log::look() {
     const time_point now = boot_clock::now();
-    this->latest_lateness = this->monitor.take_worst();
+    this->latest_lateness = this->monitor.take_max_lateness();
     this->latest_call = this->measured.store.take_longest_call();
     const mesh_traffic traffic = this->measured.network.traffic();
     const mesh_traffic last = std::exchange(this->before, traffic);
