Name the log rate limiter and reword libs/base

"Log budget", "begin second", "take line" and "left out" hid that this is a fixed-window rate limiter. log_budget -> log_rate_limiter (and its header), begin_second -> start_window_if_due, take_line -> admit_line, left_out -> suppressed; the appender buffers lines instead of keeping them. Doc comments state units, errors and fallbacks.

--- a/libs/base/include/base/clock.h
+++ b/libs/base/include/base/clock.h
@@ -3,12 +3,12 @@
 #include <chrono>
 
 /// \file
-/// The clock that every timeout, lease and loan is measured with.
+/// The clock for all timeouts and leases.
 
 namespace knapweedknot {
 
-/// Monotonic clock that also counts time while the machine is suspended, so that a lease that
-/// lapsed during a suspension is seen as lapsed afterwards. Thread safe.
+/// Monotonic clock that keeps counting while the machine is suspended (CLOCK_BOOTTIME), so that a
+/// lease that expired during a suspension counts as expired after the resume. Thread safe.
 struct boot_clock {
     using duration = std::chrono::nanoseconds;
     using rep = duration::rep;
@@ -16,7 +16,7 @@
     using time_point = std::chrono::time_point<boot_clock>;
     static constexpr bool is_steady = true;
 
-    /// Current time. Never decreases within one boot of the machine.
+    /// Current time. Never decreases until the machine reboots.
     [[nodiscard]] static time_point now() noexcept;
 };
 
@@ -26,17 +26,17 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-/// Length of \p value in seconds.
+/// Converts \p value to seconds.
 [[nodiscard]] constexpr double to_seconds(duration value) noexcept {
     return std::chrono::duration<double>(value).count();
 }
 
-/// \p value seconds as a duration, rounded towards zero.
+/// Converts \p value in seconds to a duration, rounded towards zero.
 [[nodiscard]] constexpr duration from_seconds(double value) noexcept {
     return std::chrono::duration_cast<duration>(std::chrono::duration<double>(value));
 }
 
-/// Length of \p value in whole milliseconds, rounded towards zero.
+/// Converts \p value to whole milliseconds, rounded towards zero.
 [[nodiscard]] constexpr long long to_milliseconds(duration value) noexcept {
     return std::chrono::duration_cast<milliseconds>(value).count();
 }
--- a/libs/base/include/base/endpoint.h
+++ b/libs/base/include/base/endpoint.h
@@ -8,21 +8,21 @@
 #include "base/error.h"
 
 /// \file
-/// Addresses of listeners.
+/// IPv4 socket addresses.
 
 namespace knapweedknot {
 
-/// IPv4 address and port of a listener.
+/// IPv4 address and port that a server listens on.
 struct endpoint {
     std::string ip;
     std::uint16_t port{0};
     friend auto operator<=>(const endpoint&, const endpoint&) = default;
 };
 
-/// Parses "IPV4:PORT". The port must not be zero. Thread safe.
+/// Parses "IPV4:PORT"; invalid_value when \p text is malformed or the port is zero. Thread safe.
 [[nodiscard]] result<endpoint> parse_endpoint(std::string_view text);
 
-/// Text form "IPV4:PORT". Thread safe.
+/// Formats \p address as "IPV4:PORT". Thread safe.
 [[nodiscard]] std::string to_string(const endpoint& address);
 
 } // namespace knapweedknot
--- a/libs/base/include/base/error.h
+++ b/libs/base/include/base/error.h
@@ -7,7 +7,7 @@
 #include <tl/expected.hpp>
 
 /// \file
-/// The closed list of error kinds and the table from each kind to its HTTP answer.
+/// All error kinds, and the HTTP response for each kind.
 
 namespace knapweedknot {
 
@@ -47,39 +47,39 @@
     internal,
 };
 
-/// What is known about the execution of a refused request at a target.
+/// Whether a target executed a request that ended with an error.
 enum class execution : std::uint8_t {
-    /// No target received any byte of the request, or the target said that it did not run it.
+    /// No target received any byte of the request, or the target reported that it did not run it.
     not_run,
-    /// The target ran the request, but its answer could not be passed on.
+    /// The target ran the request, but its response could not be forwarded.
     ran,
-    /// A target received at least a part of the request and its outcome is not known.
+    /// A target received at least part of the request, and the outcome is unknown.
     may_have_run,
 };
 
-/// The answer that belongs to an error kind.
+/// Name, HTTP status and execution outcome reported for an error kind.
 struct error_answer {
     error_kind kind;
-    /// Stable name used in answers, logs and metrics.
+    /// Stable name used in responses, logs and metrics.
     std::string_view name;
     int http_status;
     execution outcome;
 };
 
-/// A failure: its kind, and one line for a person to read. The detail never holds a secret.
+/// An error: its kind and a one-line description for people. The detail never contains a secret.
 struct error {
     error_kind kind{error_kind::internal};
     std::string detail;
 };
 
-/// A value or a failure.
+/// A value or an error.
 template <typename T>
 using result = tl::expected<T, error>;
 
-/// Returns a failure of \p kind. Thread safe.
+/// Makes an error result of \p kind. Thread safe.
 [[nodiscard]] tl::unexpected<error> fail(error_kind kind, std::string detail = {});
 
-/// The table row for \p kind. Total over the closed list. Thread safe.
+/// Returns the response for \p kind; every kind has one. Thread safe.
 [[nodiscard]] const error_answer& answer_for(error_kind kind) noexcept;
 
 /// Stable name of \p value: "not_run", "ran" or "may_have_run".
--- a/libs/base/include/base/ids.h
+++ b/libs/base/include/base/ids.h
@@ -12,7 +12,7 @@
 
 namespace detail {
 
-/// A value that is distinct from other values of the same representation by its tag.
+/// Wraps a value so that wrappers with different tags are distinct types.
 template <typename Tag, typename Value>
 struct strong_id {
     Value value{};
@@ -33,11 +33,11 @@
 using failure_domain_id = detail::strong_id<struct failure_domain_id_tag, std::string>;
 /// Name of an instance, unique in the fleet at any one time; kept when the instance restarts.
 using instance_id = detail::strong_id<struct instance_id_tag, std::string>;
-/// One run of an instance's process. Random, never zero for a live process.
+/// Identifies one run of an instance's process. Random; never zero for a running process.
 using incarnation_id = detail::strong_id<struct incarnation_id_tag, std::uint64_t>;
 /// Number of an accepted configuration; zero is the empty configuration before the first patch.
 using config_number = detail::strong_id<struct config_number_tag, std::uint64_t>;
-/// A group of client accounts that share one broker.
+/// A hash slot: a group of client accounts whose rate limits one broker enforces.
 using slot_id = detail::strong_id<struct slot_id_tag, std::uint32_t>;
 
 } // namespace knapweedknot
--- a/libs/base/include/base/settings_reader.h
+++ b/libs/base/include/base/settings_reader.h
@@ -9,58 +9,61 @@
 #include "base/error.h"
 
 /// \file
-/// Checked reading of JSON objects: each value has a range, unknown fields are errors, and every
+/// Validating reader for JSON objects: numbers have a range, unknown fields are errors, and every
 /// problem is reported with the path of the value.
 
 namespace knapweedknot {
 
-/// Reads the fields of one JSON object and collects problems. Not thread safe.
+/// Reads the fields of one JSON object and collects all problems. Not thread safe.
 class settings_reader {
 public:
-    /// \param object the object to read; must outlive the reader
-    /// \param path where the object stands, for messages, for example "/services/stock"
+    /// \param object the object to read; must outlive the reader; any other type is a problem
+    /// \param path JSON pointer to the object, for messages, for example "/services/stock"
     /// \param problems receives one line for each bad value; must outlive the reader
     settings_reader(const nlohmann::json& object, std::string path,
                     std::vector<std::string>& problems);
 
-    /// A whole number in [\p lowest, \p highest], in \p unit. Without the field: \p fallback.
+    /// Reads an integer in [\p lowest, \p highest], in \p unit; \p fallback when the field is
+    /// absent or invalid.
     [[nodiscard]] long long integer(std::string_view name, long long fallback, long long lowest,
                                     long long highest, std::string_view unit);
-    /// A number in [\p lowest, \p highest], in \p unit. Without the field: \p fallback.
+    /// Reads a number in [\p lowest, \p highest], in \p unit; \p fallback when the field is absent
+    /// or invalid.
     [[nodiscard]] double number(std::string_view name, double fallback, double lowest,
                                 double highest, std::string_view unit);
-    /// A text. Without the field: \p fallback.
+    /// Reads a string; \p fallback when the field is absent or invalid.
     [[nodiscard]] std::string text(std::string_view name, std::string fallback);
-    /// A text that must be present and not empty.
+    /// Reads a string that must be present and not empty.
     [[nodiscard]] std::string required_text(std::string_view name);
-    /// A truth value. Without the field: \p fallback.
+    /// Reads a Boolean; \p fallback when the field is absent or invalid.
     [[nodiscard]] bool flag(std::string_view name, bool fallback);
-    /// An array of texts. Without the field: empty.
+    /// Reads an array of strings; empty when the field is absent or invalid.
     [[nodiscard]] std::vector<std::string> texts(std::string_view name);
-    /// An object. Without the field: an empty object.
+    /// Reads an object; an empty object when the field is absent or invalid.
     [[nodiscard]] const nlohmann::json& object(std::string_view name);
-    /// True when the field is present.
+    /// Returns true when the field is present.
     [[nodiscard]] bool has(std::string_view name) const;
-    /// Reports every field that was not read. Call last.
+    /// Reports every field that was not read. Call after all reads.
     void reject_unknown_fields();
-    /// Adds a problem with the value at \p name.
+    /// Adds \p problem with the path of the field \p name.
     void report(std::string_view name, std::string_view problem);
-    /// Path of the field \p name as an RFC 6901 pointer.
+    /// Returns the JSON pointer (RFC 6901) to the field \p name.
     [[nodiscard]] std::string path_of(std::string_view name) const;
 
 private:
-    const nlohmann::json* find(std::string_view name);
+    /// Returns the field, or null when it is absent, and marks it as known.
+    const nlohmann::json* find_field(std::string_view name);
 
     const nlohmann::json& source;
     std::string path;
     std::vector<std::string>& problems;
-    std::vector<std::string> known;
+    std::vector<std::string> known_fields;
 };
 
-/// Parses JSON that may hold comments. The error names the position. Thread safe.
+/// Parses JSON that may contain comments. The error names the position. Thread safe.
 [[nodiscard]] result<nlohmann::json> parse_json_with_comments(std::string_view text);
 
-/// Joins problems into one line.
+/// Joins problems into one line, separated by "; ". Thread safe.
 [[nodiscard]] std::string join_problems(const std::vector<std::string>& problems);
 
 } // namespace knapweedknot
--- a/libs/base/src/error.cpp
+++ b/libs/base/src/error.cpp
@@ -45,8 +45,8 @@
     error_answer{internal, "internal", 500, execution::may_have_run},
 };
 
-/// True when row i of the table describes the i-th error kind.
-constexpr bool table_is_ordered() {
+/// Returns true when row i of the table describes the i-th error kind and no kind is missing.
+constexpr bool is_table_ordered() {
     for (std::size_t i = 0; i < error_table.size(); ++i) {
         if (static_cast<std::size_t>(error_table[i].kind) != i) {
             return false;
@@ -55,7 +55,7 @@
     return error_table.size() == static_cast<std::size_t>(internal) + 1;
 }
 
-static_assert(table_is_ordered());
+static_assert(is_table_ordered());
 
 } // namespace
 
--- a/libs/base/src/log.cpp
+++ b/libs/base/src/log.cpp
@@ -9,7 +9,7 @@
 #include <log4cxx/logmanager.h>
 #include <log4cxx/patternlayout.h>
 
-#include "base/log_budget.h"
+#include "base/log_rate_limiter.h"
 #include "nonblocking_appender.h"
 
 namespace knapweedknot {
@@ -17,8 +17,8 @@
 namespace {
 
 log4cxx::LoggerPtr& logger() {
-    static log4cxx::LoggerPtr instance = log4cxx::Logger::getRootLogger();
-    return instance;
+    static log4cxx::LoggerPtr root = log4cxx::Logger::getRootLogger();
+    return root;
 }
 
 log4cxx::LevelPtr to_log4cxx(log_level level) {
@@ -35,17 +35,17 @@
     return log4cxx::Level::getInfo();
 }
 
-/// Counts the line against the budget, and says what the second before left out.
-bool is_in_budget(std::string_view event) {
-    static std::mutex guard;
-    static log_budget budget;
-    const std::scoped_lock lock(guard);
-    for (const auto& [kind, count] : begin_second(budget, boot_clock::now())) {
+/// Counts one line for the event and reports lines suppressed in the window that just ended.
+bool is_within_limits(std::string_view event) {
+    static std::mutex mutex;
+    static log_rate_limiter limiter;
+    const std::scoped_lock lock(mutex);
+    for (const auto& [kind, count] : start_window_if_due(limiter, boot_clock::now())) {
         logger()->forcedLog(log4cxx::Level::getWarn(),
                             "event=lines_left_out kind=" + kind + " count=" + std::to_string(count),
                             LOG4CXX_LOCATION);
     }
-    return take_line(budget, event, log_limits{});
+    return admit_line(limiter, event, log_limits{});
 }
 
 } // namespace
@@ -62,7 +62,7 @@
 
 void log_event(log_level level, std::string_view event, std::initializer_list<log_field> fields) {
     const log4cxx::LevelPtr mapped = to_log4cxx(level);
-    if (!logger()->isEnabledFor(mapped) || !is_in_budget(event)) {
+    if (!logger()->isEnabledFor(mapped) || !is_within_limits(event)) {
         return;
     }
     std::string line = "event=" + std::string(event);
--- a/libs/base/src/nonblocking_appender.cpp
+++ b/libs/base/src/nonblocking_appender.cpp
@@ -8,7 +8,7 @@
 #include <log4cxx/helpers/transcoder.h>
 #include <log4cxx/layout.h>
 
-// The library's macro opens a namespace of its own, so it stands outside of ours.
+// The log4cxx macro opens a namespace of its own and must be used at file scope.
 using knapweedknot::detail::nonblocking_appender;
 IMPLEMENT_LOG4CXX_OBJECT(nonblocking_appender)
 
@@ -16,20 +16,21 @@
 
 namespace {
 
-// A pipe that is ready takes this much without waiting (PIPE_BUF).
-constexpr std::size_t piece_bytes = 4096;
-// Lines that are kept while nobody reads.
-constexpr std::size_t max_kept_bytes = std::size_t{64} * 1024;
+// A writable pipe accepts this much without blocking (PIPE_BUF).
+constexpr std::size_t max_write_bytes = 4096;
+// Limit of the lines that are buffered while the descriptor accepts no data.
+constexpr std::size_t max_buffered_bytes = std::size_t{64} * 1024;
 
-bool is_ready(int descriptor) {
-    pollfd asked{descriptor, POLLOUT, 0};
-    return poll(&asked, 1, 0) == 1 && (asked.revents & POLLOUT) != 0;
+bool is_writable(int descriptor) {
+    pollfd poll_entry{descriptor, POLLOUT, 0};
+    return poll(&poll_entry, 1, 0) == 1 && (poll_entry.revents & POLLOUT) != 0;
 }
 
 } // namespace
 
-nonblocking_appender::nonblocking_appender(const log4cxx::LayoutPtr& line_layout, int written)
-    : descriptor(written) {
+nonblocking_appender::nonblocking_appender(const log4cxx::LayoutPtr& line_layout,
+                                           int output_descriptor)
+    : descriptor(output_descriptor) {
     this->setLayout(line_layout);
 }
 
@@ -39,26 +40,26 @@
     this->getLayout()->format(formatted, event, pool);
     std::string line;
     log4cxx::helpers::Transcoder::encodeUTF8(formatted, line);
-    if (this->kept.size() + line.size() > max_kept_bytes) {
+    if (this->buffered.size() + line.size() > max_buffered_bytes) {
         ++this->dropped;
     } else {
-        if (this->dropped > 0 && this->kept.empty()) {
-            this->kept = "event=lines_dropped count=" + std::to_string(this->dropped) + '\n';
+        if (this->dropped > 0 && this->buffered.empty()) {
+            this->buffered = "event=lines_dropped count=" + std::to_string(this->dropped) + '\n';
             this->dropped = 0;
         }
-        this->kept += line;
+        this->buffered += line;
     }
     this->flush();
 }
 
 void nonblocking_appender::flush() {
-    while (!this->kept.empty() && is_ready(this->descriptor)) {
-        const ssize_t size =
-            write(this->descriptor, this->kept.data(), std::min(piece_bytes, this->kept.size()));
+    while (!this->buffered.empty() && is_writable(this->descriptor)) {
+        const ssize_t size = write(this->descriptor, this->buffered.data(),
+                                   std::min(max_write_bytes, this->buffered.size()));
         if (size <= 0) {
             return;
         }
-        this->kept.erase(0, static_cast<std::size_t>(size));
+        this->buffered.erase(0, static_cast<std::size_t>(size));
     }
 }
 
--- a/libs/base/src/nonblocking_appender.h
+++ b/libs/base/src/nonblocking_appender.h
@@ -6,15 +6,16 @@
 #include <log4cxx/appenderskeleton.h>
 
 /// \file
-/// A log4cxx appender that never waits for the reader of its descriptor.
+/// A log4cxx appender that never blocks on its file descriptor.
 
 namespace knapweedknot::detail {
 
-// The library's macros name its namespaces without qualification.
+// The log4cxx macros use these namespace names without qualification.
 namespace helpers = log4cxx::helpers;
 namespace spi = log4cxx::spi;
 
-/// Writes lines to a descriptor while it takes them, keeps some, and drops and counts the others.
+/// Writes lines to a file descriptor. While the descriptor accepts no data, lines are buffered up
+/// to a limit; further lines are dropped and counted.
 class nonblocking_appender : public log4cxx::AppenderSkeleton {
 public:
     DECLARE_LOG4CXX_OBJECT(nonblocking_appender)
@@ -33,11 +34,11 @@
     void append(const log4cxx::spi::LoggingEventPtr& event, log4cxx::helpers::Pool& pool) override;
 
 private:
-    /// Writes what is kept, as far as the descriptor takes it at once.
+    /// Writes buffered lines until the descriptor would block.
     void flush();
 
     int descriptor{-1};
-    std::string kept;
+    std::string buffered;
     std::uint64_t dropped{0};
 };
 
--- a/libs/base/src/settings_reader.cpp
+++ b/libs/base/src/settings_reader.cpp
@@ -43,15 +43,15 @@
     }
 }
 
-const nlohmann::json* settings_reader::find(std::string_view name) {
-    this->known.emplace_back(name);
+const nlohmann::json* settings_reader::find_field(std::string_view name) {
+    this->known_fields.emplace_back(name);
     const auto found = this->source.find(std::string(name));
     return found == this->source.end() ? nullptr : &*found;
 }
 
 long long settings_reader::integer(std::string_view name, long long fallback, long long lowest,
                                    long long highest, std::string_view unit) {
-    const nlohmann::json* value = this->find(name);
+    const nlohmann::json* value = this->find_field(name);
     if (value == nullptr) {
         return fallback;
     }
@@ -64,7 +64,7 @@
 
 double settings_reader::number(std::string_view name, double fallback, double lowest,
                                double highest, std::string_view unit) {
-    const nlohmann::json* value = this->find(name);
+    const nlohmann::json* value = this->find_field(name);
     if (value == nullptr) {
         return fallback;
     }
@@ -76,7 +76,7 @@
 }
 
 std::string settings_reader::text(std::string_view name, std::string fallback) {
-    const nlohmann::json* value = this->find(name);
+    const nlohmann::json* value = this->find_field(name);
     if (value == nullptr) {
         return fallback;
     }
@@ -96,7 +96,7 @@
 }
 
 bool settings_reader::flag(std::string_view name, bool fallback) {
-    const nlohmann::json* value = this->find(name);
+    const nlohmann::json* value = this->find_field(name);
     if (value == nullptr) {
         return fallback;
     }
@@ -108,7 +108,7 @@
 }
 
 std::vector<std::string> settings_reader::texts(std::string_view name) {
-    const nlohmann::json* value = this->find(name);
+    const nlohmann::json* value = this->find_field(name);
     std::vector<std::string> list;
     if (value == nullptr) {
         return list;
@@ -125,7 +125,7 @@
 }
 
 const nlohmann::json& settings_reader::object(std::string_view name) {
-    const nlohmann::json* value = this->find(name);
+    const nlohmann::json* value = this->find_field(name);
     if (value == nullptr) {
         return empty_object;
     }
@@ -142,7 +142,8 @@
 
 void settings_reader::reject_unknown_fields() {
     for (const auto& [name, value] : this->source.items()) {
-        if (std::find(this->known.begin(), this->known.end(), name) == this->known.end()) {
+        if (std::find(this->known_fields.begin(), this->known_fields.end(), name) ==
+            this->known_fields.end()) {
             this->report(name, "is not a known field");
         }
     }
--- a/libs/base/tests/base_test.cpp
+++ b/libs/base/tests/base_test.cpp
@@ -9,7 +9,7 @@
 #include "base/digest.h"
 #include "base/error.h"
 #include "base/log.h"
-#include "base/log_budget.h"
+#include "base/log_rate_limiter.h"
 #include "base/settings_reader.h"
 
 using namespace knapweedknot;
@@ -19,7 +19,7 @@
                "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad");
 }
 
-BOOST_AUTO_TEST_CASE(log_values_with_blanks_or_line_ends_stay_on_one_line) {
+BOOST_AUTO_TEST_CASE(log_values_with_whitespace_are_quoted_on_one_line) {
     BOOST_TEST(detail::format_field({"a", "x"}) == "a=x");
     BOOST_TEST(detail::format_field({"a", "x y\n\"z\""}) == "a=\"x y \\\"z\\\"\"");
 }
@@ -38,7 +38,7 @@
     BOOST_TEST(problems[1] == "/x/extra: is not a known field");
 }
 
-BOOST_AUTO_TEST_CASE(refusals_before_a_send_say_not_run) {
+BOOST_AUTO_TEST_CASE(errors_before_a_send_have_outcome_not_run) {
     for (const auto kind : {error_kind::rate_exceeded, error_kind::connect_failed,
                             error_kind::configuration_stale, error_kind::overloaded}) {
         BOOST_TEST((answer_for(kind).outcome == execution::not_run));
@@ -46,7 +46,7 @@
     BOOST_TEST((answer_for(error_kind::target_failed).outcome == execution::may_have_run));
 }
 
-BOOST_AUTO_TEST_CASE(base64_is_read_back_and_malformed_text_is_refused) {
+BOOST_AUTO_TEST_CASE(base64_round_trips_and_rejects_malformed_text) {
     for (const std::string& data : {std::string(), std::string("a"), std::string("ab"),
                                     std::string("abc"), std::string("\0\xff\n", 3)}) {
         BOOST_TEST(decode_base64(encode_base64(data)).value() == data);
@@ -56,27 +56,28 @@
     BOOST_TEST(!decode_base64("a*==").has_value());
 }
 
-BOOST_AUTO_TEST_CASE(a_log_beyond_its_budget_leaves_lines_out_and_says_so) {
+BOOST_AUTO_TEST_CASE(log_lines_over_the_rate_limit_are_suppressed_and_counted) {
     const log_limits limits{3, 5};
-    log_budget budget;
+    log_rate_limiter limiter;
     const time_point start = boot_clock::now();
-    BOOST_TEST(begin_second(budget, start).empty());
+    BOOST_TEST(start_window_if_due(limiter, start).empty());
     int written = 0;
     for (int i = 0; i < 10; ++i) {
-        written += take_line(budget, "first", limits) ? 1 : 0;
-        written += take_line(budget, "second", limits) ? 1 : 0;
+        written += admit_line(limiter, "first", limits) ? 1 : 0;
+        written += admit_line(limiter, "second", limits) ? 1 : 0;
     }
     BOOST_TEST(written == 5);
-    BOOST_TEST(begin_second(budget, start + milliseconds(500)).empty());
-    const left_out_lines left_out = begin_second(budget, start + seconds(1));
-    BOOST_TEST(left_out.at("first") + left_out.at("second") == 15U);
-    BOOST_TEST(take_line(budget, "first", limits));
+    BOOST_TEST(start_window_if_due(limiter, start + milliseconds(500)).empty());
+    const suppressed_lines suppressed = start_window_if_due(limiter, start + seconds(1));
+    BOOST_TEST(suppressed.at("first") + suppressed.at("second") == 15U);
+    BOOST_TEST(admit_line(limiter, "first", limits));
 }
 
-BOOST_AUTO_TEST_CASE(a_log_that_nobody_reads_stops_nothing) {
+// Standard output is a pipe that nobody reads; blocking writes would stop the process.
+BOOST_AUTO_TEST_CASE(logging_to_a_full_pipe_does_not_block) {
     std::array<int, 2> pipe_ends{};
     BOOST_REQUIRE(pipe(pipe_ends.data()) == 0);
-    const int kept_output = dup(STDOUT_FILENO);
+    const int saved_stdout = dup(STDOUT_FILENO);
     dup2(pipe_ends[1], STDOUT_FILENO);
     start_log("test", log_level::info);
     const time_point start = boot_clock::now();
@@ -86,9 +87,9 @@
                   {{"text", std::string(200, 'x')}});
     }
     const duration spent = boot_clock::now() - start;
-    dup2(kept_output, STDOUT_FILENO);
+    dup2(saved_stdout, STDOUT_FILENO);
     BOOST_TEST((spent < seconds(3)));
-    for (const int end : {kept_output, pipe_ends[0], pipe_ends[1]}) {
+    for (const int end : {saved_stdout, pipe_ends[0], pipe_ends[1]}) {
         close(end);
     }
 }
