Reword libs/config

Comments described entities and the audit log indirectly ("who may send requests, and how many"). They now name rate limit, token bucket, retry budget, ejection, hash chain and archive, and state errors. Private names: holds_null -> contains_null, list_from_json -> entries_from_json, parent -> parent_path.

--- a/libs/config/include/config/configuration.h
+++ b/libs/config/include/config/configuration.h
@@ -14,12 +14,12 @@
 #include "config/route_table.h"
 
 /// \file
-/// The configuration in force at an instance. Patches change it in place, at a cost that depends
-/// on the patch and not on the size of the configuration.
+/// The configuration in force at an instance. Patches are applied in place, at a cost that depends
+/// on the size of the patch and not of the configuration.
 
 namespace knapweedknot {
 
-/// What a presented key stands for.
+/// Account and stored hash for a key id.
 struct key_owner {
     client_account_ptr account;
     stored_key key;
@@ -28,21 +28,21 @@
 /// Numbered set of client accounts, services and routes. Not thread safe.
 class configuration {
 public:
-    /// Applies an RFC 7396 merge patch and takes \p number. The error lists the path of each bad
-    /// value; then nothing has changed.
+    /// Applies an RFC 7396 merge patch and sets the configuration number to \p number. On error
+    /// nothing changes, and the error is invalid_value with the path of each invalid value.
     /// \pre number is greater than the current number
     [[nodiscard]] result<void> apply(config_number number, const nlohmann::json& merge_patch);
-    /// Like apply, but changes nothing.
+    /// Validates a merge patch like apply, without applying it.
     [[nodiscard]] result<void> check(const nlohmann::json& merge_patch) const;
-    /// Replaces everything by \p document.
+    /// Replaces the whole configuration with \p document. On error nothing changes.
     /// \pre number is not less than the current number
     [[nodiscard]] result<void> load(config_number number, const nlohmann::json& document);
 
     [[nodiscard]] config_number number() const noexcept { return this->current; }
-    /// The whole document, for operators and snapshots.
+    /// The configuration as one JSON document, for operators and snapshots.
     [[nodiscard]] const nlohmann::json& document() const noexcept { return this->source; }
 
-    /// Owner of a key id, or null pointers when the key id is unknown or withdrawn.
+    /// Finds the account of a key id; the account is null when the key id is unknown or withdrawn.
     [[nodiscard]] key_owner find_key(std::string_view key_id) const;
     [[nodiscard]] client_account_ptr find_account(const account_id& id) const;
     [[nodiscard]] service_ptr find_service(const service_id& id) const;
@@ -60,7 +60,7 @@
     }
 
 private:
-    /// The entities that a patch replaces; null for removed ones.
+    /// The entities that a patch adds, replaces or removes (null), and the problems found.
     struct changes {
         std::map<account_id, client_account_ptr> accounts;
         std::map<service_id, service_ptr> services;
@@ -87,11 +87,12 @@
     route_table table;
 };
 
-/// Turns an RFC 6902 patch into a merge patch with the same effect on \p document. Thread safe.
+/// Converts an RFC 6902 JSON Patch to a merge patch with the same effect on \p document. The error
+/// is invalid_value when the patch cannot be applied or sets a value to null. Thread safe.
 [[nodiscard]] result<nlohmann::json> to_merge_patch(const nlohmann::json& document,
                                                     const nlohmann::json& json_patch);
 
-/// The merge patch that turns \p from into \p to. Thread safe.
+/// Returns the merge patch that changes \p from into \p to. Thread safe.
 [[nodiscard]] nlohmann::json diff_as_merge_patch(const nlohmann::json& from,
                                                  const nlohmann::json& to);
 
--- a/libs/config/include/config/entities.h
+++ b/libs/config/include/config/entities.h
@@ -11,58 +11,59 @@
 #include "base/ids.h"
 
 /// \file
-/// The entities of a configuration as plain structs. All are immutable once published and may be
-/// shared by requests that outlive the configuration that introduced them.
+/// The entities of a configuration. They are immutable once the configuration holds them, and
+/// requests may share them beyond the lifetime of that configuration.
 
 namespace knapweedknot {
 
-/// A salted hash of an API key's secret. The secret itself is never stored.
+/// Salted hash of the secret of an API key. The secret itself is never stored.
 struct stored_key {
-    /// Hexadecimal salt, hashed before the secret.
+    /// Salt in hexadecimal digits, prepended to the secret before hashing.
     std::string salt;
-    /// SHA-256 of salt and secret, 64 hexadecimal digits.
+    /// SHA-256 of salt and secret, as 64 lower-case hexadecimal digits.
     std::string sha256;
 };
 
-/// Who may send requests, and how many.
+/// A client that may send requests, with its API keys and rate limit.
 struct client_account {
     account_id id;
-    /// Long-term limit over all instances together, in requests per second.
+    /// Sustained rate limit over all instances together, in requests per second.
     double rate_per_s{0};
-    /// Requests that may be admitted at once, over all instances together. At least 2.
+    /// Token bucket size: requests that may be admitted at once over all instances together. At
+    /// least 2.
     double burst{0};
     /// Stored keys by key id.
     std::map<std::string, stored_key> keys;
 };
 
-/// A back-end process that runs requests.
+/// A back-end server process that runs requests.
 struct target {
     target_id id;
     endpoint address;
     failure_domain_id failure_domain;
 };
 
-/// How instances judge and use the targets of a service.
+/// Concurrency, queueing, retry and outlier ejection settings for the targets of a service.
 struct service_policy {
-    /// Requests that one target may run at once, over all instances.
+    /// Requests that one target may run at once, over all instances together.
     int slots_per_target{6};
-    /// Connections that one target accepts, over all instances.
+    /// Connections that one target accepts from all instances together.
     int connections_per_target{330};
-    /// Least number of targets that stay in rotation, whatever their health.
+    /// Minimum number of targets that stay in rotation, whatever their health.
     int floor{1};
-    /// Time from arrival to answer when the caller gives no deadline.
+    /// Time from arrival to response when the caller sends no deadline.
     duration request_timeout{milliseconds(5000)};
-    /// Requests that may wait for a slot in one instance.
+    /// Requests that may wait in one instance for a free slot of a target.
     int queue_limit{256};
-    /// Retries allowed for each first attempt, as a share.
+    /// Retry budget: retries allowed per first attempt, from 0 to 1.
     double retry_budget{0.1};
-    /// Consecutive failures after which a target counts as faulty.
+    /// Consecutive failures after which a target is ejected.
     int failures_to_eject{3};
-    /// A target whose typical latency is this many times that of its peers counts as slow.
+    /// Ratio of typical latency to that of the other targets from which a target counts as slow.
     double slow_factor{4.0};
-    /// First ejection time; doubled for each repeat up to ejection_limit.
+    /// Length of the first ejection; doubled for each repeat, up to ejection_limit.
     duration ejection_time{milliseconds(2000)};
-    /// Longest ejection time.
+    /// Maximum length of an ejection.
     duration ejection_limit{milliseconds(60000)};
 };
 
@@ -73,22 +74,27 @@
     std::map<target_id, target> targets;
 };
 
-/// Whether a route's requests may be sent to a target more than once.
-enum class idempotency { by_method, always, never };
+/// Whether the requests of a route are idempotent and may therefore be retried.
+enum class idempotency {
+    /// According to the HTTP method.
+    by_method,
+    always,
+    never
+};
 
 /// Maps a path prefix to a service.
 struct route {
     route_id id;
-    /// Host that the route is limited to; empty for every host.
+    /// Host that the route matches; empty for every host.
     std::string host;
-    /// Prefix made of whole path segments, for example "/layouts".
+    /// Prefix of whole path segments, for example "/layouts".
     std::string path_prefix;
     service_id service;
-    /// True when no key is needed.
+    /// True when requests need no API key.
     bool open{false};
     /// Accounts that may use the route; empty for every account.
     std::unordered_set<std::string> accounts;
-    /// Methods that the route serves; empty for every method.
+    /// HTTP methods that the route accepts; empty for every method.
     std::unordered_set<std::string> methods;
     idempotency repeatable{idempotency::by_method};
 };
--- a/libs/config/include/config/history.h
+++ b/libs/config/include/config/history.h
@@ -10,35 +10,36 @@
 #include "base/ids.h"
 
 /// \file
-/// The audit trail: a chain of accepted patches, and the head record in the platform's store that
-/// holds its newest part. The head record is changed by compare-and-swap only; that swap is the
-/// one moment at which a patch is accepted.
+/// The audit log: a hash chain of accepted patches. Its newest part is in the head record in the
+/// platform's store. The head record is changed only by compare-and-swap; a patch is accepted when
+/// its compare-and-swap succeeds.
 
 namespace knapweedknot {
 
-/// One accepted patch. Each entry names the hash of the one before.
+/// One accepted patch, linked to the previous entry by its hash.
 struct history_entry {
     config_number number;
-    /// Number that the patch was written against.
+    /// Configuration number that the patch was written against.
     config_number base;
     /// Operator that submitted the patch.
     std::string author;
     /// UTC time of acceptance, ISO 8601.
     std::string accepted_at;
-    /// Random, chosen by the submitter; finds one's own patch after a lost answer.
+    /// Random id chosen by the submitter, who can find the patch by it when the response was lost.
     std::string patch_id;
-    /// SHA-256 of the entry before; empty for the first.
+    /// SHA-256 of the previous entry; empty for the first.
     std::string previous_hash;
     /// RFC 7396 merge patch.
     nlohmann::json patch;
 };
 
-/// Where the older part of the history and the document at its end are kept.
+/// Store keys of the archived history and of the configuration document at its end.
 struct snapshot_reference {
+    /// Number of the configuration in the document.
     config_number number;
     /// Keys of the values whose concatenation is the document.
     std::vector<std::string> chunk_keys;
-    /// Key of the newest archived part of the history; empty when there is none.
+    /// Key of the newest archive; empty when there is none.
     std::string archive_key;
     /// Hash of the last archived entry.
     std::string last_hash;
@@ -47,39 +48,45 @@
 /// Value of the head record.
 struct history_head {
     snapshot_reference snapshot;
-    /// Entries after the snapshot, oldest first, without gaps.
+    /// Entries after the snapshot, oldest first, numbered without gaps.
     std::vector<history_entry> tail;
 
-    /// Newest accepted number.
+    /// Number of the newest accepted entry.
     [[nodiscard]] config_number number() const noexcept;
-    /// Hash of the newest entry.
+    /// Hash of the newest accepted entry.
     [[nodiscard]] std::string last_hash() const;
 };
 
-/// SHA-256 of an entry's text form, as hexadecimal digits. Thread safe.
+/// Returns the SHA-256 of an entry's JSON text, as hexadecimal digits. Thread safe.
 [[nodiscard]] std::string hash_of(const history_entry& entry);
 
+/// Converts an entry to JSON. Thread safe.
 [[nodiscard]] nlohmann::json to_json(const history_entry& entry);
+/// Parses an entry; invalid_value when a field is missing or has the wrong type. Thread safe.
 [[nodiscard]] result<history_entry> entry_from_json(const nlohmann::json& source);
 
-/// Text form of the head record. Thread safe.
+/// Serializes a head record as JSON text. Thread safe.
 [[nodiscard]] std::string encode_head(const history_head& head);
-/// Parses a head record and checks that numbers and hashes form a chain. Thread safe.
+/// Parses a head record; invalid_value when it is malformed or its numbers and hashes form no
+/// chain. Thread safe.
 [[nodiscard]] result<history_head> decode_head(std::string_view text);
 
-/// An archived part of the history.
+/// Consecutive entries moved from the head record to a value of their own, linked to the previous
+/// archive by its key.
 struct history_archive {
-    /// Key of the part before; empty for the first.
+    /// Key of the previous archive; empty for the first.
     std::string previous_key;
     /// Oldest first.
     std::vector<history_entry> entries;
 };
 
-/// Text form of an archived part, and back. Thread safe.
+/// Serializes an archive as JSON text. Thread safe.
 [[nodiscard]] std::string encode_archive(const history_archive& archive);
+/// Parses an archive; invalid_value when it is malformed. Does not check the chain. Thread safe.
 [[nodiscard]] result<history_archive> decode_archive(std::string_view text);
 
-/// Problem in the chain that starts after \p previous_hash, or an empty text. Thread safe.
+/// Describes the first break in the chain of \p entries, whose first must follow \p previous_hash;
+/// empty when there is none. Thread safe.
 [[nodiscard]] std::string find_chain_problem(const std::vector<history_entry>& entries,
                                              std::string previous_hash);
 
--- a/libs/config/include/config/traffic_policy.h
+++ b/libs/config/include/config/traffic_policy.h
@@ -13,62 +13,63 @@
 #include "base/ids.h"
 
 /// \file
-/// One version of the rules for traffic, as an operator declares them outside of the fleet: routes
-/// by host and path prefix, client accounts with their keys, services, and limits of requests.
+/// One version of the traffic policy, which operators declare outside of the fleet: routes by host
+/// and path prefix, client accounts with their API keys, services, and request limits.
 
 namespace knapweedknot {
 
 /// A service that receives a share of a route's requests.
 struct weighted_service {
     service_id service;
-    /// Share of the requests, in proportion to the sum over the route. Greater than zero.
+    /// Relative share of the requests, compared with the sum over the route. Greater than zero.
     double weight{1};
 };
 
-/// Where the requests of one host and path prefix go, and what may be done with them.
+/// Services, timeout, retry and priority rules for the requests of one host and path prefix.
 struct traffic_route {
     route_id id;
     std::string host;
     /// Begins and ends with a slash.
     std::string prefix;
-    /// At least one service.
+    /// Traffic split between services; at least one.
     std::vector<weighted_service> split;
-    /// True when a target may run a request more than once.
+    /// True when requests are idempotent: targets may run one more than once.
     bool idempotent{false};
-    /// Longest time from the arrival of a request to its answer.
+    /// Maximum time from the arrival of a request to its response.
     duration timeout{seconds(30)};
-    /// Time within which an answer has its full worth to the caller.
+    /// Latency objective: a response within this time has its full value for the caller.
     duration latency_target{seconds(1)};
-    /// Targets to which one request may be sent.
+    /// Maximum number of targets to which one request may be sent.
     int max_attempts{1};
-    /// Rank among the requests of a service; 0 is the highest.
+    /// Priority among the requests of a service; 0 is the highest.
     int priority{0};
-    /// True when no key is needed.
+    /// True when requests need no API key.
     bool open{false};
 };
 
-/// Who may send requests, and how many.
+/// A client that may send requests, with its API keys and rate limit.
 struct traffic_account {
     account_id id;
     std::vector<std::string> keys;
-    /// Rank that replaces that of the route.
+    /// Overrides the priority of the route.
     std::optional<int> priority;
-    /// Requests per second over all instances together; 0 for no limit.
+    /// Sustained rate limit over all instances together, in requests per second; 0 for no limit.
     double rate_per_s{0};
-    /// Requests that may be admitted at once.
+    /// Token bucket size: requests that may be admitted at once.
     double burst{0};
 };
 
 /// A group of interchangeable targets.
 struct traffic_service {
     service_id id;
-    /// Path that a target answers with 200 while it considers itself healthy.
+    /// Path of the health check, which a healthy target answers with status 200.
     std::string health_path;
     /// Connections that one target accepts from all instances together; 0 for no limit.
     int max_connections{0};
 };
 
-/// What a caller may send, and how long it may take.
+/// Limits on the size of requests, on the time to receive a header and on the time a connection may
+/// stay idle.
 struct request_limits {
     std::size_t max_header_bytes{std::size_t{16} * 1024};
     std::size_t max_body_bytes{std::size_t{4} * 1024 * 1024};
@@ -79,10 +80,10 @@
 using traffic_route_ptr = std::shared_ptr<const traffic_route>;
 using traffic_account_ptr = std::shared_ptr<const traffic_account>;
 
-/// An immutable version of the rules. Thread safe after construction.
+/// An immutable version of the traffic policy. Thread safe after construction.
 class traffic_policy {
 public:
-    /// The parts that a policy is made of.
+    /// The content of a policy.
     struct parts {
         config_number number;
         std::vector<traffic_route> routes;
@@ -94,10 +95,10 @@
     explicit traffic_policy(parts&& content);
 
     [[nodiscard]] config_number number() const noexcept { return this->version; }
-    /// The route of \p host (no port, any case) with the longest prefix that begins \p path (no
-    /// query); null when none does.
+    /// Returns the route for \p host (without port, case-insensitive) with the longest prefix of
+    /// \p path (without query); null when none matches.
     [[nodiscard]] traffic_route_ptr find_route(std::string_view host, std::string_view path) const;
-    /// Owner of \p key; null when the key is unknown.
+    /// Returns the account with the API key \p key; null when the key is unknown.
     [[nodiscard]] traffic_account_ptr find_account(const std::string& key) const;
     [[nodiscard]] const std::map<service_id, traffic_service>& services() const noexcept {
         return this->services_by_id;
@@ -106,7 +107,7 @@
         return this->all_accounts;
     }
     [[nodiscard]] const request_limits& limits() const noexcept { return this->request_bounds; }
-    [[nodiscard]] std::size_t route_count() const noexcept { return this->routes; }
+    [[nodiscard]] std::size_t route_count() const noexcept { return this->total_routes; }
 
 private:
     config_number version;
@@ -115,28 +116,28 @@
     std::vector<traffic_account_ptr> all_accounts;
     std::map<service_id, traffic_service> services_by_id;
     request_limits request_bounds;
-    std::size_t routes{0};
+    std::size_t total_routes{0};
 };
 
 using traffic_policy_ptr = std::shared_ptr<const traffic_policy>;
 
-/// How a target says that it stands.
+/// The state that a target reports in its registration.
 enum class target_state : std::uint8_t { ready, draining };
 
-/// A target as it registered itself.
+/// The registration of a target.
 struct registered_target {
     target_id id;
     service_id service;
     std::string ip;
     std::uint16_t port{0};
     failure_domain_id failure_domain;
-    /// Requests that it runs at once, for all instances.
+    /// Requests that the target can run at once, over all instances together.
     int slots{1};
     target_state state{target_state::ready};
-    /// How much longer it is slow after its start.
+    /// Remaining time of the warm-up after its start, during which the target is slower.
     duration warm_up_left{duration::zero()};
-    /// When this run of the target started, in Unix milliseconds; 0 when it does not say. A
-    /// target that starts again under its id counts its sequence numbers anew.
+    /// Start of this run of the target, in Unix milliseconds; 0 when unknown. A target that
+    /// restarts under the same id also restarts its sequence numbers.
     std::int64_t started_unix_ms{0};
 };
 
--- a/libs/config/src/configuration.cpp
+++ b/libs/config/src/configuration.cpp
@@ -14,7 +14,7 @@
 
 constexpr std::array<std::string_view, 3> sections{"accounts", "services", "routes"};
 
-bool holds_null(const nlohmann::json& value) {
+bool contains_null(const nlohmann::json& value) {
     if (value.is_null()) {
         return true;
     }
@@ -22,7 +22,7 @@
         return false;
     }
     for (const nlohmann::json& item : value) {
-        if (holds_null(item)) {
+        if (contains_null(item)) {
             return true;
         }
     }
@@ -37,7 +37,8 @@
            name.find_first_not_of(allowed) == std::string::npos;
 }
 
-/// Calls \p parse with the merged value of each entity that the patch names in \p section.
+/// Parses the merged value of each entity that the patch names in \p section, and adds it to
+/// \p planned; null for a removed entity.
 template <typename Id, typename Entity, typename Parse>
 void plan_section(const nlohmann::json& source, const nlohmann::json& merge_patch,
                   const std::string& section, std::vector<std::string>& problems,
@@ -146,7 +147,7 @@
                                        "/path_prefix: another route has this host and prefix");
         }
     }
-    // Only a removal can break a route that the patch does not name.
+    // Only a removal can invalidate a route that the patch does not name.
     const auto is_removal = [](const auto& change) { return change.second == nullptr; };
     if (std::any_of(planned.services.begin(), planned.services.end(), is_removal) ||
         std::any_of(planned.accounts.begin(), planned.accounts.end(), is_removal)) {
@@ -189,7 +190,7 @@
 }
 
 void configuration::commit(const changes& planned) {
-    // Removals go first so that a key id or prefix can move from one entity to another.
+    // Old entities are removed first, so that a key id or prefix can move between entities.
     for (const auto& [id, account] : planned.accounts) {
         this->replace_account(id, nullptr);
     }
@@ -265,7 +266,7 @@
                                       const nlohmann::json& json_patch) {
     try {
         const nlohmann::json changed = document.patch(json_patch);
-        if (holds_null(changed)) {
+        if (contains_null(changed)) {
             return fail(error_kind::invalid_value, "/: a patch must not set a value to null");
         }
         return diff_as_merge_patch(document, changed);
--- a/libs/config/src/entity_parser.cpp
+++ b/libs/config/src/entity_parser.cpp
@@ -8,7 +8,7 @@
 
 constexpr double max_rate_per_s = 1e7;
 constexpr double max_burst = 1e7;
-// With a burst of 1, losing any share of the fleet would block the account completely.
+// With a burst of 1, losing any part of the fleet would block the account completely.
 constexpr double min_burst = 2;
 constexpr double min_rate_per_s = 0.01;
 constexpr long long max_timeout_ms = 600'000;
--- a/libs/config/src/history.cpp
+++ b/libs/config/src/history.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-nlohmann::json list_to_json(const std::vector<history_entry>& entries) {
+nlohmann::json entries_to_json(const std::vector<history_entry>& entries) {
     nlohmann::json list = nlohmann::json::array();
     for (const history_entry& entry : entries) {
         list.push_back(to_json(entry));
@@ -16,7 +16,7 @@
     return list;
 }
 
-result<std::vector<history_entry>> list_from_json(const nlohmann::json& source) {
+result<std::vector<history_entry>> entries_from_json(const nlohmann::json& source) {
     std::vector<history_entry> entries;
     for (const nlohmann::json& item : source) {
         auto entry = entry_from_json(item);
@@ -35,7 +35,7 @@
     head.snapshot.chunk_keys = snapshot.at("chunk_keys").get<std::vector<std::string>>();
     head.snapshot.archive_key = snapshot.at("archive_key").get<std::string>();
     head.snapshot.last_hash = snapshot.at("last_hash").get<std::string>();
-    auto tail = list_from_json(source.at("tail"));
+    auto tail = entries_from_json(source.at("tail"));
     if (!tail) {
         return tl::unexpected(tail.error());
     }
@@ -92,7 +92,7 @@
                                      {"chunk_keys", head.snapshot.chunk_keys},
                                      {"archive_key", head.snapshot.archive_key},
                                      {"last_hash", head.snapshot.last_hash}};
-    return nlohmann::json{{"snapshot", snapshot}, {"tail", list_to_json(head.tail)}}.dump();
+    return nlohmann::json{{"snapshot", snapshot}, {"tail", entries_to_json(head.tail)}}.dump();
 }
 
 result<history_head> decode_head(std::string_view text) {
@@ -105,7 +105,7 @@
 
 std::string encode_archive(const history_archive& archive) {
     return nlohmann::json{{"previous_key", archive.previous_key},
-                          {"entries", list_to_json(archive.entries)}}
+                          {"entries", entries_to_json(archive.entries)}}
         .dump();
 }
 
@@ -114,7 +114,7 @@
         const nlohmann::json source = nlohmann::json::parse(text);
         history_archive archive;
         archive.previous_key = source.at("previous_key").get<std::string>();
-        auto entries = list_from_json(source.at("entries"));
+        auto entries = entries_from_json(source.at("entries"));
         if (!entries) {
             return tl::unexpected(entries.error());
         }
--- a/libs/config/src/route_table.cpp
+++ b/libs/config/src/route_table.cpp
@@ -11,8 +11,8 @@
     return key;
 }
 
-/// Removes the last segment: "/a/b" becomes "/a", "/a" becomes "/", "/" becomes empty.
-std::string_view parent(std::string_view path) {
+/// Removes the last path segment: "/a/b" becomes "/a", "/a" becomes "/", "/" becomes empty.
+std::string_view parent_path(std::string_view path) {
     if (path.size() <= 1) {
         return {};
     }
@@ -44,7 +44,7 @@
 }
 
 route_ptr route_table::find_for_host(std::string_view host, std::string_view path) const {
-    for (std::string_view prefix = path; !prefix.empty(); prefix = parent(prefix)) {
+    for (std::string_view prefix = path; !prefix.empty(); prefix = parent_path(prefix)) {
         const auto found = this->by_host_and_prefix.find(table_key(host, prefix));
         if (found != this->by_host_and_prefix.end()) {
             return found->second;
--- a/libs/config/src/traffic_policy.cpp
+++ b/libs/config/src/traffic_policy.cpp
@@ -19,7 +19,7 @@
 } // namespace
 
 traffic_policy::traffic_policy(parts&& content)
-    : version(content.number), request_bounds(content.limits), routes(content.routes.size()) {
+    : version(content.number), request_bounds(content.limits), total_routes(content.routes.size()) {
     for (traffic_route& route : content.routes) {
         assert(!route.split.empty());
         const auto shared = std::make_shared<const traffic_route>(std::move(route));
@@ -39,14 +39,14 @@
 }
 
 traffic_route_ptr traffic_policy::find_route(std::string_view host, std::string_view path) const {
-    const auto of_host = this->by_host.find(to_lower(host));
-    if (of_host == this->by_host.end()) {
+    const auto host_routes = this->by_host.find(to_lower(host));
+    if (host_routes == this->by_host.end()) {
         return nullptr;
     }
-    // Every prefix ends with a slash, so only the path's slashes can end one.
+    // Every prefix ends with a slash, so only the slashes in the path can end a matching prefix.
     for (std::size_t slash = path.rfind('/'); slash != std::string_view::npos;) {
-        const auto found = of_host->second.find(std::string(path.substr(0, slash + 1)));
-        if (found != of_host->second.end()) {
+        const auto found = host_routes->second.find(std::string(path.substr(0, slash + 1)));
+        if (found != host_routes->second.end()) {
             return found->second;
         }
         if (slash == 0) {
--- a/libs/config/tests/config_test.cpp
+++ b/libs/config/tests/config_test.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-json base_patch() {
+json initial_patch() {
     return json::parse(R"({
         "accounts": {"shop": {"rate_per_s": 10, "burst": 5}},
         "services": {"layouts": {"targets": {"t1": {"address": "127.1.0.1:9000",
@@ -20,27 +20,27 @@
                    "die-cut": {"path_prefix": "/layouts/die-cut", "service": "layouts"}}})");
 }
 
-configuration loaded() {
+configuration make_configuration() {
     configuration config;
-    BOOST_REQUIRE(config.apply(config_number{1}, base_patch()).has_value());
+    BOOST_REQUIRE(config.apply(config_number{1}, initial_patch()).has_value());
     return config;
 }
 
 std::string problem_with(const char* patch) {
-    const auto checked = loaded().check(json::parse(patch));
+    const auto checked = make_configuration().check(json::parse(patch));
     return checked ? "" : checked.error().detail;
 }
 
 } // namespace
 
 BOOST_AUTO_TEST_CASE(longest_prefix_of_whole_segments_wins) {
-    const configuration config = loaded();
+    const configuration config = make_configuration();
     BOOST_TEST(config.find_route("h", "/layouts/die-cut/7")->id.value == "die-cut");
     BOOST_TEST(config.find_route("h", "/layouts/die")->id.value == "layouts");
     BOOST_TEST((config.find_route("h", "/layoutsx") == nullptr));
 }
 
-BOOST_AUTO_TEST_CASE(bad_values_are_reported_with_their_path) {
+BOOST_AUTO_TEST_CASE(invalid_values_are_reported_with_their_path) {
     BOOST_TEST(problem_with(R"({"accounts": {"shop": {"burst": 1}}})") ==
                "/accounts/shop/burst: must be from 2 to 1e+07 requests");
     BOOST_TEST(
@@ -52,8 +52,8 @@
     BOOST_TEST(problem_with(R"({"extra": {}})") == "/extra: is not a known field");
 }
 
-BOOST_AUTO_TEST_CASE(a_refused_patch_changes_nothing) {
-    configuration config = loaded();
+BOOST_AUTO_TEST_CASE(a_rejected_patch_changes_nothing) {
+    configuration config = make_configuration();
     const json before = config.document();
     const json patch = json::parse(R"({"accounts": {"shop": {"rate_per_s": 99},
                                                     "bad": {"rate_per_s": -1, "burst": 2}}})");
@@ -63,8 +63,8 @@
     BOOST_TEST(config.find_account(account_id{"shop"})->rate_per_s == 10);
 }
 
-BOOST_AUTO_TEST_CASE(a_withdrawn_key_is_unknown) {
-    configuration config = loaded();
+BOOST_AUTO_TEST_CASE(a_key_authenticates_until_it_is_withdrawn) {
+    configuration config = make_configuration();
     const new_api_key key = make_api_key();
     const json stored = {{"salt", key.stored.salt}, {"sha256", key.stored.sha256}};
     const json add = {{"accounts", {{"shop", {{"keys", {{key.key_id, stored}}}}}}}};
@@ -79,7 +79,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(json_patch_and_merge_patch_have_the_same_effect) {
-    const configuration config = loaded();
+    const configuration config = make_configuration();
     const json operations =
         json::parse(R"([{"op": "replace", "path": "/accounts/shop/burst", "value": 7}])");
     const auto merge = to_merge_patch(config.document(), operations);
@@ -87,8 +87,8 @@
     BOOST_TEST((*merge == json::parse(R"({"accounts": {"shop": {"burst": 7}}})")));
 }
 
-BOOST_AUTO_TEST_CASE(a_changed_history_entry_breaks_the_chain) {
-    history_entry first{config_number{1}, config_number{0}, "op", "t", "p1", "", base_patch()};
+BOOST_AUTO_TEST_CASE(decoding_rejects_a_modified_history_entry) {
+    history_entry first{config_number{1}, config_number{0}, "op", "t", "p1", "", initial_patch()};
     history_entry second{config_number{2}, config_number{1}, "op", "t", "p2", hash_of(first), {}};
     history_head head{{}, {first, second}};
     BOOST_REQUIRE(decode_head(encode_head(head)).has_value());
