Rename operator_target to operator_endpoint and reword operator_client

operator_target is no target: it is the address and token of an instance's operator API. operator_target -> operator_endpoint, operator_answer -> operator_response.

--- a/libs/operator_client/include/operator_client/operator_client.h
+++ b/libs/operator_client/include/operator_client/operator_client.h
@@ -8,26 +8,30 @@
 #include "base/error.h"
 
 /// \file
-/// Blocking calls to an instance, for the operators' tool.
+/// Blocking client of an instance's operator API, for command-line tools and tests.
 
 namespace knapweedknot {
 
-/// An answer of an instance.
-struct operator_answer {
+/// An HTTP response of an instance.
+struct operator_response {
     int status{0};
+    /// Discarded value when the response body is not JSON.
     nlohmann::json body;
 };
 
-/// Where and as whom to call.
-struct operator_target {
+/// Address of an operator API and the credentials for it.
+struct operator_endpoint {
     endpoint address;
+    /// Bearer token.
     std::string token;
 };
 
-/// Sends a request and waits for the answer. \p content_type is empty when there is no body. The
-/// error is connect_failed when nothing was sent, and outcome_unknown when it may have been.
-[[nodiscard]] result<operator_answer> call(const operator_target& target, const std::string& method,
-                                           const std::string& uri, const std::string& content_type,
-                                           const std::string& body);
+/// Sends a request and waits up to 30 seconds for the response. \p content_type is empty when there
+/// is no body. The error is connect_failed when nothing was sent, and outcome_unknown when the
+/// request may have been sent. Blocks the calling thread.
+[[nodiscard]] result<operator_response> call(const operator_endpoint& server,
+                                             const std::string& method, const std::string& uri,
+                                             const std::string& content_type,
+                                             const std::string& body);
 
 } // namespace knapweedknot
--- a/libs/operator_client/src/operator_client.cpp
+++ b/libs/operator_client/src/operator_client.cpp
@@ -8,44 +8,44 @@
 namespace {
 
 constexpr duration call_timeout = seconds(30);
-constexpr std::size_t max_document_bytes = std::size_t{256} * 1024 * 1024;
+constexpr std::size_t max_response_bytes = std::size_t{256} * 1024 * 1024;
 
-result<operator_answer> to_answer(http_outcome& outcome) {
+result<operator_response> to_response(http_outcome& outcome) {
     if (!outcome) {
         const bool sent = outcome.error().progress == send_progress::may_be_sent;
         return fail(sent ? error_kind::outcome_unknown : error_kind::connect_failed,
                     outcome.error().problem.detail);
     }
-    operator_answer answer;
-    answer.status = outcome->status;
-    answer.body = nlohmann::json::parse(body_text(outcome->body.get()), nullptr, false);
-    return answer;
+    operator_response response;
+    response.status = outcome->status;
+    response.body = nlohmann::json::parse(body_text(outcome->body.get()), nullptr, false);
+    return response;
 }
 
 } // namespace
 
-result<operator_answer> call(const operator_target& target, const std::string& method,
-                             const std::string& uri, const std::string& content_type,
-                             const std::string& body) {
+result<operator_response> call(const operator_endpoint& server, const std::string& method,
+                               const std::string& uri, const std::string& content_type,
+                               const std::string& body) {
     loop events;
     http_request request;
     request.method = method;
     request.uri = uri;
-    request.headers.push_back({"Host", to_string(target.address)});
-    request.headers.push_back({"Authorization", "Bearer " + target.token});
+    request.headers.push_back({"Host", to_string(server.address)});
+    request.headers.push_back({"Authorization", "Bearer " + server.token});
     if (!content_type.empty()) {
         request.headers.push_back({"Content-Type", content_type});
     }
     request.body = make_body(body);
     http_client_limits limits;
-    limits.max_body_bytes = max_document_bytes;
-    result<operator_answer> answer = fail(error_kind::internal);
-    send_once(events, target.address, request, call_timeout, limits, [&](http_outcome outcome) {
-        answer = to_answer(outcome);
+    limits.max_body_bytes = max_response_bytes;
+    result<operator_response> response = fail(error_kind::internal);
+    send_once(events, server.address, request, call_timeout, limits, [&](http_outcome outcome) {
+        response = to_response(outcome);
         events.stop();
     });
     events.run();
-    return answer;
+    return response;
 }
 
 } // namespace knapweedknot
--- a/programs/knapweedknotctl/commands.cpp
+++ b/programs/knapweedknotctl/commands.cpp
@@ -42,7 +42,7 @@
 }
 
 /// Turns an answer other than 200 into an error.
-result<nlohmann::json> expect_ok(const result<operator_answer>& answer) {
+result<nlohmann::json> expect_ok(const result<operator_response>& answer) {
     if (!answer) {
         return tl::unexpected(answer.error());
     }
@@ -346,7 +346,7 @@
 }
 
 int run_addresses(const command_input& input) {
-    operator_target caller = input.target;
+    operator_endpoint caller = input.target;
     caller.token = input.key;
     const auto body = expect_ok(call(caller, "GET", "/v1/addresses", "", ""));
     if (!body) {
--- a/programs/knapweedknotctl/commands.h
+++ b/programs/knapweedknotctl/commands.h
@@ -12,7 +12,7 @@
 
 /// What the command line says.
 struct command_input {
-    operator_target target;
+    operator_endpoint target;
     /// Words after the command's name.
     std::vector<std::string> arguments;
     /// Number that a patch was written against; empty for the present one.
--- a/tools/harness/fleet.cpp
+++ b/tools/harness/fleet.cpp
@@ -79,7 +79,7 @@
     return {"127." + std::to_string(this->options.network) + ".0.1", admin_port};
 }
 
-operator_target fleet::operators_target(int number) const {
+operator_endpoint fleet::operators_target(int number) const {
     return {{this->instance_ip(number), operators_port}, this->token};
 }
 
@@ -198,8 +198,8 @@
     throw std::runtime_error("the fleet did not settle; logs in " + this->folder);
 }
 
-result<operator_answer> fleet::operate(int number, const std::string& method,
-                                       const std::string& uri, const nlohmann::json& body) const {
+result<operator_response> fleet::operate(int number, const std::string& method,
+                                         const std::string& uri, const nlohmann::json& body) const {
     return call(this->operators_target(number), method, uri,
                 body.is_null() ? "" : "application/merge-patch+json",
                 body.is_null() ? "" : body.dump());
--- a/tools/harness/fleet.h
+++ b/tools/harness/fleet.h
@@ -54,9 +54,9 @@
     [[nodiscard]] std::vector<int> running();
 
     /// Calls the operators' interface of an instance.
-    [[nodiscard]] result<operator_answer> operate(int number, const std::string& method,
-                                                  const std::string& uri,
-                                                  const nlohmann::json& body = nullptr) const;
+    [[nodiscard]] result<operator_response> operate(int number, const std::string& method,
+                                                    const std::string& uri,
+                                                    const nlohmann::json& body = nullptr) const;
     /// Submits a merge patch against the present number. Throws when it is refused.
     std::uint64_t patch(const nlohmann::json& merge_patch, int number = 0);
     /// Adds a key to \p account and returns it as callers present it.
@@ -85,7 +85,7 @@
     [[nodiscard]] std::string write_settings(int number) const;
     [[nodiscard]] endpoint platform_address() const;
     [[nodiscard]] endpoint admin_address() const;
-    [[nodiscard]] operator_target operators_target(int number) const;
+    [[nodiscard]] operator_endpoint operators_target(int number) const;
 
     fleet_options options;
     std::string folder;
