Name the mesh's operations and timeouts in networking terms

Calls such as learn and drop, and limits such as hello_limit, did not say what they do to an address or a link. mesh::learn -> add_address, mesh::drop -> disconnect; inside the library hello_limit -> handshake_timeout, silence -> idle_time, prefers_new -> should_replace and the like, with comments and one error text reworded.

--- a/libs/fleet/src/instance_registry.cpp
+++ b/libs/fleet/src/instance_registry.cpp
@@ -52,7 +52,7 @@
             }
             for (const store_item& item : page->items) {
                 if (const auto address = parse_endpoint(item.value.data); address) {
-                    this->network.learn(*address, false);
+                    this->network.add_address(*address, false);
                 }
             }
             if (page->has_more && !page->items.empty()) {
--- a/libs/fleet/src/report_exchange.cpp
+++ b/libs/fleet/src/report_exchange.cpp
@@ -259,7 +259,7 @@
         }
     }
     for (const incarnation_id peer : timed_out) {
-        this->network.drop(peer);
+        this->network.disconnect(peer);
     }
     const bool same_domain_due =
         now - this->last_same_domain_send >= this->options.same_domain_interval;
--- a/libs/fleet/tests/reports_test.cpp
+++ b/libs/fleet/tests/reports_test.cpp
@@ -95,7 +95,7 @@
     second.own.accounts[account_hash] = {17, -4};
     first.start();
     second.start();
-    first.network.learn({"127.0.0.1", 18982}, false);
+    first.network.add_address({"127.0.0.1", 18982}, false);
     const auto total = [&] {
         return first.reports.sum_target_status(target_hash, boot_clock::now());
     };
@@ -119,7 +119,7 @@
     reporter second(events, describe("b", 2, 18986), options);
     first.start();
     second.start();
-    first.network.learn({"127.0.0.1", 18986}, false);
+    first.network.add_address({"127.0.0.1", 18986}, false);
     const auto received = [&]() -> const instance_report* {
         const auto& peers = first.reports.peers();
         return peers.empty() || !peers.begin()->second.report ? nullptr
@@ -148,7 +148,7 @@
     second.own.serving = true;
     first.start();
     second.start();
-    first.network.learn({"127.0.0.1", 18990}, false);
+    first.network.add_address({"127.0.0.1", 18990}, false);
     const auto count = [&] { return first.reports.count_serving(boot_clock::now()); };
     BOOST_REQUIRE(run_until(events, [&] { return count().on_time == 1; }));
     BOOST_REQUIRE(run_until(events, [&] { return count().overdue == 1; }));
@@ -171,11 +171,11 @@
     };
     first.start();
     second.start();
-    first.network.learn({"127.0.0.1", 18994}, false);
+    first.network.add_address({"127.0.0.1", 18994}, false);
     BOOST_REQUIRE(run_until(events, [&] { return previous_counts.size() > 2; }));
     BOOST_TEST(previous_counts.front() == 0U);
     second.own.accounts[account_hash] = {130, 0};
-    first.network.drop(incarnation_id{2});
+    first.network.disconnect(incarnation_id{2});
     BOOST_REQUIRE(run_until(events, [&] { return first.reports.peers().empty(); }));
     previous_counts.clear();
     BOOST_REQUIRE(run_until(events, [&] { return !previous_counts.empty(); }));
@@ -207,7 +207,7 @@
             added.own.accounts[account] = {1, 10};
         }
         added.start();
-        added.network.learn({"127.0.0.1", first_port}, false);
+        added.network.add_address({"127.0.0.1", first_port}, false);
     }
     const auto all_on_time = [&] {
         return std::all_of(fleet.begin(), fleet.end(), [](const reporter& item) {
--- a/libs/peers/include/peers/mesh.h
+++ b/libs/peers/include/peers/mesh.h
@@ -18,12 +18,13 @@
 struct sockaddr;
 
 /// \file
-/// Links to all other instances that can be reached, with one link to each.
+/// Full mesh of TCP connections between the instances, and UDP heartbeats over it.
 
 namespace knapweedknot {
 
-/// Events of the mesh.
+/// Callbacks of a mesh.
 struct mesh_handlers {
+    /// A message from a connected peer, other than hello and members.
     std::function<void(const peer_info&, const wire::messageT&)> on_message;
     /// A heartbeat from a connected peer.
     std::function<void(const peer_info&, const wire::heartbeat_fields&)> on_heartbeat;
@@ -31,14 +32,18 @@
     std::function<void(const peer_info&)> on_disconnected;
 };
 
-/// Bytes on all links since the start, and those that wait for room on a connection.
+/// Bytes on all links and in heartbeats.
 struct mesh_traffic {
+    /// Bytes queued for sending since the start, including heartbeats.
     std::uint64_t sent{0};
+    /// Bytes received on links since the start.
     std::uint64_t received{0};
+    /// Bytes in the send buffers of the links.
     std::size_t queued{0};
 };
 
-/// Keeps the links and finds instances through each other. Not thread safe.
+/// Maintains one link to each reachable instance. Connected instances exchange the addresses of
+/// their peers, so one seed is enough to find all. Not thread safe.
 class mesh {
 public:
     mesh(loop& owner, peer_info self, mesh_handlers handlers);
@@ -46,17 +51,20 @@
     mesh(const mesh&) = delete;
     mesh& operator=(const mesh&) = delete;
 
-    /// Listens for other instances. The error says why not.
+    /// Opens the TCP listener and the UDP socket on the own peers_listen address. The error names
+    /// the address that could not be bound.
     [[nodiscard]] result<void> listen();
-    /// Keeps trying to connect to \p address. A seed is never given up.
-    void learn(const endpoint& address, bool is_seed);
+    /// Adds \p address to those that are dialled until connected. Other addresses than seeds are
+    /// removed after a minute without a connection.
+    void add_address(const endpoint& address, bool is_seed);
 
-    /// Sends an object of the generated API to a connected peer. False when it is not connected.
+    /// Sends a message body of the generated API to a connected peer. False when it is not
+    /// connected.
     template <typename Body>
     bool send(incarnation_id to, Body body) {
         return this->send_frame(to, encode_frame(std::move(body)));
     }
-    /// Sends a frame that encode_frame made. False when the peer is not connected.
+    /// Sends a frame made by encode_frame. False when the peer is not connected.
     bool send_frame(incarnation_id to, const std::string& frame);
     /// Sends to every connected peer.
     template <typename Body>
@@ -67,22 +75,23 @@
         }
     }
 
-    /// Ends the link to a peer that has gone silent; a new one is tried.
-    void drop(incarnation_id peer);
+    /// Closes the link to \p peer, if any. Its address is dialled again.
+    void disconnect(incarnation_id peer);
 
-    /// Sends a datagram to a connected peer; it may be lost.
+    /// Sends a heartbeat datagram to a connected peer, without guarantee of delivery.
     void send_heartbeat(incarnation_id to, const wire::heartbeat_fields& fields);
 
     [[nodiscard]] const peer_info& self() const noexcept { return this->own; }
-    /// Connected peers by incarnation. A copy, so that handlers may change the mesh.
+    /// Connected peers by incarnation. Returns a copy, so the caller may send or disconnect while
+    /// iterating.
     [[nodiscard]] std::map<incarnation_id, peer_info> peers() const;
     [[nodiscard]] mesh_traffic traffic() const;
-    [[nodiscard]] std::uint64_t datagrams_sent() const noexcept { return this->datagrams; }
+    [[nodiscard]] std::uint64_t datagrams_sent() const noexcept { return this->datagram_count; }
 
 private:
     struct known_address {
         bool is_seed{false};
-        time_point last_useful;
+        time_point last_connected;
         time_point next_dial;
     };
 
@@ -94,17 +103,17 @@
     void handle(peer_link& link, const wire::messageT& message);
     void handle_hello(peer_link& link, const wire::helloT& hello);
     void handle_members(const wire::membersT& members);
-    void announce_member(const peer_info& joined);
+    void send_members(const peer_info& joined);
     void close(peer_link& link);
-    [[nodiscard]] result<void> open_datagrams();
+    [[nodiscard]] result<void> open_datagram_socket();
     void read_datagrams();
-    [[nodiscard]] bool prefers_new(const peer_link& present, const peer_link& added) const;
-    static void accepted(evconnlistener* listener, int socket, sockaddr* address, int size,
-                         void* argument);
+    [[nodiscard]] bool should_replace(const peer_link& present, const peer_link& added) const;
+    static void handle_accept(evconnlistener* listener, int socket, sockaddr* address, int size,
+                              void* argument);
 
     loop& owner;
     peer_info own;
-    mesh_handlers calls;
+    mesh_handlers callbacks;
     std::unique_ptr<evconnlistener, void (*)(evconnlistener*)> listener;
     std::list<std::unique_ptr<peer_link>> links;
     std::unordered_map<incarnation_id, peer_link*> links_by_peer;
@@ -112,7 +121,7 @@
     mesh_traffic traffic_of_closed_links;
     int datagram_socket{-1};
     std::unique_ptr<event, detail::event_deleter> datagram_event;
-    std::uint64_t datagrams{0};
+    std::uint64_t datagram_count{0};
     std::uint64_t datagram_bytes{0};
     timer maintenance;
 };
--- a/libs/peers/include/peers/peer_info.h
+++ b/libs/peers/include/peers/peer_info.h
@@ -4,7 +4,7 @@
 #include "base/ids.h"
 
 /// \file
-/// What instances tell each other of themselves when they connect.
+/// Identity that instances exchange when they connect.
 
 namespace knapweedknot {
 
@@ -13,13 +13,13 @@
     instance_id instance;
     incarnation_id incarnation;
     failure_domain_id failure_domain;
-    /// Where other instances connect.
+    /// Address that other instances connect to.
     endpoint peers_address;
-    /// Where this instance listens for others; not told to them.
+    /// Address on which this instance listens for other instances; not sent to them.
     endpoint peers_listen;
-    /// Where callers connect.
+    /// Address that callers connect to.
     endpoint callers_address;
-    /// Requests per second that its machine serves with ease.
+    /// Requests per second that the instance's machine can sustain.
     double capacity{0};
 };
 
--- a/libs/peers/src/mesh.cpp
+++ b/libs/peers/src/mesh.cpp
@@ -18,8 +18,8 @@
 
 constexpr duration maintenance_interval = milliseconds(250);
 constexpr duration redial_interval = milliseconds(500);
-constexpr duration hello_limit = milliseconds(1500);
-// An address that nobody answered at for this long is forgotten unless it is a seed.
+constexpr duration handshake_timeout = milliseconds(1500);
+// Time without a connection after which an address that is not a seed is removed.
 constexpr duration address_lifetime = seconds(60);
 constexpr int listen_backlog = 128;
 
@@ -32,7 +32,7 @@
 } // namespace
 
 mesh::mesh(loop& event_loop, peer_info self, mesh_handlers handlers)
-    : owner(event_loop), own(std::move(self)), calls(std::move(handlers)),
+    : owner(event_loop), own(std::move(self)), callbacks(std::move(handlers)),
       listener(nullptr, &evconnlistener_free),
       maintenance(event_loop.every(maintenance_interval, [this] { this->maintain(); })) {}
 
@@ -46,21 +46,21 @@
 result<void> mesh::listen() {
     const sockaddr_in address = to_socket_address(this->own.peers_listen);
     this->listener.reset(evconnlistener_new_bind(
-        this->owner.handle(), &mesh::accepted, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
+        this->owner.handle(), &mesh::handle_accept, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
         listen_backlog, reinterpret_cast<const sockaddr*>(&address), sizeof address));
     if (this->listener == nullptr) {
         return fail(error_kind::internal, "cannot listen on " + to_string(this->own.peers_listen));
     }
-    return this->open_datagrams();
+    return this->open_datagram_socket();
 }
 
-result<void> mesh::open_datagrams() {
+result<void> mesh::open_datagram_socket() {
     this->datagram_socket = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     const sockaddr_in address = to_socket_address(this->own.peers_listen);
     if (bind(this->datagram_socket, reinterpret_cast<const sockaddr*>(&address), sizeof address) !=
         0) {
         return fail(error_kind::internal,
-                    "cannot receive datagrams on " + to_string(this->own.peers_listen));
+                    "cannot bind the UDP socket to " + to_string(this->own.peers_listen));
     }
     this->datagram_event.reset(event_new(
         this->owner.handle(), this->datagram_socket, EV_READ | EV_PERSIST,
@@ -85,7 +85,7 @@
                                  : this->links_by_peer.end();
         if (link != this->links_by_peer.end()) {
             const peer_info from = *link->second->peer;
-            this->calls.on_heartbeat(from, *fields);
+            this->callbacks.on_heartbeat(from, *fields);
         }
     }
 }
@@ -97,21 +97,21 @@
     }
     const std::string bytes = encode_heartbeat(fields);
     const sockaddr_in address = to_socket_address(link->second->peer->peers_address);
-    // A datagram that cannot be sent is a lost one.
+    // A failed send is equivalent to a lost datagram.
     static_cast<void>(sendto(this->datagram_socket, bytes.data(), bytes.size(), 0,
                              reinterpret_cast<const sockaddr*>(&address), sizeof address));
-    ++this->datagrams;
+    ++this->datagram_count;
     this->datagram_bytes += bytes.size();
 }
 
-void mesh::learn(const endpoint& address, bool is_seed) {
+void mesh::add_address(const endpoint& address, bool is_seed) {
     if (address == this->own.peers_address || address.port == 0) {
         return;
     }
     const auto [place, is_new] = this->addresses.try_emplace(address);
     place->second.is_seed = place->second.is_seed || is_seed;
     if (is_new) {
-        place->second.last_useful = boot_clock::now();
+        place->second.last_connected = boot_clock::now();
     }
 }
 
@@ -134,7 +134,7 @@
     return total;
 }
 
-void mesh::drop(incarnation_id peer) {
+void mesh::disconnect(incarnation_id peer) {
     if (const auto found = this->links_by_peer.find(peer); found != this->links_by_peer.end()) {
         this->close(*found->second);
     }
@@ -151,23 +151,23 @@
 
 void mesh::maintain() {
     const time_point now = boot_clock::now();
-    std::vector<peer_link*> dead;
+    std::vector<peer_link*> timed_out;
     for (const auto& link : this->links) {
-        // A link that was set up and then fails is ended by the system's keep-alive.
-        if (!link->peer && link->silence(now) > hello_limit) {
-            dead.push_back(link.get());
+        // Only the handshake has a timeout here. TCP keep-alive closes established links that fail.
+        if (!link->peer && link->idle_time(now) > handshake_timeout) {
+            timed_out.push_back(link.get());
         }
     }
-    for (peer_link* link : dead) {
+    for (peer_link* link : timed_out) {
         this->close(*link);
     }
     std::erase_if(this->addresses, [&](const auto& item) {
         return !item.second.is_seed && !this->has_link_to(item.first) &&
-               now - item.second.last_useful > address_lifetime;
+               now - item.second.last_connected > address_lifetime;
     });
     for (auto& [address, known] : this->addresses) {
         if (this->has_link_to(address)) {
-            known.last_useful = now;
+            known.last_connected = now;
         } else if (known.next_dial <= now) {
             known.next_dial = now + redial_interval;
             this->dial(address);
@@ -177,7 +177,8 @@
 
 bool mesh::has_link_to(const endpoint& address) const {
     return std::any_of(this->links.begin(), this->links.end(), [&](const auto& link) {
-        return (link->peer && link->peer->peers_address == address) || (link->dialled() == address);
+        return (link->peer && link->peer->peers_address == address) ||
+               (link->dialled_address() == address);
     });
 }
 
@@ -192,8 +193,8 @@
     this->send_hello(*this->links.back());
 }
 
-void mesh::accepted(evconnlistener* /*unused*/, int socket, sockaddr* /*unused*/, int /*unused*/,
-                    void* argument) {
+void mesh::handle_accept(evconnlistener* /*unused*/, int socket, sockaddr* /*unused*/,
+                         int /*unused*/, void* argument) {
     auto* self = static_cast<mesh*>(argument);
     self->links.push_back(std::make_unique<peer_link>(self->owner, socket, self->link_handlers()));
     self->send_hello(*self->links.back());
@@ -218,9 +219,9 @@
     } else if (const auto* members = message.body.Asmembers(); members != nullptr) {
         this->handle_members(*members);
     } else {
-        // The receiver may close the link, so the peer's identity is copied.
+        // Copied because the callback may close the link.
         const peer_info from = *link.peer;
-        this->calls.on_message(from, message);
+        this->callbacks.on_message(from, message);
     }
 }
 
@@ -239,7 +240,7 @@
     if (const auto present = this->links_by_peer.find(peer.incarnation);
         present != this->links_by_peer.end()) {
         link.peer = peer;
-        if (!this->prefers_new(*present->second, link)) {
+        if (!this->should_replace(*present->second, link)) {
             this->close(link);
             return;
         }
@@ -250,34 +251,35 @@
     }
     link.peer = peer;
     this->links_by_peer[peer.incarnation] = &link;
-    this->learn(peer.peers_address, false);
-    this->announce_member(peer);
-    this->calls.on_connected(peer);
+    this->add_address(peer.peers_address, false);
+    this->send_members(peer);
+    this->callbacks.on_connected(peer);
 }
 
-/// Both ends choose the same of two links: the one that the lesser incarnation dialled.
-bool mesh::prefers_new(const peer_link& present, const peer_link& added) const {
-    if (present.silence(boot_clock::now()) > hello_limit) {
+/// Decides between two links to the same peer. Both ends must keep the same one: the link dialled
+/// by the instance with the lower incarnation, unless the present link is idle.
+bool mesh::should_replace(const peer_link& present, const peer_link& added) const {
+    if (present.idle_time(boot_clock::now()) > handshake_timeout) {
         return true;
     }
     const bool own_is_less = this->own.incarnation < present.peer->incarnation;
-    return added.dialled().has_value() == own_is_less &&
-           present.dialled().has_value() != own_is_less;
+    return added.dialled_address().has_value() == own_is_less &&
+           present.dialled_address().has_value() != own_is_less;
 }
 
-void mesh::announce_member(const peer_info& joined) {
-    wire::membersT all;
+void mesh::send_members(const peer_info& joined) {
+    wire::membersT others;
     for (const auto& [incarnation, peer] : this->peers()) {
         if (incarnation != joined.incarnation) {
-            all.peers_addresses.push_back(to_string(peer.peers_address));
+            others.peers_addresses.push_back(to_string(peer.peers_address));
         }
     }
-    this->send(joined.incarnation, std::move(all));
+    this->send(joined.incarnation, std::move(others));
 }
 
 void mesh::handle_members(const wire::membersT& members) {
     for (const std::string& text : members.peers_addresses) {
-        this->learn(parse_or_empty(text), false);
+        this->add_address(parse_or_empty(text), false);
     }
 }
 
@@ -289,7 +291,7 @@
     }
     this->traffic_of_closed_links.sent += link.bytes_sent();
     this->traffic_of_closed_links.received += link.bytes_received();
-    // The link may be in one of its own callbacks, so it is destroyed in the next round.
+    // The link may be running one of its callbacks, so the loop destroys it afterwards.
     std::shared_ptr<peer_link> closed = std::move(*place);
     this->links.erase(place);
     this->owner.post([closed] {});
@@ -300,7 +302,7 @@
     const auto active = this->links_by_peer.find(peer.incarnation);
     if (active != this->links_by_peer.end() && active->second == closed.get()) {
         this->links_by_peer.erase(active);
-        this->calls.on_disconnected(peer);
+        this->callbacks.on_disconnected(peer);
     }
 }
 
--- a/libs/peers/tests/mesh_test.cpp
+++ b/libs/peers/tests/mesh_test.cpp
@@ -49,13 +49,15 @@
 
 } // namespace
 
-BOOST_AUTO_TEST_CASE(instances_find_each_other_through_one_seed_and_see_a_member_leave) {
+// Guards against an incomplete mesh when all instances know only one seed, against messages or
+// heartbeats that reach the wrong peer, and against a missed disconnect.
+BOOST_AUTO_TEST_CASE(instances_connect_to_each_other_through_one_seed_and_detect_a_disconnect) {
     constexpr int count = 5;
     loop events;
     std::vector<node> nodes(count);
     for (int i = 0; i < count; ++i) {
         start(events, nodes[static_cast<std::size_t>(i)], i);
-        nodes[static_cast<std::size_t>(i)].network->learn(address_of(0), true);
+        nodes[static_cast<std::size_t>(i)].network->add_address(address_of(0), true);
     }
     const auto all_have = [&](std::size_t peers) {
         return std::all_of(nodes.begin(), nodes.end(), [peers](const node& one) {
--- a/programs/knapweedknotd/instance.cpp
+++ b/programs/knapweedknotd/instance.cpp
@@ -58,7 +58,7 @@
     this->loans.own_config_number = [this] { return this->config.number(); };
     this->loans.own_confirmation = [this] { return this->votes.confirms(); };
     this->seats.on_peer_address = [this](const endpoint& address) {
-        this->network.learn(address, false);
+        this->network.add_address(address, false);
     };
     this->seats.must_keep_seats = [this] { return this->votes.has_pending_announcements(); };
     this->follower.on_adopted = [this] { this->front.update_services(); };
@@ -97,7 +97,7 @@
 
 result<void> instance::start() {
     for (const endpoint& seed : this->settings.peer_seeds) {
-        this->network.learn(seed, true);
+        this->network.add_address(seed, true);
     }
     return this->network.listen()
         .and_then([this] { return this->front.listen(); })
