--- a/libs/control/include/control/patch_committer.h
+++ b/libs/control/include/control/patch_committer.h
@@ -68,7 +68,7 @@
     void write_chunk(history_head compacted, std::size_t offset, const std::string& document);
     void write_archive(history_head compacted, const history_archive& archive);
     void write_head();
-    void handle_swap(const result<swap_outcome>& outcome);
+    void handle_swap(const result<write_result>& outcome);
     void resolve_outcome();
     void accept(config_number number);
     [[nodiscard]] bool needs_compaction() const;
--- a/libs/control/include/control/seat_manager.h
+++ b/libs/control/include/control/seat_manager.h
@@ -60,7 +60,7 @@
     void receive(const store_value& value);
     void reconcile();
     void write_record(const seat_record& planned);
-    void handle_write(const seat_record& planned, const result<swap_outcome>& outcome);
+    void handle_write(const seat_record& planned, const result<write_result>& outcome);
     void read_record();
     void renew_lease();
     void handle_lease(const result<store_lease>& granted, time_point requested_at);
--- a/libs/control/src/patch_committer.cpp
+++ b/libs/control/src/patch_committer.cpp
@@ -150,15 +150,15 @@
     const std::string text = encode_archive(archive);
     compacted.snapshot.archive_key = "knapweedknot/archive/" + sha256_hex(text);
     const std::string key = compacted.snapshot.archive_key;
-    this->store.swap(key, text, 0, std::nullopt,
-                     [this, compacted](const result<swap_outcome>& outcome) {
-                         if (!outcome) {
-                             this->handle_compaction_error(outcome.error());
-                             return;
-                         }
-                         // Keys are content hashes: on a conflict the same content is stored.
-                         this->write_chunk(compacted, 0, this->config.document().dump());
-                     });
+    this->store.compare_and_swap(
+        key, text, 0, std::nullopt, [this, compacted](const result<write_result>& outcome) {
+            if (!outcome) {
+                this->handle_compaction_error(outcome.error());
+                return;
+            }
+            // Keys are content hashes: on a conflict the same content is stored.
+            this->write_chunk(compacted, 0, this->config.document().dump());
+        });
 }
 
 void patch_committer::write_chunk(history_head compacted, std::size_t offset,
@@ -173,14 +173,15 @@
     const std::string chunk = document.substr(offset, chunk_bytes);
     const std::string key = "knapweedknot/document/" + sha256_hex(chunk);
     compacted.snapshot.chunk_keys.push_back(key);
-    this->store.swap(key, chunk, 0, std::nullopt,
-                     [this, compacted, offset, document](const result<swap_outcome>& outcome) {
-                         if (!outcome) {
-                             this->handle_compaction_error(outcome.error());
-                             return;
-                         }
-                         this->write_chunk(compacted, offset + chunk_bytes, document);
-                     });
+    this->store.compare_and_swap(
+        key, chunk, 0, std::nullopt,
+        [this, compacted, offset, document](const result<write_result>& outcome) {
+            if (!outcome) {
+                this->handle_compaction_error(outcome.error());
+                return;
+            }
+            this->write_chunk(compacted, offset + chunk_bytes, document);
+        });
 }
 
 void patch_committer::handle_compaction_error(const error& problem) {
@@ -198,13 +199,13 @@
         return;
     }
     ++current.attempts;
-    this->store.swap(head_key, encode_head(current.written), this->follower.revision(),
-                     std::nullopt,
-                     [this](const result<swap_outcome>& outcome) { this->handle_swap(outcome); });
+    this->store.compare_and_swap(
+        head_key, encode_head(current.written), this->follower.revision(), std::nullopt,
+        [this](const result<write_result>& outcome) { this->handle_swap(outcome); });
 }
 
-void patch_committer::handle_swap(const result<swap_outcome>& outcome) {
-    if (outcome && outcome->swapped) {
+void patch_committer::handle_swap(const result<write_result>& outcome) {
+    if (outcome && outcome->applied) {
         const history_head written = this->queue.front().written;
         this->follower.adopt_written(written, outcome->revision);
         this->accept(written.number());
--- a/libs/control/src/seat_manager.cpp
+++ b/libs/control/src/seat_manager.cpp
@@ -193,15 +193,15 @@
 }
 
 void seat_manager::write_record(const seat_record& planned) {
-    this->store.swap(seats_key, encode_seats(planned), this->revision, std::nullopt,
-                     [this, planned](const result<swap_outcome>& outcome) {
-                         this->handle_write(planned, outcome);
-                     });
+    this->store.compare_and_swap(seats_key, encode_seats(planned), this->revision, std::nullopt,
+                                 [this, planned](const result<write_result>& outcome) {
+                                     this->handle_write(planned, outcome);
+                                 });
 }
 
-void seat_manager::handle_write(const seat_record& planned, const result<swap_outcome>& outcome) {
+void seat_manager::handle_write(const seat_record& planned, const result<write_result>& outcome) {
     this->is_writing = false;
-    if (outcome && outcome->swapped) {
+    if (outcome && outcome->applied) {
         this->receive({encode_seats(planned), outcome->revision});
         return;
     }
@@ -251,20 +251,20 @@
 }
 
 void seat_manager::write_holder_key() {
-    this->store.swap(holder_key(this->self.incarnation), this->self.instance.value, 0,
-                     this->held_lease, [this](const result<swap_outcome>& outcome) {
-                         if (!outcome) {
-                             this->lease_timer = this->owner.after(
-                                 retry_delay, [this] { this->write_holder_key(); });
-                             return;
-                         }
-                         // On a conflict an earlier attempt took effect.
-                         this->is_holder_key_written = true;
-                         this->lease_timer =
-                             this->owner.after(this->options.store_lease_ttl / renewals_per_lease,
-                                               [this] { this->renew_lease(); });
-                         this->read_record();
-                     });
+    this->store.compare_and_swap(holder_key(this->self.incarnation), this->self.instance.value, 0,
+                                 this->held_lease, [this](const result<write_result>& outcome) {
+                                     if (!outcome) {
+                                         this->lease_timer = this->owner.after(
+                                             retry_delay, [this] { this->write_holder_key(); });
+                                         return;
+                                     }
+                                     // On a conflict an earlier attempt took effect.
+                                     this->is_holder_key_written = true;
+                                     this->lease_timer = this->owner.after(
+                                         this->options.store_lease_ttl / renewals_per_lease,
+                                         [this] { this->renew_lease(); });
+                                     this->read_record();
+                                 });
 }
 
 } // namespace knapweedknot
--- a/libs/fleet/src/instance_registry.cpp
+++ b/libs/fleet/src/instance_registry.cpp
@@ -27,7 +27,7 @@
 void instance_registry::write_entry() {
     const peer_info& self = this->network.self();
     this->store.put(key_of(self.instance), to_string(self.peers_address),
-                    [this](const result<swap_outcome>& outcome) {
+                    [this](const result<write_result>& outcome) {
                         if (!outcome) {
                             log_event(log_level::warning, "registration_failed",
                                       {{"detail", outcome.error().detail}});
@@ -66,7 +66,7 @@
         return;
     }
     this->store.erase(key_of(this->network.self().instance), this->revision,
-                      [](const result<swap_outcome>& outcome) {
+                      [](const result<write_result>& outcome) {
                           if (!outcome) {
                               // The entry stays until the next process of this name overwrites
                               // it.
