Name the platform's decoders and address responses plainly

The header documents.h hid that it decodes documents in the store, and asking_domain, make_address_answer and directory_path needed their comments. documents -> store_documents, asking_domain -> requester_failure_domain, make_address_answer -> make_address_response, directory_path -> resolve_path; the platform's own texts stay.

--- a/libs/fleet/tests/follower_test.cpp
+++ b/libs/fleet/tests/follower_test.cpp
@@ -9,7 +9,7 @@
 #include "event/http_client.h"
 #include "fleet/policy_follower.h"
 #include "fleet/target_directory.h"
-#include "platform/documents.h"
+#include "platform/store_documents.h"
 #include "platform_service.h"
 
 using namespace knapweedknot;
--- a/libs/proxy/tests/target_pool_test.cpp
+++ b/libs/proxy/tests/target_pool_test.cpp
@@ -2,7 +2,7 @@
 
 #include "base/digest.h"
 #include "fleet/target_directory.h"
-#include "platform/documents.h"
+#include "platform/store_documents.h"
 #include "platform_service.h"
 #include "proxy/target_pool.h"
 
--- a/programs/knapweedknotd/edge_instance.cpp
+++ b/programs/knapweedknotd/edge_instance.cpp
@@ -6,8 +6,8 @@
 #include "base/log.h"
 #include "decide/instance_choice.h"
 #include "entry/responses.h"
-#include "platform/documents.h"
 #include "platform/edge_protocol.h"
+#include "platform/store_documents.h"
 
 namespace knapweedknot {
 
@@ -177,7 +177,7 @@
 }
 
 void edge_instance::handle_directory(const std::shared_ptr<incoming_request>& request) {
-    if (request->path() != platform::directory_path) {
+    if (request->path() != platform::resolve_path) {
         send_text_response(*request, 404, "no such call\n", plain_text);
         return;
     }
@@ -193,7 +193,7 @@
                               named ? peer.report->uptime : duration::zero(),
                               named ? peer.report->request_rate : 0, peer.info.capacity});
     }
-    const failure_domain_id from = platform::asking_domain(request->query());
+    const failure_domain_id from = platform::requester_failure_domain(request->query());
     std::vector<endpoint> named;
     for (const instance_candidate& chosen :
          choose_instances(std::move(candidates), from, instance_choice_policy{})) {
@@ -204,7 +204,7 @@
         return;
     }
     ++this->gateway.request_metrics().address_answers;
-    request->respond(platform::make_address_answer(
+    request->respond(platform::make_address_response(
         named, std::min(address_answer_lifetime, this->settings.bounds.address_lifetime)));
 }
 
