Reword the comments and test names of libs/wire

Comments described a frame and a heartbeat in riddles. They now say little-endian length, FlatBuffers message, UDP datagram, and which error is returned; test cases say truncated, corrupted, round trip.

--- a/libs/wire/include/wire/frame.h
+++ b/libs/wire/include/wire/frame.h
@@ -11,29 +11,31 @@
 #include "wire/peer_message_generated.h"
 
 /// \file
-/// Frames between instances: a length of four bytes, least significant first, then a FlatBuffers
-/// message; and heartbeats, which are datagrams. All functions are thread safe.
+/// Encoding of messages between instances. On TCP, a frame is a four-byte little-endian length and
+/// a FlatBuffers message. A heartbeat is a FlatBuffers table alone in a UDP datagram. All functions
+/// are thread safe.
 
 namespace knapweedknot {
 
-/// Bytes of the length before a message.
+/// Size of the length field before a message.
 inline constexpr std::size_t frame_header_bytes = 4;
-/// Longest message that is sent or accepted.
+/// Maximum size of a message that is sent or accepted, without the frame header.
 inline constexpr std::size_t max_message_bytes = std::size_t{16} * 1024 * 1024;
 
-/// A whole frame that holds a message with \p body, an object of the generated API.
+/// Encodes a message with \p body, an object of the generated API, as a frame.
 template <typename Body>
 [[nodiscard]] std::string encode_frame(Body body);
 
-/// Length of the message that follows a frame header; nothing when it is over the limit.
+/// Message length in bytes from a frame header; empty when it exceeds max_message_bytes.
 /// \pre header has frame_header_bytes bytes
 [[nodiscard]] std::optional<std::size_t> message_length(std::string_view header) noexcept;
 
-/// Checks and unpacks a message without its frame header.
+/// Verifies and unpacks a message without its frame header. Returns bad_request when malformed.
 [[nodiscard]] result<std::unique_ptr<wire::messageT>> decode_message(std::string_view bytes);
 
-/// A heartbeat as a datagram, and back; the error says that it is malformed.
+/// Encodes a heartbeat as a datagram.
 [[nodiscard]] std::string encode_heartbeat(const wire::heartbeat_fields& fields);
+/// Verifies and decodes a heartbeat datagram. Returns bad_request when malformed.
 [[nodiscard]] result<wire::heartbeat_fields> decode_heartbeat(std::string_view bytes);
 
 namespace detail {
--- a/libs/wire/src/frame.cpp
+++ b/libs/wire/src/frame.cpp
@@ -52,7 +52,7 @@
     const auto* data = reinterpret_cast<const std::uint8_t*>(bytes.data());
     flatbuffers::Verifier verifier(data, bytes.size());
     if (!wire::VerifymessageBuffer(verifier)) {
-        return fail(error_kind::bad_request, "malformed message between instances");
+        return fail(error_kind::bad_request, "malformed peer message");
     }
     return std::unique_ptr<wire::messageT>(wire::Getmessage(data)->UnPack());
 }
--- a/libs/wire/tests/wire_test.cpp
+++ b/libs/wire/tests/wire_test.cpp
@@ -17,7 +17,7 @@
 
 } // namespace
 
-BOOST_AUTO_TEST_CASE(a_frame_decodes_to_what_was_encoded) {
+BOOST_AUTO_TEST_CASE(a_frame_round_trips) {
     const std::string frame = sample_frame();
     const auto length = message_length(frame);
     BOOST_REQUIRE(length.has_value());
@@ -30,7 +30,9 @@
     BOOST_TEST(request->wanted == 3U);
 }
 
-BOOST_AUTO_TEST_CASE(a_cut_or_changed_message_is_refused_or_still_well_formed) {
+// Guards against out-of-bounds reads when a message is truncated or corrupted. A corrupted message
+// may still decode.
+BOOST_AUTO_TEST_CASE(a_truncated_message_is_rejected_and_a_corrupted_one_is_safe_to_decode) {
     const std::string bytes = sample_frame().substr(frame_header_bytes);
     for (std::size_t size = 0; size < bytes.size() / 2; ++size) {
         BOOST_TEST(!decode_message(bytes.substr(0, size)).has_value());
@@ -42,7 +44,7 @@
     }
 }
 
-BOOST_AUTO_TEST_CASE(a_heartbeat_survives_its_datagram_and_a_cut_one_is_refused) {
+BOOST_AUTO_TEST_CASE(a_heartbeat_round_trips_and_a_truncated_one_is_rejected) {
     wire::heartbeat_fields fields;
     fields.mutate_sender(7);
     fields.mutate_lent_seats(3);
@@ -55,6 +57,6 @@
     }
 }
 
-BOOST_AUTO_TEST_CASE(an_overlong_frame_is_refused_by_its_header) {
+BOOST_AUTO_TEST_CASE(a_frame_header_over_the_length_limit_is_rejected) {
     BOOST_TEST(!message_length(std::string(4, '\xFF')).has_value());
 }
