--- a/libs/peers/include/peers/mesh.h
+++ b/libs/peers/include/peers/mesh.h
@@ -18,7 +18,7 @@
 struct sockaddr;
 
 /// \file
-/// Full mesh of TCP connections between the instances, and UDP heartbeats over it.
+/// Full mesh of TCP connections between the instances, with heartbeats in UDP datagrams.
 
 namespace knapweedknot {
 
