Name the explanation of a request and reword the log reader

A request's "story" that is "told" and events that "bear on" it did not say what the library returns. request_story -> request_explanation (header too), tell_request -> explain_request, log_line::at -> unix_time; sentences of explain that were unclear are reworded, those that tests match stay.

--- a/libs/log_reader/include/log_reader/log_line.h
+++ b/libs/log_reader/include/log_reader/log_line.h
@@ -8,28 +8,28 @@
 #include <vector>
 
 /// \file
-/// Reads back the lines that the programs log.
+/// Parses the lines that the programs log.
 
 namespace knapweedknot {
 
-/// One event of a log.
+/// One logged event.
 struct log_line {
-    /// Time of day as it was written: ISO 8601 with milliseconds, so that it sorts as text.
+    /// Time as logged: ISO 8601 in UTC with milliseconds, which sorts as text.
     std::string time;
-    /// The same as the time since the epoch; zero when it cannot be read.
-    std::chrono::milliseconds at{0};
-    /// Instance that wrote it: what stands before the time, or else the name of the source.
+    /// Time since the Unix epoch; zero if `time` is malformed.
+    std::chrono::milliseconds unix_time{0};
+    /// Instance that logged the event: the word before the time, or else the name of the source.
     std::string origin;
     std::string event;
-    /// All key=value pairs of the line, in their order.
+    /// All key=value pairs in the order of the line.
     std::vector<std::pair<std::string, std::string>> fields;
 
-    /// Value of \p key; empty if the line has none. Thread safe.
+    /// Value of \p key; empty if the line has no such key. Thread safe.
     [[nodiscard]] std::string_view field(std::string_view key) const noexcept;
 };
 
-/// Reads a line. Nothing when it is not one of an event. Thread safe.
-/// \param source name of the file, or of what stands for it
+/// Parses one line. Returns nothing if the line holds no event. Thread safe.
+/// \param source name of the file or stream, the origin of lines without an instance prefix
 [[nodiscard]] std::optional<log_line> parse_log_line(std::string_view text,
                                                      std::string_view source);
 
--- a/libs/log_reader/src/log_line.cpp
+++ b/libs/log_reader/src/log_line.cpp
@@ -13,7 +13,7 @@
 constexpr std::string_view event_key = "event";
 constexpr std::string_view blank = " \t";
 
-/// Last word of \p text: collectors put the instance before the line.
+/// Last word of \p text. Log collectors prefix each line with the name of the instance.
 std::string last_word(std::string_view text) {
     const std::size_t end = text.find_last_not_of(blank);
     if (end == std::string_view::npos) {
@@ -24,33 +24,34 @@
     return std::string(text.substr(begin, end + 1 - begin));
 }
 
-/// Takes a quoted value, with its escapes undone, from the front of \p rest.
+/// Removes a quoted value from the front of \p rest and returns it unescaped.
 std::string take_quoted(std::string_view& rest) {
     std::string value;
-    std::size_t place = 1;
-    while (place < rest.size() && rest[place] != '"') {
-        place += rest[place] == '\\' ? 1 : 0;
-        if (place < rest.size()) {
-            value += rest[place];
-            ++place;
+    std::size_t position = 1;
+    while (position < rest.size() && rest[position] != '"') {
+        position += rest[position] == '\\' ? 1 : 0;
+        if (position < rest.size()) {
+            value += rest[position];
+            ++position;
         }
     }
-    rest.remove_prefix(std::min(rest.size(), place + 1));
+    rest.remove_prefix(std::min(rest.size(), position + 1));
     return value;
 }
 
-std::string take_plain(std::string_view& rest) {
+/// Removes a value that ends at the next blank from the front of \p rest.
+std::string take_unquoted(std::string_view& rest) {
     const std::size_t end = std::min(rest.find_first_of(blank), rest.size());
     std::string value(rest.substr(0, end));
     rest.remove_prefix(end);
     return value;
 }
 
-/// Reads a time of the form 2026-03-22T13:39:04.309Z.
+/// Parses a UTC time such as 2026-03-22T13:39:04.309Z. Returns zero for malformed text.
 std::chrono::milliseconds parse_time(const std::string& text) {
     std::istringstream stream(text);
-    std::tm parts{};
-    stream >> std::get_time(&parts, "%Y-%m-%dT%H:%M:%S");
+    std::tm calendar_time{};
+    stream >> std::get_time(&calendar_time, "%Y-%m-%dT%H:%M:%S");
     if (!stream) {
         return std::chrono::milliseconds(0);
     }
@@ -59,7 +60,7 @@
         stream.ignore();
         stream >> ms;
     }
-    return std::chrono::seconds(timegm(&parts)) + std::chrono::milliseconds(ms);
+    return std::chrono::seconds(timegm(&calendar_time)) + std::chrono::milliseconds(ms);
 }
 
 std::vector<std::pair<std::string, std::string>> parse_fields(std::string_view rest) {
@@ -73,7 +74,7 @@
         std::string key(rest.substr(begin, equals - begin));
         rest.remove_prefix(equals + 1);
         const bool is_quoted = !rest.empty() && rest.front() == '"';
-        fields.emplace_back(std::move(key), is_quoted ? take_quoted(rest) : take_plain(rest));
+        fields.emplace_back(std::move(key), is_quoted ? take_quoted(rest) : take_unquoted(rest));
     }
 }
 
@@ -93,7 +94,7 @@
     log_line line;
     line.fields = parse_fields(text.substr(begin));
     line.time = line.field("time");
-    line.at = parse_time(line.time);
+    line.unix_time = parse_time(line.time);
     line.event = line.field(event_key);
     line.origin = last_word(text.substr(0, begin));
     if (line.origin.empty()) {
--- a/libs/log_reader/tests/log_reader_test.cpp
+++ b/libs/log_reader/tests/log_reader_test.cpp
@@ -1,13 +1,14 @@
 #define BOOST_TEST_MODULE log_reader
 #include <boost/test/unit_test.hpp>
 
-#include "log_reader/request_story.h"
+#include "log_reader/request_explanation.h"
 
 using namespace knapweedknot;
 
 namespace {
 
-/// Lines of several instances, as a collector writes them: the instance before each line.
+/// Parses lines of several instances in the form of a log collector: each line starts with the name
+/// of its instance.
 std::vector<log_line> read(const std::vector<std::string>& lines) {
     std::vector<log_line> log;
     for (const std::string& text : lines) {
@@ -33,13 +34,13 @@
     BOOST_TEST(line->field("detail") == R"(say "no" a=b)");
     BOOST_TEST(line->field("outcome") == "rate_exceeded");
     BOOST_TEST(line->field("missing").empty());
-    BOOST_TEST(line->at.count() == 1'774'186'744'309);
+    BOOST_TEST(line->unix_time.count() == 1'774'186'744'309);
     BOOST_TEST(!parse_log_line("no event here", "file.log").has_value());
     BOOST_TEST(parse_log_line("time=1 event=e", "file.log")->origin == "file.log");
     BOOST_TEST(parse_log_line("time=1 event=e detail=\"cut", "f")->field("detail") == "cut");
 }
 
-// Pattern: a target that answers nothing held the request until its time was over.
+// A target that never responds holds the request until its deadline passes.
 BOOST_AUTO_TEST_CASE(a_silent_target_is_named_as_the_cause) {
     const auto log = read({
         "b time=2026-01-01T00:00:09.000Z" + head +
@@ -51,14 +52,14 @@
         "b time=2026-01-01T00:00:11.000Z" + head + "event=target_taken_out target=t3",
         "b time=2026-01-01T00:00:40.000Z" + head + "event=target_taken_out target=t1",
     });
-    const request_story story = tell_request(log, "r1");
-    BOOST_TEST(story.lines.size() == 2U);
-    BOOST_TEST(story.lines.front().event == "target_taken_out");
-    BOOST_TEST(story.cause.find("Target t1 was taken out: 3 running, silence 9.6") !=
+    const request_explanation explanation = explain_request(log, "r1");
+    BOOST_TEST(explanation.lines.size() == 2U);
+    BOOST_TEST(explanation.lines.front().event == "target_taken_out");
+    BOOST_TEST(explanation.cause.find("Target t1 was taken out: 3 running, silence 9.6") !=
                std::string::npos);
 }
 
-// Pattern: the first target was silent, the second crashed, and the caller gave up.
+// The first target does not respond, the second crashes, and the caller disconnects.
 BOOST_AUTO_TEST_CASE(a_caller_that_gave_up_is_explained_by_the_targets_that_had_its_request) {
     const auto log = read({
         "a time=2026-01-01T00:00:10.000Z" + head + "event=request_resent id=r1 from=t1 to=t2",
@@ -67,7 +68,7 @@
             "event=target_taken_out target=t1 running=1 silence=5.6 failures=0.0",
         "a time=2026-01-01T00:00:14.000Z" + head + "event=caller_gone id=r1",
     });
-    const std::string cause = tell_request(log, "r1").cause;
+    const std::string cause = explain_request(log, "r1").cause;
     BOOST_TEST(cause.find("The caller closed") == 0U);
     BOOST_TEST(cause.find("Target t1 was taken out: 1 running, silence 5.6") != std::string::npos);
 }
@@ -77,14 +78,14 @@
         read({"a time=2026-01-01T00:00:10.000Z" + head +
               "event=request_refused id=r1 outcome=rate_exceeded detail=\"account=shop "
               "tokens=-8\" policy=7"});
-    const std::string cause = tell_request(log, "r1").cause;
+    const std::string cause = explain_request(log, "r1").cause;
     BOOST_TEST(cause.find("account=shop tokens=-8") != std::string::npos);
     BOOST_TEST(cause.find("policy 7") != std::string::npos);
 }
 
-BOOST_AUTO_TEST_CASE(what_the_logs_do_not_show_is_said) {
-    BOOST_TEST(tell_request({}, "r1").lines.empty());
-    BOOST_TEST(tell_request({}, "r1").cause.find("No instance logged") != std::string::npos);
+BOOST_AUTO_TEST_CASE(missing_log_lines_are_reported) {
+    BOOST_TEST(explain_request({}, "r1").lines.empty());
+    BOOST_TEST(explain_request({}, "r1").cause.find("No instance logged") != std::string::npos);
     const auto log = read({"a time=1" + head + "event=request_resent id=r1 from=t1 to=t2"});
-    BOOST_TEST(tell_request(log, "r1").cause.find("no end") != std::string::npos);
+    BOOST_TEST(explain_request(log, "r1").cause.find("no end") != std::string::npos);
 }
--- a/programs/knapweedknotctl/explain.cpp
+++ b/programs/knapweedknotctl/explain.cpp
@@ -4,7 +4,7 @@
 #include <iostream>
 
 #include "exit_codes.h"
-#include "log_reader/request_story.h"
+#include "log_reader/request_explanation.h"
 
 namespace knapweedknot {
 
@@ -19,11 +19,12 @@
     }
 }
 
-void print(const log_line& line) {
+void print_line(const log_line& line) {
     std::cout << line.time << ' ' << line.origin << ' ' << line.event;
     for (const auto& [key, value] : line.fields) {
-        const bool is_known = key == "time" || key == "event" || key == "program" || key == "level";
-        if (!is_known && !value.empty()) {
+        const bool is_omitted =
+            key == "time" || key == "event" || key == "program" || key == "level";
+        if (!is_omitted && !value.empty()) {
             std::cout << ' ' << key << '=' << value;
         }
     }
@@ -50,12 +51,12 @@
     if (input.arguments.size() == 1) {
         read_log(std::cin, "standard input", log);
     }
-    const request_story story = tell_request(log, input.arguments.front());
-    for (const log_line& line : story.lines) {
-        print(line);
+    const request_explanation explanation = explain_request(log, input.arguments.front());
+    for (const log_line& line : explanation.lines) {
+        print_line(line);
     }
-    std::cout << "Cause: " << story.cause << '\n';
-    return story.lines.empty() ? exit_refused : exit_success;
+    std::cout << "Cause: " << explanation.cause << '\n';
+    return explanation.lines.empty() ? exit_refused : exit_success;
 }
 
 } // namespace knapweedknot
--- a/tests/edge_test.cpp
+++ b/tests/edge_test.cpp
@@ -6,7 +6,7 @@
 #include <sstream>
 
 #include "edge_fixture.h"
-#include "log_reader/request_story.h"
+#include "log_reader/request_explanation.h"
 #include "raw_socket.h"
 
 using namespace knapweedknot;
@@ -298,10 +298,10 @@
             log.push_back(std::move(*parsed));
         }
     }
-    const request_story silent = tell_request(log, "complaint-1");
+    const request_explanation silent = explain_request(log, "complaint-1");
     BOOST_TEST(silent.cause.find("Target i-1 was taken out: 1 running") != std::string::npos,
                silent.cause);
-    const request_story stale = tell_request(log, "complaint-2");
+    const request_explanation stale = explain_request(log, "complaint-2");
     BOOST_TEST(stale.cause.find("could not prove that its policy is the newest") !=
                    std::string::npos,
                stale.cause);
