Reword the operators' tool

Names such as keep_keys, text_of, present and patch_parts were vague, and comments spoke in riddles ("promises to scripts"). patch_parts.h -> split_patch.h, keep_keys -> copy_missing_keys, report -> print_error, present -> current, wanted -> desired.

--- a/programs/knapweedknotctl/commands.cpp
+++ b/programs/knapweedknotctl/commands.cpp
@@ -11,7 +11,7 @@
 #include "config/configuration.h"
 #include "config/history.h"
 #include "exit_codes.h"
-#include "patch_parts.h"
+#include "split_patch.h"
 
 namespace knapweedknot {
 
@@ -25,7 +25,7 @@
 const std::string merge_patch_type = "application/merge-patch+json";
 const std::string json_patch_type = "application/json-patch+json";
 
-int report(const error& problem) {
+int print_error(const error& problem) {
     std::cerr << "knapweedknotctl: " << problem.detail << '\n';
     switch (problem.kind) {
     case error_kind::connect_failed:
@@ -41,7 +41,7 @@
     }
 }
 
-/// Turns an answer other than 200 into an error.
+/// Returns the body of a response with status 200 and turns any other response into an error.
 result<nlohmann::json> expect_ok(const result<operator_answer>& answer) {
     if (!answer) {
         return tl::unexpected(answer.error());
@@ -88,15 +88,15 @@
     });
 }
 
-/// Adds the present keys to every account of \p wanted that lists none.
-void keep_keys(nlohmann::json& wanted, const nlohmann::json& present) {
-    if (!wanted.contains("accounts") || !wanted["accounts"].is_object()) {
+/// Copies the current keys to every account of \p desired that lists no keys.
+void copy_missing_keys(nlohmann::json& desired, const nlohmann::json& current) {
+    if (!desired.contains("accounts") || !desired["accounts"].is_object()) {
         return;
     }
-    for (auto& [name, account] : wanted["accounts"].items()) {
+    for (auto& [name, account] : desired["accounts"].items()) {
         const auto pointer = nlohmann::json::json_pointer() / "accounts" / name / "keys";
-        if (account.is_object() && !account.contains("keys") && present.contains(pointer)) {
-            account["keys"] = present.at(pointer);
+        if (account.is_object() && !account.contains("keys") && current.contains(pointer)) {
+            account["keys"] = current.at(pointer);
         }
     }
 }
@@ -107,25 +107,25 @@
 };
 
 result<planned_change> plan_apply(const command_input& input) {
-    auto wanted = read_file(input);
-    if (!wanted) {
-        return tl::unexpected(wanted.error());
+    auto desired = read_file(input);
+    if (!desired) {
+        return tl::unexpected(desired.error());
     }
     for (const char* section : {"accounts", "services", "routes"}) {
-        wanted->emplace(section, nlohmann::json::object());
+        desired->emplace(section, nlohmann::json::object());
     }
-    const auto present = get_document(input);
-    if (!present) {
-        return tl::unexpected(present.error());
+    const auto current = get_document(input);
+    if (!current) {
+        return tl::unexpected(current.error());
     }
-    keep_keys(*wanted, present->document);
-    const std::uint64_t base = input.base.empty() ? present->number : std::stoull(input.base);
-    return planned_change{base, diff_as_merge_patch(present->document, *wanted)};
+    copy_missing_keys(*desired, current->document);
+    const std::uint64_t base = input.base.empty() ? current->number : std::stoull(input.base);
+    return planned_change{base, diff_as_merge_patch(current->document, *desired)};
 }
 
 result<nlohmann::json> submit(const command_input& input, const std::string& type,
                               const nlohmann::json& patch, std::uint64_t base) {
-    // The id makes the same submission safe to send again.
+    // The patch id makes the submission idempotent, so it can be retried if its outcome is unknown.
     const std::string uri = "/v1/configuration?base=" + std::to_string(base) +
                             "&patch_id=" + random_hex(patch_id_bytes);
     const std::string body = patch.dump();
@@ -205,19 +205,19 @@
 }
 
 int add_key(const command_input& input, const std::string& account) {
-    const auto present = get_document(input);
-    if (!present) {
-        return report(present.error());
+    const auto current = get_document(input);
+    if (!current) {
+        return print_error(current.error());
     }
-    if (!present->document.at("accounts").contains(account)) {
-        return report({error_kind::not_found, "no account " + account});
+    if (!current->document.at("accounts").contains(account)) {
+        return print_error({error_kind::not_found, "no account " + account});
     }
     const new_api_key key = make_api_key();
     const nlohmann::json stored = {{"salt", key.stored.salt}, {"sha256", key.stored.sha256}};
     const nlohmann::json patch = {{"accounts", {{account, {{"keys", {{key.key_id, stored}}}}}}}};
-    const auto accepted = submit(input, merge_patch_type, patch, present->number);
+    const auto accepted = submit(input, merge_patch_type, patch, current->number);
     if (!accepted) {
-        return report(accepted.error());
+        return print_error(accepted.error());
     }
     if (input.json) {
         std::cout << nlohmann::json{{"key", key.presented}, {"key_id", key.key_id}}.dump() << '\n';
@@ -229,17 +229,17 @@
 
 int withdraw_key(const command_input& input, const std::string& account,
                  const std::string& key_id) {
-    const auto present = get_document(input);
-    if (!present) {
-        return report(present.error());
+    const auto current = get_document(input);
+    if (!current) {
+        return print_error(current.error());
     }
     const auto pointer = nlohmann::json::json_pointer() / "accounts" / account / "keys" / key_id;
-    if (!present->document.contains(pointer)) {
-        return report({error_kind::not_found, "account " + account + " has no key " + key_id});
+    if (!current->document.contains(pointer)) {
+        return print_error({error_kind::not_found, "account " + account + " has no key " + key_id});
     }
     const nlohmann::json patch = {{"accounts", {{account, {{"keys", {{key_id, nullptr}}}}}}}};
-    const auto accepted = submit(input, merge_patch_type, patch, present->number);
-    return accepted ? print_accepted(input, *accepted) : report(accepted.error());
+    const auto accepted = submit(input, merge_patch_type, patch, current->number);
+    return accepted ? print_accepted(input, *accepted) : print_error(accepted.error());
 }
 
 } // namespace
@@ -247,7 +247,7 @@
 int run_apply(const command_input& input) {
     const auto planned = plan_apply(input);
     if (!planned) {
-        return report(planned.error());
+        return print_error(planned.error());
     }
     if (planned->patch.empty()) {
         std::cout << "nothing to change\n";
@@ -258,7 +258,7 @@
     for (const nlohmann::json& part : split_patch(planned->patch, max_patch_bytes)) {
         const auto accepted = submit(input, merge_patch_type, part, base);
         if (!accepted) {
-            return report(accepted.error());
+            return print_error(accepted.error());
         }
         base = accepted->at("number").get<std::uint64_t>();
         last = *accepted;
@@ -269,20 +269,20 @@
 int run_patch(const command_input& input) {
     const auto patch = read_file(input);
     if (!patch) {
-        return report(patch.error());
+        return print_error(patch.error());
     }
     if (input.base.empty()) {
-        return report({error_kind::bad_request, "patch needs --base NUMBER"});
+        return print_error({error_kind::bad_request, "patch needs --base NUMBER"});
     }
     const auto accepted = submit(input, patch->is_array() ? json_patch_type : merge_patch_type,
                                  *patch, std::stoull(input.base));
-    return accepted ? print_accepted(input, *accepted) : report(accepted.error());
+    return accepted ? print_accepted(input, *accepted) : print_error(accepted.error());
 }
 
 int run_diff(const command_input& input) {
     const auto planned = plan_apply(input);
     if (!planned) {
-        return report(planned.error());
+        return print_error(planned.error());
     }
     std::cout << planned->patch.dump(indent) << '\n';
     return planned->patch.empty() ? exit_success : exit_differs;
@@ -291,7 +291,7 @@
 int run_show(const command_input& input) {
     const auto body = get(input, "/v1/configuration");
     if (!body) {
-        return report(body.error());
+        return print_error(body.error());
     }
     std::cout << body->dump(input.json ? -1 : indent) << '\n';
     return exit_success;
@@ -300,24 +300,24 @@
 int run_history(const command_input& input) {
     const std::string after = input.after.empty() ? "0" : input.after;
     const auto body = get(input, "/v1/history?after=" + after);
-    return body ? print_history(input, *body) : report(body.error());
+    return body ? print_history(input, *body) : print_error(body.error());
 }
 
 int run_audit(const command_input& input) {
     const auto body = get(input, "/v1/history?after=0");
     if (!body) {
-        return report(body.error());
+        return print_error(body.error());
     }
     std::vector<history_entry> entries;
     for (const nlohmann::json& item : body->at("entries")) {
         auto entry = entry_from_json(item);
         if (!entry) {
-            return report(entry.error());
+            return print_error(entry.error());
         }
         entries.push_back(std::move(*entry));
     }
     if (const std::string problem = find_chain_problem(entries, ""); !problem.empty()) {
-        return report({error_kind::invalid_value, "the audit trail is broken: " + problem});
+        return print_error({error_kind::invalid_value, "the audit trail is invalid: " + problem});
     }
     const int printed = print_history(input, *body);
     if (!input.json) {
@@ -329,7 +329,7 @@
 int run_status(const command_input& input) {
     const auto body = get(input, "/v1/status");
     if (!body) {
-        return report(body.error());
+        return print_error(body.error());
     }
     if (input.json) {
         std::cout << body->dump() << '\n';
@@ -350,7 +350,7 @@
     caller.token = input.key;
     const auto body = expect_ok(call(caller, "GET", "/v1/addresses", "", ""));
     if (!body) {
-        return report(body.error());
+        return print_error(body.error());
     }
     if (input.json) {
         std::cout << body->dump() << '\n';
@@ -365,20 +365,21 @@
 }
 
 int run_key(const command_input& input) {
-    const auto& words = input.arguments;
-    if (words.size() == 2 && words[0] == "add") {
-        return add_key(input, words[1]);
+    const auto& arguments = input.arguments;
+    if (arguments.size() == 2 && arguments[0] == "add") {
+        return add_key(input, arguments[1]);
     }
-    if (words.size() == 3 && words[0] == "withdraw") {
-        return withdraw_key(input, words[1], words[2]);
+    if (arguments.size() == 3 && arguments[0] == "withdraw") {
+        return withdraw_key(input, arguments[1], arguments[2]);
     }
-    return report({error_kind::bad_request, "use key add ACCOUNT or key withdraw ACCOUNT KEYID"});
+    return print_error(
+        {error_kind::bad_request, "use key add ACCOUNT or key withdraw ACCOUNT KEYID"});
 }
 
 int run_drain(const command_input& input) {
     const auto body = expect_ok(call(input.target, "POST", "/v1/drain", "", ""));
     if (!body) {
-        return report(body.error());
+        return print_error(body.error());
     }
     std::cout << "draining\n";
     return exit_success;
--- a/programs/knapweedknotctl/explain.h
+++ b/programs/knapweedknotctl/explain.h
@@ -3,12 +3,12 @@
 #include "commands.h"
 
 /// \file
-/// Explains a request from logs alone.
+/// Explains the outcome of a request from logs alone.
 
 namespace knapweedknot {
 
-/// "explain REQUEST-ID [FILE ...]": prints the request's story over all instances and its cause,
-/// from log files or standard input. Calls no instance.
+/// "explain REQUEST-ID [FILE ...]": prints the events of the request on all instances and the cause
+/// of its outcome, read from log files or standard input. Contacts no instance.
 [[nodiscard]] int run_explain(const command_input& input);
 
 } // namespace knapweedknot
--- a/programs/knapweedknotctl/main.cpp
+++ b/programs/knapweedknotctl/main.cpp
@@ -1,5 +1,5 @@
 /// \file
-/// The operators' tool.
+/// Command line tool for operators.
 
 #include <cstdlib>
 #include <functional>
@@ -66,15 +66,15 @@
     return text.size() <= max_digits && text.find_first_not_of("0123456789") == std::string::npos;
 }
 
-std::string text_of(const options::variables_map& given, const char* name) {
+std::string string_option(const options::variables_map& given, const char* name) {
     return given.count(name) > 0 ? given[name].as<std::string>() : std::string();
 }
 
 int run(const options::variables_map& given) {
-    const std::vector<std::string> words = given["words"].as<std::vector<std::string>>();
-    const auto found = commands().find(words.front());
+    const std::vector<std::string> command_words = given["words"].as<std::vector<std::string>>();
+    const auto found = commands().find(command_words.front());
     if (found == commands().end()) {
-        return fail_usage("no command " + words.front());
+        return fail_usage("no command " + command_words.front());
     }
     const auto address = parse_endpoint(given["instance"].as<std::string>());
     if (!address) {
@@ -82,14 +82,14 @@
     }
     command_input input;
     input.target.address = *address;
-    const std::string variable = given["token-env"].as<std::string>();
-    if (const char* token = std::getenv(variable.c_str()); token != nullptr) {
+    const std::string token_variable = given["token-env"].as<std::string>();
+    if (const char* token = std::getenv(token_variable.c_str()); token != nullptr) {
         input.target.token = token;
     }
-    input.arguments.assign(words.begin() + 1, words.end());
-    input.base = text_of(given, "base");
-    input.after = text_of(given, "after");
-    input.key = text_of(given, "key");
+    input.arguments.assign(command_words.begin() + 1, command_words.end());
+    input.base = string_option(given, "base");
+    input.after = string_option(given, "after");
+    input.key = string_option(given, "key");
     input.json = given.count("json") > 0;
     if (!is_number(input.base) || !is_number(input.after)) {
         return fail_usage("--base and --after take whole numbers");
@@ -100,8 +100,8 @@
 } // namespace
 
 int main(int argc, char** argv) {
-    options::options_description shown(usage);
-    shown.add_options()("help", "show this text")(
+    options::options_description visible_options(usage);
+    visible_options.add_options()("help", "show this text")(
         "instance", options::value<std::string>()->default_value("127.0.0.1:8081"),
         "operators' address of any instance, IPV4:PORT")(
         "token-env", options::value<std::string>()->default_value("KNAPWEEDKNOT_TOKEN"),
@@ -109,20 +109,23 @@
         "base", options::value<std::string>(), "number that the patch was written against")(
         "after", options::value<std::string>(), "list only patches after this number")(
         "key", options::value<std::string>(), "a caller's key")("json", "print JSON");
-    options::options_description all;
-    all.add(shown).add_options()("words", options::value<std::vector<std::string>>());
+    options::options_description all_options;
+    all_options.add(visible_options)
+        .add_options()("words", options::value<std::vector<std::string>>());
     options::positional_options_description positions;
     positions.add("words", -1);
     options::variables_map given;
     try {
-        options::store(
-            options::command_line_parser(argc, argv).options(all).positional(positions).run(),
-            given);
+        options::store(options::command_line_parser(argc, argv)
+                           .options(all_options)
+                           .positional(positions)
+                           .run(),
+                       given);
     } catch (const options::error& problem) {
         return fail_usage(problem.what());
     }
     if (given.count("help") > 0) {
-        std::cout << shown;
+        std::cout << visible_options;
         return exit_success;
     }
     if (given.count("words") == 0) {
--- a/programs/knapweedknotctl/patch_parts.cpp
+++ b/programs/knapweedknotctl/split_patch.cpp
@@ -1,4 +1,4 @@
-#include "patch_parts.h"
+#include "split_patch.h"
 
 #include <string>
 
@@ -6,7 +6,7 @@
 
 namespace {
 
-/// Appends the entities of one section, removals or others, to \p parts.
+/// Appends the entities of one section to \p parts: only removals, or only additions and changes.
 void append_section(std::vector<nlohmann::json>& parts, const nlohmann::json& patch,
                     const std::string& section, bool removals, std::size_t max_bytes) {
     const auto found = patch.find(section);
