Name the daemon's components like their libraries and reword it

Members such as votes, loans, tokens and front had kept the terms that the libraries gave up, and look, pace, quiet or give_up_part did not say what happens. votes -> quorum, loans -> heartbeats, tokens -> admission, listing -> list_poller, front -> caller_gateway, load_log -> load_monitor.

--- a/programs/knapweedknotd/edge_instance.cpp
+++ b/programs/knapweedknotd/edge_instance.cpp
@@ -13,33 +13,33 @@
 
 namespace {
 
-// How long callers may keep an answer about addresses.
-constexpr duration address_answer_lifetime = milliseconds(1000);
-// Callers may keep an answer for this many lifetimes.
-constexpr int address_answer_reuse = 3;
-constexpr duration pace_interval = seconds(1);
-constexpr duration drain_look = milliseconds(50);
-// A request whose target is silent until this part of the grace time has passed is given up, so
-// that the answers behind it on its connection are delivered.
-constexpr double give_up_part = 5.0 / 6;
-// The process ends this long before it would be killed.
-constexpr duration kill_margin = milliseconds(400);
-// Part of the link that reports on what runs at the targets may take.
-constexpr double share_of_link_for_reports = 0.05;
-// Part of the time until a withdrawn key must be dead that is kept for the request's way.
-constexpr duration proof_margin = milliseconds(400);
+// Lifetime that an address response states to callers.
+constexpr duration address_response_lifetime = milliseconds(1000);
+// Callers may use an address response for up to this many lifetimes.
+constexpr int max_address_response_reuse = 3;
+constexpr duration directory_options_interval = seconds(1);
+constexpr duration drain_check_interval = milliseconds(50);
+// Requests still without a response after this share of the stop grace are failed, so that the
+// responses queued behind them on their connections are delivered.
+constexpr double request_grace_share = 5.0 / 6;
+// The process exits this long before the platform would kill it.
+constexpr duration exit_margin = milliseconds(400);
+// Share of the link bandwidth that full reports on the targets may use.
+constexpr double report_link_share = 0.05;
+// Part of the key withdrawal bound that is reserved for the time a request takes to arrive.
+constexpr duration confirmation_margin = milliseconds(400);
 
 policy_follower_options make_policy_options(const fleet_bounds& bounds) {
     policy_follower_options options;
     options.confirmation_lifetime =
-        std::max<duration>(bounds.key_withdrawal - proof_margin, bounds.key_withdrawal / 2);
+        std::max<duration>(bounds.key_withdrawal - confirmation_margin, bounds.key_withdrawal / 2);
     options.confirmation_interval = options.confirmation_lifetime / 3;
     options.idle_confirmation_interval = options.confirmation_lifetime * 7 / 10;
     return options;
 }
 
-/// How closely the targets are followed. An instance with little to do gathers more changes in a
-/// call and finds lost watches later.
+/// Options of the target directory. An instance that serves no requests batches more changes per
+/// store call and detects a lost watch later, to save store calls.
 target_directory_options make_directory_options(bool is_serving, const fleet_bounds& bounds) {
     target_directory_options options;
     options.vanished_grace = bounds.target_drain * 3 / 4;
@@ -50,11 +50,11 @@
 
 report_options make_report_options(const machine_resources& machine) {
     report_options options;
-    options.full_report_bytes_per_s = machine.link_bytes_per_s * share_of_link_for_reports;
+    options.full_report_bytes_per_s = machine.link_bytes_per_s * report_link_share;
     return options;
 }
 
-peer_info describe(const edge_settings& settings) {
+peer_info make_peer_info(const edge_settings& settings) {
     peer_info self;
     self.instance = settings.instance;
     self.incarnation.value = random_nonzero();
@@ -66,14 +66,14 @@
     return self;
 }
 
-/// Content type of the answers to operators and to the platform.
-constexpr const char* plain_text = "text/plain";
+/// Content type of the responses to operators and to the platform.
+constexpr const char* plain_text_type = "text/plain";
 
 } // namespace
 
 edge_instance::edge_instance(loop& event_loop, const edge_settings& given)
     : owner(event_loop), settings(given), headers(platform::make_header_names()),
-      store(event_loop, given.store_address), self(describe(given)),
+      store(event_loop, given.store_address), self(make_peer_info(given)),
       network(event_loop, self, this->make_mesh_handlers()),
       reports(event_loop, network, make_report_options(given.machine)),
       registry(event_loop, store, network),
@@ -84,9 +84,9 @@
       gateway({event_loop, settings, headers, policy, directory, reports}),
       load({event_loop, network, reports, store, policy, directory, gateway}),
       readiness(event_loop, {}, [this](const auto& request) { this->handle_readiness(request); }),
-      addresses(event_loop, {}, [this](const auto& request) { this->handle_directory(request); }),
+      addresses(event_loop, {}, [this](const auto& request) { this->handle_addresses(request); }),
       metrics(event_loop, {}, [this](const auto& request) { this->handle_metrics(request); }),
-      started(boot_clock::now()) {
+      started_at(boot_clock::now()) {
     this->policy.on_adopted = [this] { this->gateway.apply_policy(); };
     this->directory.on_changed = [this](const service_id& service) {
         this->gateway.update_targets(service);
@@ -128,7 +128,8 @@
             this->directory.start();
             this->registry.start();
             this->reports.start();
-            this->pace_watch = this->owner.every(pace_interval, [this] { this->adjust_pace(); });
+            this->directory_options_timer = this->owner.every(
+                directory_options_interval, [this] { this->update_directory_options(); });
             log_event(log_level::info, "instance_started",
                       {{"instance", this->settings.instance.value},
                        {"incarnation", std::to_string(this->self.incarnation.value)},
@@ -138,12 +139,13 @@
         });
 }
 
-/// Ready means: callers are served here as well as anywhere else.
+/// Whether this instance can serve callers as well as any other: it is not draining, has adopted a
+/// policy and has loaded the target directory.
 bool edge_instance::is_ready() const {
     return !this->draining && this->policy.current() != nullptr && this->directory.is_loaded();
 }
 
-void edge_instance::adjust_pace() {
+void edge_instance::update_directory_options() {
     const bool is_serving = this->gateway.is_serving(boot_clock::now());
     this->directory.set_options(make_directory_options(is_serving, this->settings.bounds));
 }
@@ -154,7 +156,7 @@
     report.has_targets = kind == report_kind::full;
     report.ready = this->is_ready();
     report.store_reachable = this->policy.is_store_reachable();
-    report.uptime = now - this->started;
+    report.uptime = now - this->started_at;
     report.policy_number =
         this->policy.current() == nullptr ? config_number{} : this->policy.current()->number();
     report.targets_revision = this->directory.revision();
@@ -162,54 +164,55 @@
     return report;
 }
 
-bool edge_instance::may_be_named(const reporting_peer& peer, time_point now) const {
+bool edge_instance::is_eligible(const reporting_peer& peer, time_point now) const {
     return this->reports.is_live(peer, now) && peer.report->ready &&
            (peer.report->store_reachable || !this->policy.is_store_reachable());
 }
 
 void edge_instance::handle_readiness(const std::shared_ptr<incoming_request>& request) {
     if (request->path() != platform::readiness_path) {
-        send_text_response(*request, 404, "no such call\n", plain_text);
+        send_text_response(*request, 404, "no such call\n", plain_text_type);
         return;
     }
     const bool ready = this->is_ready();
-    send_text_response(*request, ready ? 200 : 503, ready ? "ready\n" : "not ready\n", plain_text);
+    send_text_response(*request, ready ? 200 : 503, ready ? "ready\n" : "not ready\n",
+                       plain_text_type);
 }
 
-void edge_instance::handle_directory(const std::shared_ptr<incoming_request>& request) {
+void edge_instance::handle_addresses(const std::shared_ptr<incoming_request>& request) {
     if (request->path() != platform::directory_path) {
-        send_text_response(*request, 404, "no such call\n", plain_text);
+        send_text_response(*request, 404, "no such call\n", plain_text_type);
         return;
     }
     const time_point now = boot_clock::now();
     std::vector<instance_candidate> candidates;
     candidates.push_back({this->self.instance, this->self.failure_domain,
-                          this->self.callers_address, this->is_ready(), now - this->started,
+                          this->self.callers_address, this->is_ready(), now - this->started_at,
                           this->gateway.request_rate_at(now), this->self.capacity});
     for (const auto& [incarnation, peer] : this->reports.peers()) {
-        const bool named = this->may_be_named(peer, now);
+        const bool eligible = this->is_eligible(peer, now);
         candidates.push_back({peer.info.instance, peer.info.failure_domain,
-                              peer.info.callers_address, named,
-                              named ? peer.report->uptime : duration::zero(),
-                              named ? peer.report->request_rate : 0, peer.info.capacity});
+                              peer.info.callers_address, eligible,
+                              eligible ? peer.report->uptime : duration::zero(),
+                              eligible ? peer.report->request_rate : 0, peer.info.capacity});
     }
     const failure_domain_id from = platform::asking_domain(request->query());
-    std::vector<endpoint> named;
+    std::vector<endpoint> endpoints;
     for (const instance_candidate& chosen :
          choose_instances(std::move(candidates), from, instance_choice_policy{})) {
-        named.push_back(chosen.callers_address);
+        endpoints.push_back(chosen.callers_address);
     }
-    if (named.empty()) {
-        send_text_response(*request, 503, "no instance is ready\n", plain_text);
+    if (endpoints.empty()) {
+        send_text_response(*request, 503, "no instance is ready\n", plain_text_type);
         return;
     }
     ++this->gateway.request_metrics().address_answers;
     request->respond(platform::make_address_answer(
-        named, std::min(address_answer_lifetime, this->settings.bounds.address_lifetime)));
+        endpoints, std::min(address_response_lifetime, this->settings.bounds.address_lifetime)));
 }
 
 void edge_instance::handle_metrics(const std::shared_ptr<incoming_request>& request) {
-    send_text_response(*request, 200, this->metrics_text(), plain_text);
+    send_text_response(*request, 200, this->metrics_text(), plain_text_type);
 }
 
 std::string edge_instance::metrics_text() const {
@@ -224,7 +227,7 @@
     return text;
 }
 
-void edge_instance::change_settings(const edge_settings& changed) {
+void edge_instance::apply_settings(const edge_settings& changed) {
     this->settings.bounds = changed.bounds;
     this->policy.set_options(make_policy_options(changed.bounds));
     log_event(log_level::info, "settings_reloaded", {});
@@ -235,33 +238,37 @@
         return;
     }
     this->draining = true;
-    this->drain_started = boot_clock::now();
+    this->drain_started_at = boot_clock::now();
     log_event(log_level::info, "drain_started",
               {{"running", std::to_string(this->gateway.server().running_requests())}});
     this->reports.send_to_all();
     this->registry.deregister();
-    // Callers that keep an answer about addresses still connect; they learn to go elsewhere.
+    // Callers with a cached address response still connect; "Connection: close" makes them
+    // reconnect to another instance.
     this->gateway.server().close_after_responses();
-    const duration kept = std::min<duration>(address_answer_lifetime * address_answer_reuse,
-                                             this->settings.bounds.stop_grace / 2);
-    this->drain_step = this->owner.after(kept, [this] { this->close_callers(); });
+    const duration accepting_time =
+        std::min<duration>(address_response_lifetime * max_address_response_reuse,
+                           this->settings.bounds.stop_grace / 2);
+    this->stop_accepting_timer =
+        this->owner.after(accepting_time, [this] { this->stop_accepting(); });
 }
 
-void edge_instance::close_callers() {
+void edge_instance::stop_accepting() {
     this->gateway.server().stop_listening();
-    this->drain_watch = this->owner.every(drain_look, [this] { this->check_drained(); });
+    this->drain_check_timer =
+        this->owner.every(drain_check_interval, [this] { this->check_drained(); });
 }
 
 void edge_instance::check_drained() {
-    const duration passed = boot_clock::now() - this->drain_started;
+    const duration passed = boot_clock::now() - this->drain_started_at;
     http_server& callers = this->gateway.server();
     callers.close_idle_connections();
-    if (passed >
-        from_seconds(to_seconds(this->settings.bounds.stop_grace) * give_up_part) + drain_look) {
+    if (passed > from_seconds(to_seconds(this->settings.bounds.stop_grace) * request_grace_share) +
+                     drain_check_interval) {
         this->gateway.fail_all();
     }
     const bool finished = callers.running_requests() == 0 && !callers.is_writing();
-    if (finished || passed > this->settings.bounds.stop_grace - kill_margin) {
+    if (finished || passed > this->settings.bounds.stop_grace - exit_margin) {
         log_event(log_level::info, "drain_finished",
                   {{"running", std::to_string(callers.running_requests())}});
         this->owner.stop();
--- a/programs/knapweedknotd/edge_instance.h
+++ b/programs/knapweedknotd/edge_instance.h
@@ -14,35 +14,38 @@
 #include "proxy/edge_gateway.h"
 #include "proxy/edge_settings.h"
 
-#include "load_log.h"
+#include "load_monitor.h"
 
 /// \file
-/// An instance on the users' platform: all parts of one process and their connections.
+/// An instance on the users' platform: creates, connects and shuts down the components of one
+/// process.
 
 namespace knapweedknot {
 
-/// Runs an edge. Not thread safe; lives on the thread of its loop.
+/// A running edge instance. Not thread safe; lives on the thread of its loop.
 class edge_instance {
 public:
     edge_instance(loop& owner, const edge_settings& settings);
 
-    /// Listens and begins to follow the store. The error says why not.
+    /// Listens on all addresses and starts to follow the store. Returns an error if it cannot
+    /// listen on one of them.
     [[nodiscard]] result<void> start();
-    /// Stops in order: callers are told to go elsewhere, and what runs is finished.
+    /// Starts a graceful shutdown: callers are directed to other instances, running requests are
+    /// completed, and then the loop is stopped.
     void drain();
-    /// Takes the settings that may change while the process runs.
-    void change_settings(const edge_settings& changed);
+    /// Applies the settings that may change while the process runs.
+    void apply_settings(const edge_settings& changed);
 
 private:
     [[nodiscard]] mesh_handlers make_mesh_handlers();
     [[nodiscard]] instance_report make_report(report_kind kind);
-    void adjust_pace();
+    void update_directory_options();
     [[nodiscard]] bool is_ready() const;
-    [[nodiscard]] bool may_be_named(const reporting_peer& peer, time_point now) const;
+    [[nodiscard]] bool is_eligible(const reporting_peer& peer, time_point now) const;
     void handle_readiness(const std::shared_ptr<incoming_request>& request);
-    void handle_directory(const std::shared_ptr<incoming_request>& request);
+    void handle_addresses(const std::shared_ptr<incoming_request>& request);
     void handle_metrics(const std::shared_ptr<incoming_request>& request);
-    void close_callers();
+    void stop_accepting();
     void check_drained();
     [[nodiscard]] std::string metrics_text() const;
 
@@ -57,16 +60,16 @@
     policy_follower policy;
     target_directory directory;
     edge_gateway gateway;
-    load_log load;
+    load_monitor load;
     http_server readiness;
     http_server addresses;
     http_server metrics;
-    time_point started;
-    time_point drain_started;
+    time_point started_at;
+    time_point drain_started_at;
     bool draining{false};
-    timer pace_watch;
-    timer drain_step;
-    timer drain_watch;
+    timer directory_options_timer;
+    timer stop_accepting_timer;
+    timer drain_check_timer;
 };
 
 } // namespace knapweedknot
--- a/programs/knapweedknotd/instance.h
+++ b/programs/knapweedknotd/instance.h
@@ -12,7 +12,7 @@
 #include "entry/operator_service.h"
 
 /// \file
-/// One instance: all parts, wired together, and its graceful stop.
+/// One instance: creates and connects its components and shuts them down gracefully.
 
 namespace knapweedknot {
 
@@ -21,16 +21,17 @@
 public:
     instance(loop& owner, const instance_settings& settings);
 
-    /// Starts to listen and to take part in the fleet. The error says why not.
+    /// Listens on all addresses and joins the fleet. Returns an error if it cannot listen on one of
+    /// them.
     [[nodiscard]] result<void> start();
-    /// Starts a graceful stop: callers are sent elsewhere, what runs is finished, and the loop is
-    /// stopped at the end.
+    /// Starts a graceful shutdown: callers are directed to other instances, running requests are
+    /// completed, and then the loop is stopped.
     void drain();
 
 private:
     void handle_message(const peer_info& from, const wire::messageT& message);
     [[nodiscard]] mesh_handlers make_mesh_handlers();
-    void close_callers();
+    void start_closing_connections();
     void check_drained();
 
     loop& owner;
@@ -41,18 +42,18 @@
     mesh network;
     config_follower follower;
     seat_manager seats;
-    heartbeat_service loans;
-    config_quorum votes;
+    heartbeat_service heartbeats;
+    config_quorum quorum;
     patch_committer committer;
-    instance_list_poller listing;
-    admission_controller tokens;
-    gateway front;
+    instance_list_poller list_poller;
+    admission_controller admission;
+    gateway caller_gateway;
     operator_service operators;
     bool draining{false};
-    bool seats_left{false};
-    time_point drain_started;
-    timer drain_step;
-    timer drain_watch;
+    bool seats_released{false};
+    time_point drain_started_at;
+    timer close_timer;
+    timer drain_check_timer;
 };
 
 } // namespace knapweedknot
--- a/programs/knapweedknotd/main.cpp
+++ b/programs/knapweedknotd/main.cpp
@@ -1,5 +1,5 @@
 /// \file
-/// The entry daemon.
+/// The proxy daemon: one instance of the fleet.
 
 #include <csignal>
 #include <cstdlib>
@@ -19,10 +19,10 @@
 
 constexpr int exit_failure = 1;
 constexpr int exit_usage = 2;
-// The settings file may change without a signal.
-constexpr duration settings_look_interval = seconds(1);
+// The settings file is also polled, because it may change without a SIGHUP.
+constexpr duration settings_poll_interval = seconds(1);
 
-/// What the command line asks for.
+/// Parsed command line.
 struct arguments {
     std::string settings_path;
     bool is_edge{false};
@@ -44,14 +44,14 @@
     return text.str();
 }
 
-/// Runs \p served until it is told to stop.
-template <typename Served>
-int run(loop& events, Served& served) {
-    if (const auto started = served.start(); !started) {
+/// Runs \p daemon until SIGTERM or SIGINT has drained it.
+template <typename Daemon>
+int run(loop& events, Daemon& daemon) {
+    if (const auto started = daemon.start(); !started) {
         return report_failure(started.error().detail, exit_failure);
     }
-    const timer on_term = events.on_signal(SIGTERM, [&] { served.drain(); });
-    const timer on_interrupt = events.on_signal(SIGINT, [&] { served.drain(); });
+    const timer on_term = events.on_signal(SIGTERM, [&] { daemon.drain(); });
+    const timer on_interrupt = events.on_signal(SIGINT, [&] { daemon.drain(); });
     events.run();
     return 0;
 }
@@ -59,19 +59,19 @@
 int serve(const instance_settings& settings) {
     start_log("knapweedknotd", settings.lowest_log_level);
     loop events;
-    instance served(events, settings);
-    return run(events, served);
+    instance daemon(events, settings);
+    return run(events, daemon);
 }
 
-/// Reads the settings again when their file has changed; a bad file changes nothing.
-void reload(const std::string& path, std::string& last_text, edge_instance& served) {
+/// Applies the settings file if its text has changed. An invalid file is logged and ignored.
+void reload_settings(const std::string& path, std::string& previous_text, edge_instance& daemon) {
     const auto text = read_file(path);
-    if (!text || *text == last_text) {
+    if (!text || *text == previous_text) {
         return;
     }
-    last_text = *text;
+    previous_text = *text;
     if (const auto settings = parse_edge_settings(*text); settings) {
-        served.change_settings(*settings);
+        daemon.apply_settings(*settings);
     } else {
         log_event(log_level::error, "settings_unusable", {{"problem", settings.error().detail}});
     }
@@ -80,14 +80,14 @@
 int serve_edge(const arguments& given, std::string text, const edge_settings& settings) {
     start_log("knapweedknotd", settings.lowest_log_level);
     loop events;
-    edge_instance served(events, settings);
-    const auto look = [&] { reload(given.settings_path, text, served); };
-    const timer on_hangup = events.on_signal(SIGHUP, look);
-    const timer on_look = events.every(settings_look_interval, look);
-    return run(events, served);
+    edge_instance daemon(events, settings);
+    const auto reload = [&] { reload_settings(given.settings_path, text, daemon); };
+    const timer on_hangup = events.on_signal(SIGHUP, reload);
+    const timer on_poll = events.every(settings_poll_interval, reload);
+    return run(events, daemon);
 }
 
-/// Parses \p text with \p parse, then runs \p serve unless only the check was asked for.
+/// Parses \p text with \p parse, then runs \p serve unless --check-settings was given.
 template <typename Parse, typename Serve>
 int check_and_serve(const arguments& given, const std::string& text, Parse parse, Serve serve) {
     const auto settings = parse(text);
@@ -136,16 +136,16 @@
         std::cout << known;
         return 0;
     }
-    arguments wanted;
-    wanted.is_edge = given.count("edge") > 0;
-    wanted.check_only = given.count("check-settings") > 0;
+    arguments parsed_arguments;
+    parsed_arguments.is_edge = given.count("edge") > 0;
+    parsed_arguments.check_only = given.count("check-settings") > 0;
     const char* from_environment = std::getenv("KNAPWEEDKNOT_CONFIG");
     if (given.count("settings") > 0) {
-        wanted.settings_path = given["settings"].as<std::string>();
-    } else if (wanted.is_edge && from_environment != nullptr) {
-        wanted.settings_path = from_environment;
+        parsed_arguments.settings_path = given["settings"].as<std::string>();
+    } else if (parsed_arguments.is_edge && from_environment != nullptr) {
+        parsed_arguments.settings_path = from_environment;
     } else {
         return report_failure("--settings FILE is required; see --help", exit_usage);
     }
-    return start(wanted);
+    return start(parsed_arguments);
 }
