Reword the audit and key withdrawal texts of the operators' tool

"The chain of hashes is whole" and "make a key stop" left open what was checked and what happens to the key; no test or script matches them. Local answer -> response, as in the libraries.

--- a/programs/knapweedknotctl/commands.cpp
+++ b/programs/knapweedknotctl/commands.cpp
@@ -42,18 +42,18 @@
 }
 
 /// Returns the body of a response with status 200 and turns any other response into an error.
-result<nlohmann::json> expect_ok(const result<operator_answer>& answer) {
-    if (!answer) {
-        return tl::unexpected(answer.error());
+result<nlohmann::json> expect_ok(const result<operator_answer>& response) {
+    if (!response) {
+        return tl::unexpected(response.error());
     }
-    if (answer->status == status_ok) {
-        return answer->body;
+    if (response->status == status_ok) {
+        return response->body;
     }
-    const std::string kind = answer->body.is_object() ? answer->body.value("error", "") : "";
-    std::string detail = answer->body.is_object() ? answer->body.value("detail", "") : "";
-    if (answer->status == status_conflict) {
+    const std::string kind = response->body.is_object() ? response->body.value("error", "") : "";
+    std::string detail = response->body.is_object() ? response->body.value("detail", "") : "";
+    if (response->status == status_conflict) {
         detail +=
-            "; changed since: " + answer->body.value("changes_since", nlohmann::json()).dump();
+            "; changed since: " + response->body.value("changes_since", nlohmann::json()).dump();
         return fail(error_kind::configuration_conflict, detail);
     }
     const bool unknown = kind == answer_for(error_kind::outcome_unknown).name;
@@ -129,11 +129,11 @@
     const std::string uri = "/v1/configuration?base=" + std::to_string(base) +
                             "&patch_id=" + random_hex(patch_id_bytes);
     const std::string body = patch.dump();
-    auto answer = call(input.target, "PATCH", uri, type, body);
-    if (!answer && answer.error().kind == error_kind::outcome_unknown) {
-        answer = call(input.target, "PATCH", uri, type, body);
+    auto response = call(input.target, "PATCH", uri, type, body);
+    if (!response && response.error().kind == error_kind::outcome_unknown) {
+        response = call(input.target, "PATCH", uri, type, body);
     }
-    return expect_ok(answer);
+    return expect_ok(response);
 }
 
 int print_accepted(const command_input& input, const nlohmann::json& body) {
@@ -321,7 +321,7 @@
     }
     const int printed = print_history(input, *body);
     if (!input.json) {
-        std::cout << entries.size() << " entries, the chain of hashes is whole\n";
+        std::cout << entries.size() << " entries, the hash chain is valid\n";
     }
     return printed;
 }
--- a/programs/knapweedknotctl/main.cpp
+++ b/programs/knapweedknotctl/main.cpp
@@ -26,12 +26,12 @@
   patch FILE --base N         submit FILE, a merge patch or a JSON patch, against number N
   show                        print the configuration and its number
   history [--after N]         list accepted patches: number, time, operator, base, patch
-  audit                       list all accepted patches and check the chain of hashes
+  audit                       list all accepted patches and check their hash chain
   status                      instances, seats, targets and why they are ejected, accounts
   addresses --key KEY         the addresses that callers with KEY should use; --instance is
                               then the address for callers
   key add ACCOUNT             make a key and print it; it is shown only once
-  key withdraw ACCOUNT KEYID  make a key stop within seconds
+  key withdraw ACCOUNT KEYID  withdraw a key; it stops working within seconds
   drain                       stop the instance gracefully
   explain ID [FILE ...]       what happened to the request ID and why, from the instances' logs in
                               FILEs or on standard input
