--- a/programs/knapweedknotd/edge_instance.cpp
+++ b/programs/knapweedknotd/edge_instance.cpp
@@ -39,7 +39,7 @@
 }
 
 /// Options of the target directory. An instance that serves no requests batches more changes per
-/// store call and detects a lost watch later, to save store calls.
+/// store call and detects a lost watch later.
 target_directory_options make_directory_options(bool is_serving, const fleet_bounds& bounds) {
     target_directory_options options;
     options.vanished_grace = bounds.target_drain * 3 / 4;
