--- a/tools/platform_standin/main.cpp
+++ b/tools/platform_standin/main.cpp
@@ -1,5 +1,5 @@
 /// \file
-/// Stand-in for the platform's key-value service and instance list, for demonstrations and tests.
+/// Stand-in for the platform's key-value store and instance list, for demonstrations and tests.
 
 #include <csignal>
 #include <iostream>
@@ -16,9 +16,11 @@
     options::options_description known("Usage: platform_standin [options]");
     known.add_options()("help", "show this text")(
         "listen", options::value<std::string>()->default_value("127.0.0.1:7000"),
-        "address to serve on, IPV4:PORT")("list-lag-ms", options::value<int>()->default_value(1000),
-                                          "time until a change of the instance list is seen, ms")(
-        "seed", options::value<std::uint64_t>()->default_value(1), "seed of the lost answers");
+        "address to serve on, IPV4:PORT")(
+        "list-lag-ms", options::value<int>()->default_value(1000),
+        "delay until a change of the instance list becomes visible, ms")(
+        "seed", options::value<std::uint64_t>()->default_value(1),
+        "seed for the choice of dropped responses");
     options::variables_map given;
     try {
         options::store(options::parse_command_line(argc, argv, known), given);
