Describe the target stand-in as a simulated target

Names such as run, note, current, truth and whole, and comments such as "what the target says of itself", did not say what the code does. run is now execute, note is log_step, current is current_behaviour, waiting is queue, next_latency is draw_latency. Comments give units and what the settings do.

--- a/tools/platform_standin/main.cpp
+++ b/tools/platform_standin/main.cpp
@@ -13,34 +13,34 @@
 using namespace knapweedknot;
 
 int main(int argc, char** argv) {
-    options::options_description known("Usage: platform_standin [options]");
-    known.add_options()("help", "show this text")(
+    options::options_description description("Usage: platform_standin [options]");
+    description.add_options()("help", "show this text")(
         "listen", options::value<std::string>()->default_value("127.0.0.1:7000"),
         "address to serve on, IPV4:PORT")(
         "list-lag-ms", options::value<int>()->default_value(1000),
         "delay until a change of the instance list becomes visible, ms")(
         "seed", options::value<std::uint64_t>()->default_value(1),
         "seed for the choice of dropped responses");
-    options::variables_map given;
+    options::variables_map arguments;
     try {
-        options::store(options::parse_command_line(argc, argv, known), given);
+        options::store(options::parse_command_line(argc, argv, description), arguments);
     } catch (const options::error& problem) {
         std::cerr << "platform_standin: " << problem.what() << '\n';
         return 2;
     }
-    if (given.count("help") > 0) {
-        std::cout << known;
+    if (arguments.count("help") > 0) {
+        std::cout << description;
         return 0;
     }
     start_log("platform_standin", log_level::info);
-    const auto address = parse_endpoint(given["listen"].as<std::string>());
+    const auto address = parse_endpoint(arguments["listen"].as<std::string>());
     if (!address) {
         std::cerr << "platform_standin: --listen " << address.error().detail << '\n';
         return 2;
     }
     loop events;
-    standin::platform_service service(events, milliseconds(given["list-lag-ms"].as<int>()),
-                                      given["seed"].as<std::uint64_t>());
+    standin::platform_service service(events, milliseconds(arguments["list-lag-ms"].as<int>()),
+                                      arguments["seed"].as<std::uint64_t>());
     if (const auto listening = service.listen(*address); !listening) {
         std::cerr << "platform_standin: " << listening.error().detail << '\n';
         return 1;
--- a/tools/target_standin/main.cpp
+++ b/tools/target_standin/main.cpp
@@ -1,5 +1,5 @@
 /// \file
-/// Stand-in targets for demonstrations and tests: one process carries any number of them.
+/// Simulated targets for demonstrations and tests; one process runs any number of them.
 
 #include <csignal>
 #include <fstream>
@@ -19,14 +19,14 @@
 
 using target_list = std::vector<std::unique_ptr<standin::standin_target>>;
 
-void reply(incoming_request& request, int status, const nlohmann::json& body) {
-    http_response answer;
-    answer.status = status;
-    answer.body = make_body(body.dump());
-    request.respond(std::move(answer));
+void send_response(incoming_request& request, int status, const nlohmann::json& body) {
+    http_response response;
+    response.status = status;
+    response.body = make_body(body.dump());
+    request.respond(std::move(response));
 }
 
-nlohmann::json status_of(target_list& targets) {
+nlohmann::json status_json(target_list& targets) {
     nlohmann::json status = nlohmann::json::object();
     for (const auto& target : targets) {
         status[target->name()] = {{"executions", target->executions()},
@@ -36,17 +36,18 @@
     return status;
 }
 
-/// Serves GET / (status) and PUT /NAME (behaviour; "*" for all; {"mode": "crash"} crashes).
+/// Handles GET / (status of all targets) and PUT /NAME, which changes the behaviour of a target, or
+/// of all when NAME is "*"; {"mode": "crash"} crashes it.
 void handle_admin(target_list& targets, incoming_request& request) {
     if (request.method() == "GET") {
-        reply(request, 200, status_of(targets));
+        send_response(request, 200, status_json(targets));
         return;
     }
-    const std::string wanted(request.path().substr(1));
+    const std::string name_pattern(request.path().substr(1));
     const nlohmann::json body = nlohmann::json::parse(body_text(request.body()), nullptr, false);
     std::size_t changed = 0;
     for (const auto& target : targets) {
-        if (wanted != "*" && wanted != target->name()) {
+        if (name_pattern != "*" && name_pattern != target->name()) {
             continue;
         }
         ++changed;
@@ -54,11 +55,11 @@
             target->crash();
         } else if (const auto updated = standin::update_behaviour(target->behaviour(), body);
                    !updated) {
-            reply(request, 422, {{"error", updated.error().detail}});
+            send_response(request, 422, {{"error", updated.error().detail}});
             return;
         }
     }
-    reply(request, changed > 0 ? 200 : 404, {{"changed", changed}});
+    send_response(request, changed > 0 ? 200 : 404, {{"changed", changed}});
 }
 
 /// Parses "NAME=IPV4:PORT".
@@ -74,24 +75,24 @@
     return std::pair(text.substr(0, equals), *address);
 }
 
-int serve(const options::variables_map& given) {
+int serve(const options::variables_map& arguments) {
     standin::target_behaviour behaviour;
-    const auto source = parse_json_with_comments(given["behaviour"].as<std::string>());
-    const auto admin = parse_endpoint(given["admin"].as<std::string>());
-    const auto checked =
+    const auto source = parse_json_with_comments(arguments["behaviour"].as<std::string>());
+    const auto admin = parse_endpoint(arguments["admin"].as<std::string>());
+    const auto updated =
         source.and_then([&](const auto& json) { return update_behaviour(behaviour, json); });
-    if (!checked || !admin) {
-        std::cerr << "target_standin: " << (checked ? admin.error().detail : checked.error().detail)
+    if (!updated || !admin) {
+        std::cerr << "target_standin: " << (updated ? admin.error().detail : updated.error().detail)
                   << '\n';
         return 2;
     }
     std::ofstream log_file;
-    if (given.count("log") > 0) {
-        log_file.open(given["log"].as<std::string>(), std::ios::app);
+    if (arguments.count("log") > 0) {
+        log_file.open(arguments["log"].as<std::string>(), std::ios::app);
     }
     loop events;
     target_list targets;
-    for (const std::string& text : given["target"].as<std::vector<std::string>>()) {
+    for (const std::string& text : arguments["target"].as<std::vector<std::string>>()) {
         const auto parsed = parse_target(text);
         if (!parsed) {
             std::cerr << "target_standin: " << parsed.error().detail << '\n';
@@ -105,7 +106,7 @@
                     log_file << line.dump() << '\n';
                 }
             },
-            hash64(name, given["seed"].as<std::uint64_t>())));
+            hash64(name, arguments["seed"].as<std::uint64_t>())));
         if (const auto started = targets.back()->start(); !started) {
             std::cerr << "target_standin: " << started.error().detail << '\n';
             return 1;
@@ -116,7 +117,7 @@
         std::cerr << "target_standin: " << listening.error().detail << '\n';
         return 1;
     }
-    const timer flush = events.every(milliseconds(100), [&] { log_file.flush(); });
+    const timer flush_timer = events.every(milliseconds(100), [&] { log_file.flush(); });
     const timer on_term = events.on_signal(SIGTERM, [&] { events.stop(); });
     events.run();
     return 0;
@@ -125,28 +126,29 @@
 } // namespace
 
 int main(int argc, char** argv) {
-    options::options_description known("Usage: target_standin --target NAME=IPV4:PORT ...");
-    known.add_options()("help", "show this text")(
+    options::options_description description("Usage: target_standin --target NAME=IPV4:PORT ...");
+    description.add_options()("help", "show this text")(
         "target", options::value<std::vector<std::string>>()->required(),
-        "a target to carry, NAME=IPV4:PORT; may be repeated")(
+        "a target to run, NAME=IPV4:PORT; may be repeated")(
         "admin", options::value<std::string>()->default_value("127.0.0.1:7100"),
-        "address for switching behaviour")(
+        "address of the administration interface")(
         "behaviour", options::value<std::string>()->default_value("{}"),
-        "behaviour at the start, JSON")("log", options::value<std::string>(),
-                                        "file for one JSON line for each step of an execution")(
-        "seed", options::value<std::uint64_t>()->default_value(1), "seed of the latencies");
-    options::variables_map given;
+        "initial behaviour of the targets, JSON")(
+        "log", options::value<std::string>(),
+        "file to which each step of an execution is appended as a JSON line")(
+        "seed", options::value<std::uint64_t>()->default_value(1), "seed of the random latencies");
+    options::variables_map arguments;
     try {
-        options::store(options::parse_command_line(argc, argv, known), given);
-        if (given.count("help") > 0) {
-            std::cout << known;
+        options::store(options::parse_command_line(argc, argv, description), arguments);
+        if (arguments.count("help") > 0) {
+            std::cout << description;
             return 0;
         }
-        options::notify(given);
+        options::notify(arguments);
     } catch (const options::error& problem) {
         std::cerr << "target_standin: " << problem.what() << '\n';
         return 2;
     }
     start_log("target_standin", log_level::info);
-    return serve(given);
+    return serve(arguments);
 }
--- a/tools/target_standin/standin_target.cpp
+++ b/tools/target_standin/standin_target.cpp
@@ -12,23 +12,24 @@
 
 constexpr std::string_view outcome_header = "Knapweedknot-Outcome";
 
-void reply(incoming_request& request, int status, const std::string& text, bool not_run = false) {
-    http_response answer;
-    answer.status = status;
-    answer.headers.push_back({"Content-Type", "application/json"});
-    if (not_run) {
-        answer.headers.push_back({std::string(outcome_header), "not_run"});
+void send_response(incoming_request& request, int status, const std::string& text,
+                   bool not_executed = false) {
+    http_response response;
+    response.status = status;
+    response.headers.push_back({"Content-Type", "application/json"});
+    if (not_executed) {
+        response.headers.push_back({std::string(outcome_header), "not_run"});
     }
     if (request.method() == "HEAD") {
-        answer.headers.push_back({"Content-Length", std::to_string(text.size())});
+        response.headers.push_back({"Content-Length", std::to_string(text.size())});
     } else {
-        answer.body = make_body(text);
+        response.body = make_body(text);
     }
-    request.respond(std::move(answer));
+    request.respond(std::move(response));
 }
 
-/// When the caller stops waiting; far away without a deadline header.
-time_point deadline_of(const incoming_request& request) {
+/// Time at which the caller stops waiting; time_point::max() without a valid deadline header.
+time_point read_deadline(const incoming_request& request) {
     const std::string_view text = request.header("Knapweedknot-Deadline-Ms");
     long long left_ms = 0;
     const auto [stop, code] = std::from_chars(text.data(), text.data() + text.size(), left_ms);
@@ -36,17 +37,17 @@
                                                : boot_clock::now() + milliseconds(left_ms);
 }
 
-/// Announces a longer body than it sends, then closes.
-void reply_truncated(incoming_request& request) {
-    http_response answer;
-    answer.status = 200;
-    answer.headers.push_back({"Content-Length", "1000"});
-    answer.headers.push_back({"Connection", "close"});
-    answer.body = make_body("cut");
-    request.respond(std::move(answer));
+/// Sends a shorter body than its Content-Length, then closes the connection.
+void send_truncated_response(incoming_request& request) {
+    http_response response;
+    response.status = 200;
+    response.headers.push_back({"Content-Length", "1000"});
+    response.headers.push_back({"Connection", "close"});
+    response.body = make_body("cut");
+    request.respond(std::move(response));
 }
 
-nlohmann::json describe(const incoming_request& request) {
+nlohmann::json request_json(const incoming_request& request) {
     nlohmann::json headers = nlohmann::json::object();
     for (const auto& [name, value] : request.headers()) {
         headers[name] = value;
@@ -68,13 +69,14 @@
     changed.exponential = reader.flag("exponential", changed.exponential);
     changed.slow_share = reader.number("slow_share", changed.slow_share, 0, 1, "of requests");
     changed.slow_factor = reader.number("slow_factor", changed.slow_factor, 1, 1e6, "times");
-    const auto whole = [&reader](std::string_view name, int fallback, std::string_view unit) {
+    const auto read_integer = [&reader](std::string_view name, int fallback,
+                                        std::string_view unit) {
         return static_cast<int>(reader.integer(name, fallback, 0, 1'000'000, unit));
     };
-    changed.slots = whole("slots", changed.slots, "requests");
-    changed.connections = whole("connections", changed.connections, "connections");
-    changed.cold_start_ms = whole("cold_start_ms", changed.cold_start_ms, "ms");
-    changed.restart_ms = whole("restart_ms", changed.restart_ms, "ms");
+    changed.slots = read_integer("slots", changed.slots, "requests");
+    changed.connections = read_integer("connections", changed.connections, "connections");
+    changed.cold_start_ms = read_integer("cold_start_ms", changed.cold_start_ms, "ms");
+    changed.restart_ms = read_integer("restart_ms", changed.restart_ms, "ms");
     changed.crash_marker = reader.text("crash_marker", changed.crash_marker);
     changed.health = reader.text("health", changed.health);
     reader.reject_unknown_fields();
@@ -86,10 +88,10 @@
 }
 
 standin_target::standin_target(loop& event_loop, std::string name, const endpoint& listen_address,
-                               target_behaviour behaviour, execution_log log_sink,
+                               target_behaviour behaviour, execution_log log_callback,
                                std::uint64_t seed)
     : owner(event_loop), target_name(std::move(name)), address(listen_address),
-      current(std::move(behaviour)), log(std::move(log_sink)), random(seed) {}
+      current_behaviour(std::move(behaviour)), log(std::move(log_callback)), random(seed) {}
 
 result<void> standin_target::start() {
     http_server_limits limits;
@@ -103,110 +105,116 @@
 
 void standin_target::crash() {
     for (const auto& running : this->executing) {
-        running->end = timer();
-        this->note("crashed", *running);
+        running->finish_timer = timer();
+        this->log_step("crashed", *running);
     }
     this->executing.clear();
-    this->waiting.clear();
+    this->queue.clear();
     this->hanging.clear();
     this->server.reset();
-    this->restart = this->owner.after(milliseconds(this->current.restart_ms), [this] {
-        if (const auto started_again = this->start(); !started_again) {
-            this->log({{"step", "restart_failed"}, {"target", this->target_name}});
-        }
-    });
+    this->restart_timer =
+        this->owner.after(milliseconds(this->current_behaviour.restart_ms), [this] {
+            if (const auto started_again = this->start(); !started_again) {
+                this->log({{"step", "restart_failed"}, {"target", this->target_name}});
+            }
+        });
 }
 
 void standin_target::handle(const request_ptr& request) {
-    this->connection_peak = std::max(this->connection_peak, this->server->open_connections());
+    this->max_open_connections =
+        std::max(this->max_open_connections, this->server->open_connections());
     if (request->path() == "/health" || request->path() == "/load") {
-        this->handle_health(request);
+        this->handle_status_request(request);
         return;
     }
-    const bool over_connections =
-        this->server->open_connections() > static_cast<std::size_t>(this->current.connections);
-    if (this->current.mode == "shed" || this->current.mode == "leaving" || over_connections) {
+    const bool exceeds_connection_limit =
+        this->server->open_connections() >
+        static_cast<std::size_t>(this->current_behaviour.connections);
+    if (this->current_behaviour.mode == "shed" || this->current_behaviour.mode == "leaving" ||
+        exceeds_connection_limit) {
         this->log({{"step", "shed"}, {"target", this->target_name}, {"uri", request->uri()}});
-        reply(*request, 503, R"({"error": "shed"})", true);
+        send_response(*request, 503, R"({"error": "shed"})", true);
         return;
     }
-    this->waiting.push_back({request, deadline_of(*request)});
-    this->run_next();
+    this->queue.push_back({request, read_deadline(*request)});
+    this->execute_queued();
 }
 
-void standin_target::handle_health(const request_ptr& request) {
+void standin_target::handle_status_request(const request_ptr& request) {
     if (request->path() == "/load") {
-        reply(*request, 200, nlohmann::json{{"running", this->executing.size()}}.dump());
+        send_response(*request, 200, nlohmann::json{{"running", this->executing.size()}}.dump());
         return;
     }
-    const bool truth = this->current.mode == "ok";
-    const bool healthy = this->current.health == "ok" || (this->current.health == "truth" && truth);
-    reply(*request, healthy ? 200 : 503, healthy ? "{}" : R"({"error": "sick"})");
+    const bool is_ok = this->current_behaviour.mode == "ok";
+    const bool is_healthy = this->current_behaviour.health == "ok" ||
+                            (this->current_behaviour.health == "truth" && is_ok);
+    send_response(*request, is_healthy ? 200 : 503, is_healthy ? "{}" : R"({"error": "sick"})");
 }
 
-void standin_target::run_next() {
-    while (!this->waiting.empty() &&
-           this->executing.size() < static_cast<std::size_t>(this->current.slots)) {
-        const waiting_request next = std::move(this->waiting.front());
-        this->waiting.pop_front();
+void standin_target::execute_queued() {
+    while (!this->queue.empty() &&
+           this->executing.size() < static_cast<std::size_t>(this->current_behaviour.slots)) {
+        const queued_request next = std::move(this->queue.front());
+        this->queue.pop_front();
         if (next.request->is_finished()) {
             continue;
         }
         if (next.deadline <= boot_clock::now()) {
-            reply(*next.request, 503, R"({"error": "deadline passed"})", true);
+            send_response(*next.request, 503, R"({"error": "deadline passed"})", true);
             continue;
         }
-        this->run(next.request);
+        this->execute(next.request);
     }
 }
 
-void standin_target::run(const request_ptr& request) {
+void standin_target::execute(const request_ptr& request) {
     auto running = std::make_shared<execution>();
     running->request = request;
-    running->number = ++this->started;
+    running->number = ++this->execution_count;
     this->executing.push_back(running);
-    this->note("started", *running);
-    const std::string& marker = this->current.crash_marker;
+    this->log_step("started", *running);
+    const std::string& marker = this->current_behaviour.crash_marker;
     if (!marker.empty() && request->uri().find(marker) != std::string::npos) {
-        // The crash destroys the server, which must not happen inside its own callback.
+        // crash() destroys the server, which must not happen within a callback of that server.
         this->owner.post([this] { this->crash(); });
         return;
     }
     request->on_caller_disconnect([this, running] {
-        this->note("cancelled", *running);
-        running->end = timer();
+        this->log_step("cancelled", *running);
+        running->finish_timer = timer();
         std::erase(this->executing, running);
-        this->run_next();
+        this->execute_queued();
     });
-    if (this->current.mode == "hang") {
+    if (this->current_behaviour.mode == "hang") {
         return;
     }
-    running->end =
-        this->owner.after(this->next_latency(), [this, running] { this->finish(running); });
+    running->finish_timer =
+        this->owner.after(this->draw_latency(), [this, running] { this->finish(running); });
 }
 
 void standin_target::finish(const std::shared_ptr<execution>& running) {
-    // The timer's callback holds the execution; without it the request is dropped when unanswered.
-    running->end = timer();
+    // The timer's callback holds a reference to the execution. It is released here so that a
+    // request without a response is dropped.
+    running->finish_timer = timer();
     std::erase(this->executing, running);
     running->request->on_caller_disconnect(nullptr);
-    this->note("finished", *running);
+    this->log_step("finished", *running);
     incoming_request& request = *running->request;
-    if (this->current.mode == "error") {
-        reply(request, 500, R"({"error": "failed"})");
-    } else if (this->current.mode == "truncate") {
-        reply_truncated(request);
-    } else if (this->current.mode != "reset") {
-        nlohmann::json body = describe(request);
+    if (this->current_behaviour.mode == "error") {
+        send_response(request, 500, R"({"error": "failed"})");
+    } else if (this->current_behaviour.mode == "truncate") {
+        send_truncated_response(request);
+    } else if (this->current_behaviour.mode != "reset") {
+        nlohmann::json body = request_json(request);
         body["target"] = this->target_name;
         body["execution"] = running->number;
-        reply(request, 200, body.dump() + '\n');
+        send_response(request, 200, body.dump() + '\n');
     }
-    // In mode "reset" the request is dropped unanswered, which closes its connection.
-    this->run_next();
+    // In mode "reset" the request is dropped without a response, which closes its connection.
+    this->execute_queued();
 }
 
-void standin_target::note(std::string_view step, const execution& running) {
+void standin_target::log_step(std::string_view step, const execution& running) {
     const auto now = boot_clock::now().time_since_epoch();
     this->log({{"step", step},
                {"target", this->target_name},
@@ -217,17 +225,17 @@
                {"uri", running.request->uri()}});
 }
 
-duration standin_target::next_latency() {
-    double latency = this->current.latency_ms;
-    if (this->current.exponential && latency > 0) {
+duration standin_target::draw_latency() {
+    double latency = this->current_behaviour.latency_ms;
+    if (this->current_behaviour.exponential && latency > 0) {
         latency = std::exponential_distribution<double>(1 / latency)(this->random);
     }
-    const bool cold =
-        boot_clock::now() - this->started_at < milliseconds(this->current.cold_start_ms);
-    const bool slow =
-        std::uniform_real_distribution<double>(0, 1)(this->random) < this->current.slow_share;
-    if (cold || slow) {
-        latency *= this->current.slow_factor;
+    const bool is_cold =
+        boot_clock::now() - this->started_at < milliseconds(this->current_behaviour.cold_start_ms);
+    const bool is_slow = std::uniform_real_distribution<double>(0, 1)(this->random) <
+                         this->current_behaviour.slow_share;
+    if (is_cold || is_slow) {
+        latency *= this->current_behaviour.slow_factor;
     }
     constexpr double ms_per_second = 1000;
     return from_seconds(latency / ms_per_second);
--- a/tools/target_standin/standin_target.h
+++ b/tools/target_standin/standin_target.h
@@ -12,94 +12,100 @@
 #include "event/loop.h"
 
 /// \file
-/// One stand-in target: slots, a connection limit, and failures that can be switched on.
+/// A simulated target with a concurrency limit, a connection limit and injectable faults.
 ///
-///     GET /health, GET /load        what the target says of itself
-///     any other path                runs as a request and answers what was received, as JSON
+///     GET /health, GET /load        health and number of running requests
+///     any other path                executes the request and returns it as JSON
 
 namespace knapweedknot::standin {
 
-/// How a target behaves. Every field can be changed while it runs.
+/// Behaviour of a target. Every field can be changed at run time.
 struct target_behaviour {
     /// "ok", "hang", "reset", "error", "shed", "truncate" or "leaving".
     std::string mode{"ok"};
+    /// Execution time of a request.
     double latency_ms{5};
-    /// True: latencies are exponentially distributed around latency_ms.
+    /// True: execution times are exponentially distributed with the mean latency_ms.
     bool exponential{false};
-    /// Share of requests that take slow_factor times as long.
+    /// Fraction of requests (0 to 1) that take slow_factor times as long.
     double slow_share{0};
     double slow_factor{10};
+    /// Most requests that are executed at once; further requests are queued.
     int slots{6};
+    /// Open connections above which requests are refused with 503.
     int connections{330};
-    /// Time after a start during which requests take slow_factor times as long.
+    /// Time after a start or restart during which requests take slow_factor times as long.
     int cold_start_ms{0};
-    /// A request whose URI holds this text crashes the target; empty for none.
+    /// A request whose URI contains this text crashes the target; empty for none.
     std::string crash_marker;
     /// Time from a crash until the target listens again.
     int restart_ms{500};
-    /// What /health says: "truth", "ok" or "sick".
+    /// Response of /health: "ok" and "sick" are fixed, "truth" is healthy only in mode "ok".
     std::string health{"truth"};
 };
 
-/// Reads the fields that \p source has into \p behaviour. The error names a bad field.
+/// Overwrites the fields of \p behaviour that \p source contains. On an error, which names the
+/// invalid fields, \p behaviour is unchanged.
 [[nodiscard]] result<void> update_behaviour(target_behaviour& behaviour,
                                             const nlohmann::json& source);
 
-/// Receives one line of JSON for each step of an execution.
+/// Called with one JSON object for each step of an execution.
 using execution_log = std::function<void(const nlohmann::json&)>;
 
-/// A target in this process. Not thread safe.
+/// A simulated target that listens on its own address. Not thread safe.
 class standin_target {
 public:
     standin_target(loop& owner, std::string name, const endpoint& address,
                    target_behaviour behaviour, execution_log log, std::uint64_t seed);
 
-    /// Starts to listen. The error says why not.
+    /// Starts to listen. Fails when the address cannot be bound.
     [[nodiscard]] result<void> start();
-    /// Closes every connection at once and stays down for restart_ms.
+    /// Drops all requests and connections at once; listens again after restart_ms.
     void crash();
-    [[nodiscard]] target_behaviour& behaviour() noexcept { return this->current; }
+    [[nodiscard]] target_behaviour& behaviour() noexcept { return this->current_behaviour; }
     [[nodiscard]] const std::string& name() const noexcept { return this->target_name; }
-    /// Requests run since the process started.
-    [[nodiscard]] std::uint64_t executions() const noexcept { return this->started; }
-    /// Most connections open at once so far.
-    [[nodiscard]] std::size_t most_connections() const noexcept { return this->connection_peak; }
+    /// Executions started since the process started.
+    [[nodiscard]] std::uint64_t executions() const noexcept { return this->execution_count; }
+    /// Maximum number of connections that were open when a request arrived.
+    [[nodiscard]] std::size_t most_connections() const noexcept {
+        return this->max_open_connections;
+    }
 
 private:
     using request_ptr = std::shared_ptr<incoming_request>;
     struct execution {
         request_ptr request;
         std::uint64_t number;
-        timer end;
+        timer finish_timer;
     };
 
     void handle(const request_ptr& request);
-    void handle_health(const request_ptr& request);
-    void run_next();
-    void run(const request_ptr& request);
+    void handle_status_request(const request_ptr& request);
+    void execute_queued();
+    void execute(const request_ptr& request);
     void finish(const std::shared_ptr<execution>& running);
-    void note(std::string_view step, const execution& running);
-    [[nodiscard]] duration next_latency();
+    void log_step(std::string_view step, const execution& running);
+    [[nodiscard]] duration draw_latency();
 
     loop& owner;
     std::string target_name;
     endpoint address;
-    target_behaviour current;
+    target_behaviour current_behaviour;
     execution_log log;
     std::mt19937_64 random;
     std::unique_ptr<http_server> server;
-    /// A request that waits for a slot, and when its caller stops waiting for it.
-    struct waiting_request {
+    /// A request that is waiting for a slot, with its deadline.
+    struct queued_request {
         request_ptr request;
         time_point deadline;
     };
-    std::deque<waiting_request> waiting;
+    std::deque<queued_request> queue;
     std::vector<std::shared_ptr<execution>> executing;
     std::vector<request_ptr> hanging;
     time_point started_at;
-    timer restart;
-    std::uint64_t started{0};
-    std::size_t connection_peak{0};
+    timer restart_timer;
+    std::uint64_t execution_count{0};
+    std::size_t max_open_connections{0};
 };
 
 } // namespace knapweedknot::standin
