--- a/tools/fleet_bench/configuration_cost.cpp
+++ b/tools/fleet_bench/configuration_cost.cpp
@@ -15,11 +15,12 @@
 constexpr int measured_patches = 9;
 constexpr double ms_per_second = 1000;
 
-struct size_step {
+struct configuration_size {
     int accounts;
     int routes;
 };
-constexpr std::array sizes{size_step{100, 20}, size_step{1000, 200}, size_step{10'000, 2000}};
+constexpr std::array sizes{configuration_size{100, 20}, configuration_size{1000, 200},
+                           configuration_size{10'000, 2000}};
 
 void add_accounts(harness::fleet& fleet, int from, int to) {
     for (int start = from; start < to; start += entities_per_patch) {
@@ -49,7 +50,7 @@
     return to_seconds(boot_clock::now() - start) * ms_per_second;
 }
 
-/// Processor time of the instance for a request, in microseconds.
+/// Processor time of instance 0 per answered request, in microseconds.
 double request_cost_us(harness::fleet& fleet, const std::string& key, std::uint64_t seed) {
     harness::load_options given{
         "lookups", key, "/prefix-7/x", "GET", 2000, {fleet.callers_address(0)}, false};
@@ -79,12 +80,12 @@
     fleet.patch({{"services", {{"work", service}}}});
     std::printf("%9s %9s %14s %14s %14s %12s\n", "accounts", "routes", "patch ms p50",
                 "patch ms max", "request us", "memory MB");
-    size_step done{0, 0};
+    configuration_size current_size{0, 0};
     std::string key;
-    for (const size_step& size : sizes) {
-        add_accounts(fleet, done.accounts, size.accounts);
-        add_routes(fleet, done.routes, size.routes);
-        done = size;
+    for (const configuration_size& size : sizes) {
+        add_accounts(fleet, current_size.accounts, size.accounts);
+        add_routes(fleet, current_size.routes, size.routes);
+        current_size = size;
         if (key.empty()) {
             key = fleet.add_api_key("account-7");
         }
--- a/tools/fleet_bench/control_cost.cpp
+++ b/tools/fleet_bench/control_cost.cpp
@@ -10,14 +10,14 @@
 namespace {
 
 constexpr std::array instance_counts{8, 16, 32, 44};
-constexpr duration settling = seconds(10);
-constexpr duration measured_time = seconds(20);
-// IPv4 and TCP headers with time stamps of one segment.
+constexpr duration warm_up_time = seconds(10);
+constexpr duration measurement_time = seconds(20);
+// IPv4 and TCP headers of one segment, with the time stamp option.
 constexpr double segment_header_bytes = 52;
 // IPv4 and UDP headers.
 constexpr double datagram_header_bytes = 28;
 
-/// Totals over all running instances.
+/// Resource use and traffic, summed over all instances.
 struct totals {
     double cpu_s{0};
     double memory_bytes{0};
@@ -32,7 +32,7 @@
     std::FILE* file = std::fopen("/proc/net/snmp", "r");
     double sent = 0;
     char line[1024];
-    bool header_seen = false;
+    bool values_found = false;
     while (file != nullptr && std::fgets(line, sizeof line, file) != nullptr) {
         double values[12] = {};
         if (std::sscanf(line, "Tcp: %lf %lf %lf %lf %lf %lf %lf %lf %lf %lf %lf", &values[0],
@@ -40,13 +40,13 @@
                         &values[7], &values[8], &values[9], &values[10]) == 11) {
             // Field 11 is OutSegs.
             sent = values[10];
-            header_seen = true;
+            values_found = true;
         }
     }
     if (file != nullptr) {
         std::fclose(file);
     }
-    return header_seen ? sent : 0;
+    return values_found ? sent : 0;
 }
 
 totals collect(harness::fleet& fleet, int count) {
@@ -84,20 +84,20 @@
         fleet.patch({{"accounts", accounts},
                      {"services", {{"work", fleet.service_settings()}}},
                      {"routes", {{"all", {{"path_prefix", "/"}, {"service", "work"}}}}}});
-        harness::run_for(fleet.events(), settling);
+        harness::run_for(fleet.events(), warm_up_time);
         const totals before = collect(fleet, count);
         const time_point start = boot_clock::now();
-        harness::run_for(fleet.events(), measured_time);
-        const double passed = to_seconds(boot_clock::now() - start);
+        harness::run_for(fleet.events(), measurement_time);
+        const double elapsed = to_seconds(boot_clock::now() - start);
         const totals after = collect(fleet, count);
-        const double each = passed * count;
-        const double payload = (after.peer_bytes - before.peer_bytes) / each;
+        const double instance_seconds = elapsed * count;
+        const double payload = (after.peer_bytes - before.peer_bytes) / instance_seconds;
         const double headers = ((after.segments - before.segments) * segment_header_bytes +
                                 (after.datagrams - before.datagrams) * datagram_header_bytes) /
-                               each;
-        const double calls = (after.store_calls - before.store_calls) / passed;
+                               instance_seconds;
+        const double calls = (after.store_calls - before.store_calls) / elapsed;
         std::printf("%9d %12.0f %14.0f %12.2f %12.1f %14.2f %12.2f\n", count, payload,
-                    payload + headers, (after.cpu_s - before.cpu_s) / each * 100,
+                    payload + headers, (after.cpu_s - before.cpu_s) / instance_seconds * 100,
                     after.memory_bytes / count / 1e6, calls, calls / count * 10);
         std::fflush(stdout);
     }
--- a/tools/fleet_bench/main.cpp
+++ b/tools/fleet_bench/main.cpp
@@ -1,5 +1,5 @@
 /// \file
-/// Measurements on whole fleets of processes. Figures are printed, never judged.
+/// Benchmarks of whole fleets of processes. They print figures and check no thresholds.
 
 #include <functional>
 #include <iostream>
--- a/tools/fleet_bench/request_cost.cpp
+++ b/tools/fleet_bench/request_cost.cpp
@@ -9,10 +9,10 @@
 
 namespace {
 
-constexpr double half_load_per_s = 1000;
-constexpr duration latency_run = seconds(20);
-constexpr duration throughput_run = seconds(10);
-constexpr int closed_loop_callers = 32;
+constexpr double request_rate_per_s = 1000;
+constexpr duration latency_run_time = seconds(20);
+constexpr duration throughput_run_time = seconds(10);
+constexpr int closed_loop_clients = 32;
 constexpr double ms_per_second = 1000;
 
 std::vector<double> latencies_ms(const harness::load_generator& callers) {
@@ -25,7 +25,7 @@
     return values;
 }
 
-std::string set_up(harness::fleet& fleet) {
+std::string start_fleet(harness::fleet& fleet) {
     fleet.start();
     nlohmann::json service = fleet.service_settings();
     service["slots_per_target"] = 1000;
@@ -34,7 +34,7 @@
                  {"services", {{"work", service}}},
                  {"routes", {{"all", {{"path_prefix", "/"}, {"service", "work"}}}}}});
     std::string key = fleet.add_api_key("bench");
-    // Loans are made with the next heartbeats.
+    // Quota leases are issued with the next heartbeats.
     harness::run_for(fleet.events(), seconds(3));
     return key;
 }
@@ -44,16 +44,16 @@
                 harness::quantile(values, 0.99));
 }
 
-/// Sends the next request as soon as the last was answered, on one connection.
-class closed_caller {
+/// Sends each request when the previous one has completed, on one connection.
+class closed_loop_client {
 public:
-    closed_caller(loop& owner, const endpoint& address, std::string key)
-        : pool(owner, address, http_client_limits{}), presented(std::move(key)) {}
+    closed_loop_client(loop& owner, const endpoint& address, std::string key)
+        : pool(owner, address, http_client_limits{}), api_key(std::move(key)) {}
 
     void send() {
         http_request request;
         request.uri = "/work";
-        request.headers = {{"Host", "fleet"}, {"Authorization", "Bearer " + this->presented}};
+        request.headers = {{"Host", "fleet"}, {"Authorization", "Bearer " + this->api_key}};
         this->pool.send(request, seconds(5), [this](const http_outcome& outcome) {
             this->answered += outcome && outcome->status == 200 ? 1 : 0;
             this->send();
@@ -63,7 +63,7 @@
 
 private:
     http_pool pool;
-    std::string presented;
+    std::string api_key;
 };
 
 void measure_latency(const bench_options& options) {
@@ -72,30 +72,31 @@
     wanted.instances = 1;
     wanted.behaviour = {{"latency_ms", 1}, {"slots", 1000}, {"connections", 100000}};
     harness::fleet fleet(wanted);
-    const std::string key = set_up(fleet);
-    harness::load_options through{"through the instance",     key,  "/work", "GET", half_load_per_s,
-                                  {fleet.callers_address(0)}, false};
+    const std::string key = start_fleet(fleet);
+    harness::load_options through{
+        "through the instance",     key,  "/work", "GET", request_rate_per_s,
+        {fleet.callers_address(0)}, false};
     harness::load_options direct = through;
     direct.instances.clear();
     for (int i = 0; i < wanted.targets; ++i) {
         direct.instances.push_back(fleet.target_address(i));
     }
     harness::load_generator proxied(fleet.events(), through, options.seed);
-    harness::load_generator straight(fleet.events(), direct, options.seed + 1);
+    harness::load_generator unproxied(fleet.events(), direct, options.seed + 1);
     proxied.start();
-    straight.start();
-    harness::run_for(fleet.events(), latency_run);
+    unproxied.start();
+    harness::run_for(fleet.events(), latency_run_time);
     proxied.stop();
-    straight.stop();
+    unproxied.stop();
     harness::run_for(fleet.events(), seconds(1));
-    const std::vector<double> with = latencies_ms(proxied);
-    const std::vector<double> without = latencies_ms(straight);
+    const std::vector<double> proxied_ms = latencies_ms(proxied);
+    const std::vector<double> direct_ms = latencies_ms(unproxied);
     std::printf("%-22s %9s %9s %9s\n", "at 1,000 requests/s", "answered", "p50 ms", "p99 ms");
-    print_latency("direct to targets", without);
-    print_latency("through one instance", with);
+    print_latency("direct to targets", direct_ms);
+    print_latency("through one instance", proxied_ms);
     std::printf("%-22s %9s %9.3f %9.3f\n", "added", "",
-                harness::quantile(with, 0.5) - harness::quantile(without, 0.5),
-                harness::quantile(with, 0.99) - harness::quantile(without, 0.99));
+                harness::quantile(proxied_ms, 0.5) - harness::quantile(direct_ms, 0.5),
+                harness::quantile(proxied_ms, 0.99) - harness::quantile(direct_ms, 0.99));
 }
 
 void measure_throughput() {
@@ -104,11 +105,11 @@
     wanted.instances = 1;
     wanted.behaviour = {{"latency_ms", 0}, {"slots", 1000}, {"connections", 100000}};
     harness::fleet fleet(wanted);
-    const std::string key = set_up(fleet);
-    std::vector<std::unique_ptr<closed_caller>> callers;
-    for (int i = 0; i < closed_loop_callers; ++i) {
+    const std::string key = start_fleet(fleet);
+    std::vector<std::unique_ptr<closed_loop_client>> callers;
+    for (int i = 0; i < closed_loop_clients; ++i) {
         callers.push_back(
-            std::make_unique<closed_caller>(fleet.events(), fleet.callers_address(0), key));
+            std::make_unique<closed_loop_client>(fleet.events(), fleet.callers_address(0), key));
         callers.back()->send();
     }
     const auto answered = [&callers] {
@@ -121,13 +122,13 @@
     harness::run_for(fleet.events(), seconds(2));
     const double before = answered();
     const double cpu_before = fleet.instance(0).cpu_seconds();
-    harness::run_for(fleet.events(), throughput_run);
+    harness::run_for(fleet.events(), throughput_run_time);
     const double requests = answered() - before;
     const double cpu = fleet.instance(0).cpu_seconds() - cpu_before;
     std::printf("\nclosed loop, %d connections: %.0f requests/s, instance used %.2f of a core,\n"
                 "%.0f requests per core second, %.1f us of processor time a request\n",
-                closed_loop_callers, requests / to_seconds(throughput_run),
-                cpu / to_seconds(throughput_run), requests / cpu, cpu / requests * 1e6);
+                closed_loop_clients, requests / to_seconds(throughput_run_time),
+                cpu / to_seconds(throughput_run_time), requests / cpu, cpu / requests * 1e6);
 }
 
 } // namespace
