Reword the edge fixture and its tests

becomes -> wait_for_status, behaviour -> request_handler, held -> unanswered, arrivals -> request_counts, total_arrivals -> total_requests, last -> last_request, callers -> callers_address, hang -> never_answer, break_off -> drop_connections. The binaries of tests/ were not run here.

--- a/tests/edge_fixture.h
+++ b/tests/edge_fixture.h
@@ -21,11 +21,11 @@
 #include "process.h"
 
 /// \file
-/// Edges as processes of their own, before a store and targets that live in the test's process.
+/// Fixture for tests of edge processes. The store and the targets run inside the test process.
 
 namespace knapweedknot::harness {
 
-/// A target that the test controls. Not thread safe.
+/// A target whose responses the test controls. Not thread safe.
 class test_target {
 public:
     using request_ptr = std::shared_ptr<incoming_request>;
@@ -36,7 +36,7 @@
         BOOST_REQUIRE(this->server.listen(this->address).has_value());
     }
 
-    /// Answers \p request as a target that ran it.
+    /// Responds to \p request as a target that executed it.
     void answer(incoming_request& request, int status = 200, const std::string& body = "done") {
         http_response answer;
         answer.status = status;
@@ -45,7 +45,7 @@
         answer.body = make_body(body);
         request.respond(std::move(answer));
     }
-    /// Answers that it did not run \p request.
+    /// Responds that \p request was not executed.
     static void refuse(incoming_request& request, int status) {
         http_response answer;
         answer.status = status;
@@ -56,20 +56,20 @@
 
     std::string id;
     endpoint address;
-    /// What to do with a request; by default it is answered at once.
-    std::function<void(const request_ptr&)> behaviour;
-    /// Requests that reached it, by URI.
-    std::map<std::string, int> arrivals;
-    request_ptr last;
-    /// Keeps requests that have no answer.
-    std::vector<request_ptr> held;
+    /// Handles each request; if empty, requests are answered at once.
+    std::function<void(const request_ptr&)> request_handler;
+    /// Number of requests received, by URI.
+    std::map<std::string, int> request_counts;
+    request_ptr last_request;
+    /// Keeps requests open without a response.
+    std::vector<request_ptr> unanswered;
 
 private:
     void handle(const request_ptr& request) {
-        ++this->arrivals[request->uri()];
-        this->last = request;
-        if (this->behaviour) {
-            this->behaviour(request);
+        ++this->request_counts[request->uri()];
+        this->last_request = request;
+        if (this->request_handler) {
+            this->request_handler(request);
         } else {
             this->answer(*request);
         }
@@ -78,7 +78,7 @@
     http_server server;
 };
 
-/// A store, targets and edges. Each test uses a network 127.N of its own.
+/// A store, targets and edges. Each test uses its own network 127.N.0.0/16.
 class edge_fleet {
 public:
     explicit edge_fleet(int network, int edges = 1)
@@ -101,7 +101,7 @@
     store_client writer;
     std::map<std::string, std::unique_ptr<test_target>> targets;
     std::map<int, process> daemons;
-    /// Bounds in the settings of edges.
+    /// The "bounds" section of the settings of each edge.
     nlohmann::json bounds = {{"key_withdrawal_ms", 2000}};
     int edge_count;
 
@@ -147,7 +147,7 @@
         this->write("servers/" + target.id, entry.dump());
     }
 
-    /// Routes /safe/, /once/ and /open/, and one account with a key.
+    /// A policy with routes /safe/, /once/ and /open/ and one client account with two keys.
     [[nodiscard]] static nlohmann::json usual_policy(const std::string& version) {
         const auto route = [](const std::string& name, const std::string& kind, bool open) {
             return nlohmann::json{{"resource-kind", "routes"},
@@ -187,13 +187,15 @@
     [[nodiscard]] endpoint edge_address(int number, std::uint16_t port) const {
         return {this->base + "1." + std::to_string(10 + number), port};
     }
-    [[nodiscard]] endpoint callers(int number) const { return this->edge_address(number, 8080); }
+    [[nodiscard]] endpoint callers_address(int number) const {
+        return this->edge_address(number, 8080);
+    }
 
     void start_edge(int number) {
         nlohmann::json settings = {
             {"instance", "edge-" + std::to_string(number)},
             {"failure_domain", "zone"},
-            {"callers_address", to_string(this->callers(number))},
+            {"callers_address", to_string(this->callers_address(number))},
             {"readiness_address", to_string(this->edge_address(number, 8081))},
             {"directory_address", to_string(this->edge_address(number, 8082))},
             {"peers_address", to_string(this->edge_address(number, 8083))},
@@ -228,7 +230,8 @@
         return false;
     }
 
-    /// Sends a request and gives its answer, which is filled in while the loop runs.
+    /// Sends a request and returns a slot for the response, which is set while the loop runs. The
+    /// status is zero if the request failed.
     std::shared_ptr<std::optional<fetched>> send(const endpoint& address, http_request request) {
         auto received = std::make_shared<std::optional<fetched>>();
         if (find_header(request.headers, "X-Request-Id") == nullptr) {
@@ -263,22 +266,22 @@
         }
         return request;
     }
-    /// Sends GET requests until one is answered with \p status; false after some seconds.
-    bool becomes(const std::string& uri, const std::string& key, int status) {
+    /// Sends GET requests to edge 0 until one is answered with \p status. Returns false after 8 s.
+    bool wait_for_status(const std::string& uri, const std::string& key, int status) {
         const time_point end = boot_clock::now() + seconds(8);
         while (boot_clock::now() < end) {
-            if (this->get(this->callers(0), uri, key).status == status) {
+            if (this->get(this->callers_address(0), uri, key).status == status) {
                 return true;
             }
             this->run_for(milliseconds(50));
         }
         return false;
     }
-    [[nodiscard]] int total_arrivals(const std::string& uri) const {
+    [[nodiscard]] int total_requests(const std::string& uri) const {
         int total = 0;
         for (const auto& [id, target] : this->targets) {
-            const auto found = target->arrivals.find(uri);
-            total += found == target->arrivals.end() ? 0 : found->second;
+            const auto found = target->request_counts.find(uri);
+            total += found == target->request_counts.end() ? 0 : found->second;
         }
         return total;
     }
--- a/tests/edge_test.cpp
+++ b/tests/edge_test.cpp
@@ -13,33 +13,36 @@
 using namespace knapweedknot::harness;
 
 /// \file
-/// The path on the users' platform, with edges as processes.
+/// System tests of edge processes with the resource, header and store formats of the users'
+/// platform.
 
 namespace {
 
-/// Holds every request without an answer.
-void hang(test_target& target) {
-    target.behaviour = [&target](const auto& request) { target.held.push_back(request); };
+/// Makes \p target keep every request open without a response.
+void never_answer(test_target& target) {
+    target.request_handler = [&target](const auto& request) {
+        target.unanswered.push_back(request);
+    };
 }
 
-/// Closes the connection of every request without an answer.
-void break_off(test_target& target) {
-    target.behaviour = [&target](const auto& /*request*/) { target.last.reset(); };
+/// Makes \p target close the connection of every request without a response.
+void drop_connections(test_target& target) {
+    target.request_handler = [&target](const auto& /*request*/) { target.last_request.reset(); };
 }
 
 } // namespace
 
-BOOST_AUTO_TEST_CASE(a_request_is_translated_and_its_answer_passed_on) {
+BOOST_AUTO_TEST_CASE(a_request_is_translated_and_its_response_forwarded) {
     edge_fleet fleet(61);
     fleet.write("op/config", edge_fleet::usual_policy("00000002").dump());
     test_target& target = fleet.add_target("i-1");
     fleet.start();
 
-    const fetched named =
+    const fetched resolved =
         fleet.get(fleet.edge_address(0, 8082), "/resolve?name=h.example&region=r&zone=zone");
-    BOOST_TEST(named.status == 200);
-    const auto listed = nlohmann::json::parse(named.body);
-    BOOST_TEST(listed["addresses"][0] == to_string(fleet.callers(0)));
+    BOOST_TEST(resolved.status == 200);
+    const auto listed = nlohmann::json::parse(resolved.body);
+    BOOST_TEST(listed["addresses"][0] == to_string(fleet.callers_address(0)));
     BOOST_TEST(listed["ttl-s"].get<double>() > 0);
 
     http_request request = edge_fleet::make_request("POST", "/once/a/b?c=d", "key-1");
@@ -47,108 +50,108 @@
     request.headers.push_back({"X-Deadline-Ms", "2000"});
     request.headers.push_back({"X-Custom", "kept"});
     request.body = make_body("content");
-    const fetched answer = fleet.fetch(fleet.callers(0), std::move(request));
+    const fetched answer = fleet.fetch(fleet.callers_address(0), std::move(request));
     BOOST_TEST(answer.status == 200);
     BOOST_TEST(answer.body == "done");
     BOOST_TEST(answer.header("X-Response-Signature") == "signed-by-i-1");
-    BOOST_REQUIRE(target.last != nullptr);
-    BOOST_TEST(target.last->uri() == "/once/a/b?c=d");
-    BOOST_TEST(body_text(target.last->body()) == "content");
-    BOOST_TEST(target.last->header("Host") == "h.example");
-    BOOST_TEST(target.last->header("X-Tenant") == "shop");
-    BOOST_TEST(target.last->header("X-Custom") == "kept");
-    BOOST_TEST(target.last->header("X-Target-Instance") == "i-1");
-    BOOST_TEST(target.last->header("X-Key").empty());
-    const int left = std::stoi(std::string(target.last->header("X-Deadline-Ms")));
+    BOOST_REQUIRE(target.last_request != nullptr);
+    BOOST_TEST(target.last_request->uri() == "/once/a/b?c=d");
+    BOOST_TEST(body_text(target.last_request->body()) == "content");
+    BOOST_TEST(target.last_request->header("Host") == "h.example");
+    BOOST_TEST(target.last_request->header("X-Tenant") == "shop");
+    BOOST_TEST(target.last_request->header("X-Custom") == "kept");
+    BOOST_TEST(target.last_request->header("X-Target-Instance") == "i-1");
+    BOOST_TEST(target.last_request->header("X-Key").empty());
+    const int left = std::stoi(std::string(target.last_request->header("X-Deadline-Ms")));
     BOOST_TEST(left > 1500);
     BOOST_TEST(left <= 2000);
 
-    BOOST_TEST(fleet.get(fleet.callers(0), "/safe/1").status == 401);
-    BOOST_TEST(fleet.get(fleet.callers(0), "/safe/1", "no-such-key").status == 401);
-    BOOST_TEST(fleet.get(fleet.callers(0), "/nowhere/1", "key-1").status == 404);
-    BOOST_TEST(fleet.get(fleet.callers(0), "/open/1").status == 200);
-    BOOST_TEST(target.last->header("X-Tenant").empty());
-    BOOST_TEST(fleet.get(fleet.callers(0), "/open/2", "key-1").status == 200);
-    BOOST_TEST(target.last->header("X-Tenant") == "shop");
+    BOOST_TEST(fleet.get(fleet.callers_address(0), "/safe/1").status == 401);
+    BOOST_TEST(fleet.get(fleet.callers_address(0), "/safe/1", "no-such-key").status == 401);
+    BOOST_TEST(fleet.get(fleet.callers_address(0), "/nowhere/1", "key-1").status == 404);
+    BOOST_TEST(fleet.get(fleet.callers_address(0), "/open/1").status == 200);
+    BOOST_TEST(target.last_request->header("X-Tenant").empty());
+    BOOST_TEST(fleet.get(fleet.callers_address(0), "/open/2", "key-1").status == 200);
+    BOOST_TEST(target.last_request->header("X-Tenant") == "shop");
     BOOST_TEST(fleet.log_of(0).find("key-1") == std::string::npos);
 }
 
-BOOST_AUTO_TEST_CASE(nothing_is_denied_before_the_first_policy_is_known) {
+BOOST_AUTO_TEST_CASE(requests_get_503_before_the_first_policy_is_loaded) {
     edge_fleet fleet(62);
     fleet.start_edge(0);
     BOOST_REQUIRE(fleet.wait_ready(0, 503));
-    const fetched early = fleet.get(fleet.callers(0), "/safe/1", "key-1");
+    const fetched early = fleet.get(fleet.callers_address(0), "/safe/1", "key-1");
     BOOST_TEST(early.status == 503);
     BOOST_TEST(!early.header("Retry-After").empty());
     fleet.add_target("i-1");
     fleet.write("op/config", edge_fleet::usual_policy("00000002").dump());
     BOOST_REQUIRE(fleet.wait_ready(0));
-    BOOST_TEST(fleet.becomes("/safe/1", "key-1", 200));
+    BOOST_TEST(fleet.wait_for_status("/safe/1", "key-1", 200));
 }
 
-BOOST_AUTO_TEST_CASE(a_withdrawn_key_stops_also_when_the_store_goes_away_with_it) {
+BOOST_AUTO_TEST_CASE(a_removed_key_is_rejected_and_a_store_outage_refuses_keys_until_it_ends) {
     edge_fleet fleet(63);
     fleet.write("op/config", edge_fleet::usual_policy("00000002").dump());
     fleet.add_target("i-1");
     fleet.start();
-    BOOST_TEST(fleet.get(fleet.callers(0), "/safe/1", "key-2").status == 200);
+    BOOST_TEST(fleet.get(fleet.callers_address(0), "/safe/1", "key-2").status == 200);
 
-    nlohmann::json without = edge_fleet::usual_policy("00000009");
-    without["resources"][4]["spec"]["api-keys"] = {"key-1"};
-    fleet.write("op/config", without.dump());
-    BOOST_TEST(fleet.becomes("/safe/2", "key-2", 401));
-    BOOST_TEST(fleet.get(fleet.callers(0), "/safe/3", "key-1").status == 200);
+    nlohmann::json without_key_2 = edge_fleet::usual_policy("00000009");
+    without_key_2["resources"][4]["spec"]["api-keys"] = {"key-1"};
+    fleet.write("op/config", without_key_2.dump());
+    BOOST_TEST(fleet.wait_for_status("/safe/2", "key-2", 401));
+    BOOST_TEST(fleet.get(fleet.callers_address(0), "/safe/3", "key-1").status == 200);
 
     fleet.set_outage("refuse");
     fleet.run_for(milliseconds(2000));
-    const fetched unproved = fleet.get(fleet.callers(0), "/safe/4", "key-1");
-    BOOST_TEST(unproved.status == 503);
-    BOOST_TEST(fleet.total_arrivals("/safe/4") == 0);
-    BOOST_TEST(fleet.get(fleet.callers(0), "/open/1").status == 200);
+    const fetched unconfirmed = fleet.get(fleet.callers_address(0), "/safe/4", "key-1");
+    BOOST_TEST(unconfirmed.status == 503);
+    BOOST_TEST(fleet.total_requests("/safe/4") == 0);
+    BOOST_TEST(fleet.get(fleet.callers_address(0), "/open/1").status == 200);
     fleet.set_outage("none");
-    BOOST_TEST(fleet.becomes("/safe/5", "key-1", 200));
+    BOOST_TEST(fleet.wait_for_status("/safe/5", "key-1", 200));
 }
 
-BOOST_AUTO_TEST_CASE(a_request_is_refused_at_once_while_the_store_is_known_to_be_silent) {
+BOOST_AUTO_TEST_CASE(a_request_is_rejected_at_once_while_the_store_is_known_to_be_unresponsive) {
     edge_fleet fleet(70);
     fleet.write("op/config", edge_fleet::usual_policy("00000002").dump());
     fleet.add_target("i-1");
     fleet.start();
     fleet.set_outage("hang");
     fleet.run_for(milliseconds(2000));
-    BOOST_TEST(fleet.get(fleet.callers(0), "/safe/1", "key-1").status == 503);
+    BOOST_TEST(fleet.get(fleet.callers_address(0), "/safe/1", "key-1").status == 503);
     const time_point start = boot_clock::now();
-    BOOST_TEST(fleet.get(fleet.callers(0), "/safe/2", "key-1").status == 503);
+    BOOST_TEST(fleet.get(fleet.callers_address(0), "/safe/2", "key-1").status == 503);
     BOOST_TEST((boot_clock::now() - start < milliseconds(300)));
     fleet.set_outage("none");
-    BOOST_TEST(fleet.becomes("/safe/3", "key-1", 200));
+    BOOST_TEST(fleet.wait_for_status("/safe/3", "key-1", 200));
 }
 
-BOOST_AUTO_TEST_CASE(work_that_must_not_be_repeated_is_sent_once_unless_it_did_not_run) {
+BOOST_AUTO_TEST_CASE(a_non_retryable_request_is_sent_once_unless_it_was_not_executed) {
     edge_fleet fleet(64);
     fleet.write("op/config", edge_fleet::usual_policy("00000002").dump());
     test_target& first = fleet.add_target("i-1");
     test_target& second = fleet.add_target("i-2");
     fleet.start();
-    break_off(first);
-    break_off(second);
+    drop_connections(first);
+    drop_connections(second);
     const fetched broken =
-        fleet.fetch(fleet.callers(0), edge_fleet::make_request("POST", "/once/1", "key-1"));
+        fleet.fetch(fleet.callers_address(0), edge_fleet::make_request("POST", "/once/1", "key-1"));
     BOOST_TEST(broken.status == 502);
     BOOST_TEST(broken.header("Knapweedknot-Outcome") == "may_have_run");
-    BOOST_TEST(fleet.total_arrivals("/once/1") == 1);
+    BOOST_TEST(fleet.total_requests("/once/1") == 1);
 
     const auto refuse = [](const auto& request) { test_target::refuse(*request, 503); };
-    first.behaviour = refuse;
-    second.behaviour = refuse;
+    first.request_handler = refuse;
+    second.request_handler = refuse;
     const fetched refused =
-        fleet.fetch(fleet.callers(0), edge_fleet::make_request("POST", "/once/2", "key-1"));
+        fleet.fetch(fleet.callers_address(0), edge_fleet::make_request("POST", "/once/2", "key-1"));
     BOOST_TEST(refused.status == 503);
     BOOST_TEST(refused.header("Knapweedknot-Outcome") == "not_run");
-    BOOST_TEST(fleet.total_arrivals("/once/2") == 2);
+    BOOST_TEST(fleet.total_requests("/once/2") == 2);
 }
 
-BOOST_AUTO_TEST_CASE(a_silent_target_is_made_up_for_by_another) {
+BOOST_AUTO_TEST_CASE(a_second_target_answers_for_an_unresponsive_one) {
     edge_fleet fleet(65);
     fleet.write("op/config", edge_fleet::usual_policy("00000002").dump());
     test_target& first = fleet.add_target("i-1");
@@ -156,10 +159,10 @@
     fleet.start();
     bool hung = false;
     const auto hang_first_arrival = [&](test_target& target) {
-        target.behaviour = [&hung, &target](const auto& request) {
+        target.request_handler = [&hung, &target](const auto& request) {
             if (!hung) {
                 hung = true;
-                target.held.push_back(request);
+                target.unanswered.push_back(request);
             } else {
                 target.answer(*request);
             }
@@ -168,32 +171,32 @@
     hang_first_arrival(first);
     hang_first_arrival(second);
     const time_point start = boot_clock::now();
-    BOOST_TEST(fleet.get(fleet.callers(0), "/safe/1", "key-1").status == 200);
+    BOOST_TEST(fleet.get(fleet.callers_address(0), "/safe/1", "key-1").status == 200);
     BOOST_TEST((boot_clock::now() - start < milliseconds(1500)));
-    BOOST_TEST(fleet.total_arrivals("/safe/1") == 2);
+    BOOST_TEST(fleet.total_requests("/safe/1") == 2);
 }
 
-BOOST_AUTO_TEST_CASE(work_for_a_caller_that_has_gone_is_cancelled) {
+BOOST_AUTO_TEST_CASE(the_request_of_a_disconnected_caller_is_cancelled) {
     edge_fleet fleet(66);
     fleet.write("op/config", edge_fleet::usual_policy("00000002").dump());
     test_target& target = fleet.add_target("i-1");
     fleet.start();
-    hang(target);
+    never_answer(target);
     bool cancelled = false;
-    target.behaviour = [&](const auto& request) {
-        target.held.push_back(request);
+    target.request_handler = [&](const auto& request) {
+        target.unanswered.push_back(request);
         request->on_caller_disconnect([&] { cancelled = true; });
     };
     raw_socket caller;
-    caller.connect(fleet.callers(0));
+    caller.connect(fleet.callers_address(0));
     caller.send("POST /once/1 HTTP/1.1\r\nHost: h.example\r\nX-Key: key-1\r\nX-Request-Id: r1\r\n"
                 "Content-Length: 0\r\n\r\n");
-    BOOST_REQUIRE(fleet.run_until([&] { return !target.held.empty(); }));
+    BOOST_REQUIRE(fleet.run_until([&] { return !target.unanswered.empty(); }));
     caller.close();
     BOOST_TEST(fleet.run_until([&] { return cancelled; }, milliseconds(500)));
 }
 
-BOOST_AUTO_TEST_CASE(a_leaving_target_and_one_at_a_reused_address_get_no_work) {
+BOOST_AUTO_TEST_CASE(a_leaving_target_and_one_at_a_reused_address_get_no_requests) {
     edge_fleet fleet(67);
     fleet.write("op/config", edge_fleet::usual_policy("00000002").dump());
     test_target& first = fleet.add_target("i-1");
@@ -202,19 +205,19 @@
     fleet.register_target(first, "draining");
     fleet.run_for(milliseconds(1500));
     for (int i = 0; i < 20; ++i) {
-        BOOST_TEST(fleet.get(fleet.callers(0), "/safe/a", "key-1").status == 200);
+        BOOST_TEST(fleet.get(fleet.callers_address(0), "/safe/a", "key-1").status == 200);
     }
-    BOOST_TEST(first.arrivals["/safe/a"] == 0);
+    BOOST_TEST(first.request_counts["/safe/a"] == 0);
     fleet.register_target(first, "ready");
     fleet.run_for(milliseconds(1500));
-    second.behaviour = [](const auto& request) { test_target::refuse(*request, 421); };
+    second.request_handler = [](const auto& request) { test_target::refuse(*request, 421); };
     for (int i = 0; i < 20; ++i) {
-        BOOST_TEST(fleet.get(fleet.callers(0), "/safe/b", "key-1").status == 200);
+        BOOST_TEST(fleet.get(fleet.callers_address(0), "/safe/b", "key-1").status == 200);
     }
-    BOOST_TEST(second.arrivals["/safe/b"] <= 1);
+    BOOST_TEST(second.request_counts["/safe/b"] <= 1);
 }
 
-BOOST_AUTO_TEST_CASE(the_rate_of_an_account_holds_over_two_edges) {
+BOOST_AUTO_TEST_CASE(the_rate_limit_of_an_account_holds_over_two_edges) {
     edge_fleet fleet(68, 2);
     nlohmann::json policy = edge_fleet::usual_policy("00000002");
     policy["resources"][4]["spec"]["rate-per-s"] = 20;
@@ -227,18 +230,18 @@
     std::vector<std::shared_ptr<std::optional<fetched>>> answers;
     const timer pump = fleet.events.every(milliseconds(10), [&] {
         const int edge = static_cast<int>(answers.size() % 2);
-        answers.push_back(
-            fleet.send(fleet.callers(edge), edge_fleet::make_request("GET", "/safe/q", "key-1")));
+        answers.push_back(fleet.send(fleet.callers_address(edge),
+                                     edge_fleet::make_request("GET", "/safe/q", "key-1")));
     });
     fleet.run_for(seconds(4));
     const double spent_s = to_seconds(boot_clock::now() - start);
-    const int ran = fleet.total_arrivals("/safe/q");
-    // The users' own rule for a window: a tenth and 20 requests over rate and burst.
+    const int ran = fleet.total_requests("/safe/q");
+    // The users' limit for a window: 1.1 times what rate and burst allow, plus 20 requests.
     BOOST_TEST(ran <= (20 * spent_s + 10) * 1.1 + 20);
     BOOST_TEST(ran >= 20 * spent_s * 0.7);
 }
 
-BOOST_AUTO_TEST_CASE(a_graceful_stop_delivers_what_is_ready_behind_a_silent_target) {
+BOOST_AUTO_TEST_CASE(a_graceful_stop_sends_a_ready_response_queued_behind_an_unanswered_request) {
     edge_fleet fleet(69);
     fleet.bounds["stop_grace_s"] = 3;
     nlohmann::json policy = edge_fleet::usual_policy("00000002");
@@ -247,20 +250,20 @@
     fleet.write("op/config", policy.dump());
     test_target& target = fleet.add_target("i-1");
     fleet.start();
-    target.behaviour = [&](const auto& request) {
+    target.request_handler = [&](const auto& request) {
         if (request->uri() == "/safe/silent") {
-            target.held.push_back(request);
+            target.unanswered.push_back(request);
         } else {
             target.answer(*request, 200, "answer to " + request->uri());
         }
     };
     raw_socket caller;
-    caller.connect(fleet.callers(0));
+    caller.connect(fleet.callers_address(0));
     caller.send("GET /safe/silent HTTP/1.1\r\nHost: h.example\r\nX-Key: key-1\r\n"
                 "X-Request-Id: r1\r\n\r\n"
                 "GET /safe/ready HTTP/1.1\r\nHost: h.example\r\nX-Key: key-1\r\n"
                 "X-Request-Id: r2\r\n\r\n");
-    BOOST_REQUIRE(fleet.run_until([&] { return fleet.total_arrivals("/safe/ready") == 1; }));
+    BOOST_REQUIRE(fleet.run_until([&] { return fleet.total_requests("/safe/ready") == 1; }));
     fleet.daemons.at(0).signal(SIGTERM);
     BOOST_TEST(fleet.wait_ready(0, 503));
     std::string received;
@@ -273,22 +276,22 @@
     BOOST_TEST(received.find("answer to /safe/ready") != std::string::npos);
 }
 
-// Pattern: a caller complains and names the id of its request; there are only logs.
+// A caller reports the id of a failed request: the logs alone must show the cause.
 BOOST_AUTO_TEST_CASE(the_logs_alone_show_why_a_request_failed) {
     edge_fleet fleet(75);
     fleet.write("op/config", edge_fleet::usual_policy("00000002").dump());
     test_target& target = fleet.add_target("i-1");
     fleet.start();
-    hang(target);
+    never_answer(target);
     http_request lost = edge_fleet::make_request("POST", "/once/1", "key-1");
     lost.headers.push_back({"X-Request-Id", "complaint-1"});
-    const fetched late = fleet.fetch(fleet.callers(0), std::move(lost));
+    const fetched late = fleet.fetch(fleet.callers_address(0), std::move(lost));
     BOOST_TEST(late.status == 504);
     fleet.set_outage("refuse");
     fleet.run_for(milliseconds(2000));
-    http_request unproved = edge_fleet::make_request("GET", "/safe/1", "key-1");
-    unproved.headers.push_back({"X-Request-Id", "complaint-2"});
-    const fetched refused = fleet.fetch(fleet.callers(0), std::move(unproved));
+    http_request unconfirmed = edge_fleet::make_request("GET", "/safe/1", "key-1");
+    unconfirmed.headers.push_back({"X-Request-Id", "complaint-2"});
+    const fetched refused = fleet.fetch(fleet.callers_address(0), std::move(unconfirmed));
     BOOST_TEST(refused.status == 503);
 
     std::vector<log_line> log;
