--- a/tools/fleet_bench/control_cost.cpp
+++ b/tools/fleet_bench/control_cost.cpp
@@ -54,7 +54,7 @@
     for (int i = 0; i < count; ++i) {
         sum.cpu_s += fleet.instance(i).cpu_seconds();
         sum.memory_bytes += fleet.instance(i).resident_bytes();
-        const auto status = fleet.operate(i, "GET", "/v1/status");
+        const auto status = fleet.send_operator_request(i, "GET", "/v1/status");
         if (status && status->body.is_object()) {
             sum.datagrams += status->body.at("peer_datagrams_sent").get<double>();
             sum.peer_bytes += status->body.at("peer_bytes_sent").get<double>();
@@ -82,7 +82,7 @@
             accounts["account-" + std::to_string(i)] = {{"rate_per_s", 100}, {"burst", 50}};
         }
         fleet.patch({{"accounts", accounts},
-                     {"services", {{"work", fleet.service()}}},
+                     {"services", {{"work", fleet.service_settings()}}},
                      {"routes", {{"all", {{"path_prefix", "/"}, {"service", "work"}}}}}});
         harness::run_for(fleet.events(), settling);
         const totals before = collect(fleet, count);
--- a/tools/harness/process.h
+++ b/tools/harness/process.h
@@ -6,14 +6,15 @@
 #include <sys/types.h>
 
 /// \file
-/// Child processes of benches and system tests. The product itself starts none.
+/// Child processes of benchmarks and system tests.
 
 namespace knapweedknot::harness {
 
-/// A running program. Killed and reaped when destroyed. Not thread safe.
+/// A child process. The destructor kills and reaps it. Not thread safe.
 class process {
 public:
-    /// Starts \p arguments[0]; standard error goes to \p log_path.
+    /// Starts the program \p arguments[0]; its output and standard error are appended to \p
+    /// log_path. Throws std::runtime_error when it cannot be started.
     process(const std::vector<std::string>& arguments, const std::string& log_path);
     ~process();
     process(process&& other) noexcept;
@@ -21,13 +22,15 @@
     process(const process&) = delete;
     process& operator=(const process&) = delete;
 
+    /// Sends the signal \p number; does nothing after the process was reaped.
     void signal(int number) const;
-    /// Kills it at once and reaps it.
+    /// Sends SIGKILL and reaps the process.
     void kill();
-    /// True when it has ended; then it is reaped.
+    /// True when the process has ended, which also reaps it.
     [[nodiscard]] bool has_ended();
+    /// True until the process is reaped.
     [[nodiscard]] bool is_running() const noexcept { return this->pid > 0; }
-    /// Exit status once has_ended() was true.
+    /// Wait status as of waitpid(2); valid once has_ended() has returned true.
     [[nodiscard]] int exit_status() const noexcept { return this->status; }
     /// Processor time used so far, in seconds.
     [[nodiscard]] double cpu_seconds() const;
