The grace of a vanished target runs from its removal in the store (DRAIN)

A removal in the pause is therefore used beyond the bound. Change: the answer of a watch that comes promptly may hold changes made since the answer before it, so the grace counts from there. A watch that waited, and a listing after lost history, count from now as before: entries that lapsed with the store keep their whole grace. Ruled out: a shorter grace for all (registrations that lapse with the store return within 2 s). Test: a_removal_during_the_batch_window_keeps_the_drain_bound, failed before (2 s passed), passes now.

--- a/libs/fleet/include/fleet/target_directory.h
+++ b/libs/fleet/include/fleet/target_directory.h
@@ -23,8 +23,9 @@
     registered_target registration;
     /// Changes whenever the target restarts or changes its address under the same id.
     std::uint64_t generation{0};
-    /// When the registration disappeared although the target was not draining. The store may lose
-    /// a registration that returns immediately, so the target is kept for a grace period.
+    /// Earliest time at which the registration can have disappeared although the target was not
+    /// draining. The store may lose a registration that returns immediately, so the target is kept
+    /// for a grace period.
     std::optional<time_point> vanished_at;
     /// When this generation was first seen.
     time_point first_seen;
@@ -79,9 +80,9 @@
     void replace_all(const std::vector<store_item>& items);
     void watch();
     void schedule(duration delay, void (target_directory::*step)());
-    void apply(const store_item& item);
+    void apply(const store_item& item, time_point changed_after);
     void add(registered_target&& registration);
-    void mark_vanished(const target_id& id);
+    void mark_vanished(const target_id& id, time_point since);
     void remove(const service_id& service, const target_id& id);
     void remove_expired();
     void notify_changed(const service_id& service);
@@ -101,6 +102,9 @@
     /// Longest wait of the watch call in progress; empty while there is none.
     std::optional<duration> current_watch_wait;
     bool loaded{false};
+    /// When the last watch call was answered, if none has failed since: changes that the next one
+    /// delivers promptly were made after that.
+    std::optional<time_point> unwatched_since;
     /// When the last complete read or watch call succeeded.
     std::optional<time_point> last_synced;
     std::optional<time_point> last_watch_replacement;
--- a/libs/fleet/src/target_directory.cpp
+++ b/libs/fleet/src/target_directory.cpp
@@ -14,6 +14,8 @@
 constexpr duration sweep_interval = milliseconds(250);
 // A watch that has not delivered a change this long after a peer has reported it is lost.
 constexpr duration missed_change_delay = milliseconds(1000);
+// A watch that is answered sooner than this may deliver changes from before it was sent.
+constexpr duration prompt_answer_limit = milliseconds(150);
 // Least time between two replacements. Where answers are late because the link is full, each
 // further call would fill it more.
 constexpr duration watch_replacement_interval = seconds(8);
@@ -93,8 +95,9 @@
 
 void target_directory::replace_all(const std::vector<store_item>& items) {
     std::set<target_id> listed;
+    const time_point now = boot_clock::now();
     for (const store_item& item : items) {
-        this->apply(item);
+        this->apply(item, now);
         if (item.key.size() > this->prefix.size()) {
             listed.insert(target_id{item.key.substr(this->prefix.size())});
         }
@@ -106,7 +109,7 @@
         }
     }
     for (const target_id& id : missing) {
-        this->mark_vanished(id);
+        this->mark_vanished(id, now);
     }
 }
 
@@ -142,13 +145,16 @@
 
 void target_directory::watch() {
     this->current_watch_wait = this->options.watch_wait;
+    const time_point sent = boot_clock::now();
     this->store.watch_prefix(
         this->prefix, this->known_revision, this->options.watch_wait,
-        [this, number = ++this->last_watch](const result<store_changes>& changes) {
+        [this, sent, number = ++this->last_watch](const result<store_changes>& changes) {
             if (number != this->last_watch) {
                 return;
             }
             this->current_watch_wait.reset();
+            const std::optional<time_point> unwatched_since =
+                std::exchange(this->unwatched_since, std::nullopt);
             if (!changes) {
                 this->schedule(retry_delay, &target_directory::watch);
                 return;
@@ -159,31 +165,36 @@
                 this->schedule(duration::zero(), &target_directory::read_all);
                 return;
             }
+            const time_point now = boot_clock::now();
+            const bool is_prompt = now - sent < prompt_answer_limit;
+            const time_point changed_after = is_prompt ? unwatched_since.value_or(now) : now;
             for (const store_item& item : changes->items) {
-                this->apply(item);
+                this->apply(item, changed_after);
             }
             this->known_revision = std::max(this->known_revision, changes->store_revision);
-            this->last_synced = boot_clock::now();
+            this->last_synced = now;
+            this->unwatched_since = now;
             this->schedule(changes->items.empty() ? duration::zero() : this->options.batch_window,
                            &target_directory::watch);
         });
 }
 
-void target_directory::apply(const store_item& item) {
+/// Applies a change that was made at \p changed_after or later.
+void target_directory::apply(const store_item& item, time_point changed_after) {
     this->newest_change = std::max(this->newest_change, item.changed_at);
     if (item.key.size() <= this->prefix.size()) {
         return;
     }
     const target_id id{item.key.substr(this->prefix.size())};
     if (item.value.revision == 0) {
-        this->mark_vanished(id);
+        this->mark_vanished(id, changed_after);
         return;
     }
     auto registration = this->decode(id.value, item.value.data);
     if (!registration) {
         log_event(log_level::warning, "registration_unreadable",
                   {{"target", id.value}, {"problem", registration.error().detail}});
-        this->mark_vanished(id);
+        this->mark_vanished(id, changed_after);
         return;
     }
     this->add(std::move(*registration));
@@ -216,7 +227,9 @@
     }
 }
 
-void target_directory::mark_vanished(const target_id& id) {
+/// Notes that the registration of \p id disappeared, no earlier than \p since: the grace period runs
+/// from there, as the bound on using the target runs from the removal in the store.
+void target_directory::mark_vanished(const target_id& id, time_point since) {
     const auto found = this->service_by_id.find(id);
     if (found == this->service_by_id.end()) {
         return;
@@ -226,7 +239,7 @@
     if (target.registration.state == target_state::draining) {
         this->remove(service, id);
     } else if (!target.vanished_at) {
-        target.vanished_at = boot_clock::now();
+        target.vanished_at = since;
         log_target("target_vanished", target);
         this->notify_changed(service);
     }
--- a/libs/fleet/tests/follower_test.cpp
+++ b/libs/fleet/tests/follower_test.cpp
@@ -271,6 +271,28 @@
     BOOST_TEST(store.run_until(is_draining, drain_bound));
 }
 
+// Guards against requests to a target whose registration was removed longer ago than the drain bound
+// (DRAIN): the removal falls into the pause between two watches of an instance that serves little,
+// and the grace period began only when that instance heard of it.
+BOOST_AUTO_TEST_CASE(a_removal_during_the_batch_window_keeps_the_drain_bound) {
+    constexpr duration drain_bound = seconds(2);
+    target_directory_options options;
+    options.vanished_grace = drain_bound * 3 / 4;
+    options.batch_window = drain_bound / 2;
+    store_fixture store;
+    store.write("servers/i-1", target_text("127.0.0.1:9000", "ready"));
+    target_directory directory(store.events, store.client, std::string(platform::targets_prefix),
+                               &platform::decode_target, options);
+    directory.start();
+    BOOST_REQUIRE(store.run_until([&] { return directory.is_loaded(); }));
+    store.run_for(milliseconds(50));
+    store.write("servers/i-2", target_text("127.0.0.1:9001", "ready"));
+    BOOST_REQUIRE(store.run_until([&] { return directory.targets_of(service).size() == 2; }));
+    store.remove("servers/i-1");
+    BOOST_TEST(store.run_until([&] { return directory.targets_of(service).size() == 1; },
+                               drain_bound));
+}
+
 // Guards against a link that fills up with watch calls: where answers are late because the link is
 // slow, a watch must not be taken for lost and repeated again and again.
 BOOST_AUTO_TEST_CASE(a_slow_watch_is_replaced_once) {
