An instance asks a few peers for addresses instead of being sent them by each

Cause, one of two: mesh::send_members answered each new link with the addresses of all other peers, so a start of n instances sent n^3 / 2 of them: 293 x 292 lists of 146, at 26 bytes an address 0.3 GB (worked out). Change: an instance asks the first three peers that it connects to, and one more every 30 s. Ruled out: no lists at all (the product's own fleets start from one seed). Test: the_bytes_of_a_start_grow_with_the_number_of_links, 20 and 40 instances: 201,336 and 1,197,600 bytes before (5.9 times, failed, three runs), 125,796 to 129,840 and 429,396 to 441,120 after (3.4 times).

--- a/libs/peers/include/peers/mesh.h
+++ b/libs/peers/include/peers/mesh.h
@@ -42,8 +42,9 @@
     std::size_t queued{0};
 };
 
-/// Maintains one link to each reachable instance. Connected instances exchange the addresses of
-/// their peers, so one seed is enough to find all. Not thread safe.
+/// Maintains one link to each reachable instance. An instance asks the first few that it connects to
+/// for the addresses of their peers, and later one at a time, so one seed is enough to find all. Not
+/// thread safe.
 class mesh {
 public:
     mesh(loop& owner, peer_info self, mesh_handlers handlers);
@@ -103,7 +104,9 @@
     void handle(peer_link& link, const wire::messageT& message);
     void handle_hello(peer_link& link, const wire::helloT& hello);
     void handle_members(const wire::membersT& members);
-    void send_members(const peer_info& joined);
+    void request_members(incarnation_id from);
+    void request_members_if_due(time_point now);
+    void send_members(const peer_info& asker);
     void close(peer_link& link);
     [[nodiscard]] result<void> open_datagram_socket();
     void read_datagrams();
@@ -118,6 +121,11 @@
     std::list<std::unique_ptr<peer_link>> links;
     std::unordered_map<incarnation_id, peer_link*> links_by_peer;
     std::map<endpoint, known_address> addresses;
+    /// Requests for addresses sent so far, and the last one.
+    std::size_t members_requests{0};
+    time_point last_members_request;
+    /// Peer that was last asked for addresses.
+    incarnation_id last_asked;
     mesh_traffic traffic_of_closed_links;
     int datagram_socket{-1};
     std::unique_ptr<event, detail::event_deleter> datagram_event;
--- a/libs/peers/src/mesh.cpp
+++ b/libs/peers/src/mesh.cpp
@@ -22,6 +22,10 @@
 // Time without a connection after which an address that is not a seed is removed.
 constexpr duration address_lifetime = seconds(60);
 constexpr int listen_backlog = 128;
+// An instance asks this many peers for addresses as soon as it has connected to them. If each
+// connection were answered with all addresses, a start of n instances would send n^3 of them.
+constexpr std::size_t initial_members_requests = 3;
+constexpr duration members_request_interval = seconds(30);
 
 constexpr std::size_t max_datagram_bytes = 512;
 
@@ -151,6 +155,7 @@
 
 void mesh::maintain() {
     const time_point now = boot_clock::now();
+    this->request_members_if_due(now);
     std::vector<peer_link*> timed_out;
     for (const auto& link : this->links) {
         // Only the handshake has a timeout here. TCP keep-alive closes established links that fail.
@@ -218,6 +223,9 @@
         this->close(link);
     } else if (const auto* members = message.body.Asmembers(); members != nullptr) {
         this->handle_members(*members);
+    } else if (message.body.Asmembers_request() != nullptr) {
+        const peer_info asker = *link.peer;
+        this->send_members(asker);
     } else {
         // Copied because the callback may close the link.
         const peer_info from = *link.peer;
@@ -252,7 +260,9 @@
     link.peer = peer;
     this->links_by_peer[peer.incarnation] = &link;
     this->add_address(peer.peers_address, false);
-    this->send_members(peer);
+    if (this->members_requests < initial_members_requests) {
+        this->request_members(peer.incarnation);
+    }
     this->callbacks.on_connected(peer);
 }
 
@@ -267,14 +277,32 @@
            present.dialled_address().has_value() != own_is_less;
 }
 
-void mesh::send_members(const peer_info& joined) {
+void mesh::request_members(incarnation_id from) {
+    ++this->members_requests;
+    this->last_members_request = boot_clock::now();
+    this->last_asked = from;
+    this->send(from, wire::members_requestT());
+}
+
+/// Asks the peers in turn, one an interval: finds instances that neither side knew at the start.
+void mesh::request_members_if_due(time_point now) {
+    if (this->links_by_peer.empty() ||
+        now - this->last_members_request < members_request_interval) {
+        return;
+    }
+    const auto connected = this->peers();
+    const auto next = connected.upper_bound(this->last_asked);
+    this->request_members(next == connected.end() ? connected.begin()->first : next->first);
+}
+
+void mesh::send_members(const peer_info& asker) {
     wire::membersT others;
     for (const auto& [incarnation, peer] : this->peers()) {
-        if (incarnation != joined.incarnation) {
+        if (incarnation != asker.incarnation) {
             others.peers_addresses.push_back(to_string(peer.peers_address));
         }
     }
-    this->send(joined.incarnation, std::move(others));
+    this->send(asker.incarnation, std::move(others));
 }
 
 void mesh::handle_members(const wire::membersT& members) {
--- a/libs/peers/tests/mesh_test.cpp
+++ b/libs/peers/tests/mesh_test.cpp
@@ -1,6 +1,8 @@
 #define BOOST_TEST_MODULE peers
 #include <boost/test/unit_test.hpp>
 
+#include <numeric>
+
 #include "peers/mesh.h"
 
 using namespace knapweedknot;
@@ -20,6 +22,14 @@
     return {"127.0.0.1", static_cast<std::uint16_t>(first_port + number)};
 }
 
+/// Bytes that all nodes have sent.
+std::uint64_t bytes_sent(const std::vector<node>& nodes) {
+    return std::accumulate(nodes.begin(), nodes.end(), std::uint64_t{0},
+                           [](std::uint64_t sum, const node& one) {
+                               return sum + one.network->traffic().sent;
+                           });
+}
+
 void start(loop& events, node& one, int number) {
     const peer_info self{instance_id{"n" + std::to_string(number)},
                          incarnation_id{static_cast<std::uint64_t>(100 + number)},
@@ -77,3 +87,32 @@
     run_until(events, [&] { return all_have(count - 2); });
     BOOST_TEST(nodes[4].disconnects == 1);
 }
+
+// Guards against a start whose cost grows with the cube of the fleet: each new link was answered with
+// the addresses of all other peers. Twice the instances have four times the links, so the bytes of
+// a start may grow fourfold, and a quarter of that again for lists that are longer.
+BOOST_AUTO_TEST_CASE(the_bytes_of_a_start_grow_with_the_number_of_links) {
+    constexpr double growth_limit = 4 * 1.25;
+    const auto start_bytes = [](int count, int first_number) {
+        loop events;
+        std::vector<node> nodes(static_cast<std::size_t>(count));
+        for (int i = 0; i < count; ++i) {
+            start(events, nodes[static_cast<std::size_t>(i)], first_number + i);
+        }
+        for (node& one : nodes) {
+            for (int i = 0; i < count; ++i) {
+                one.network->add_address(address_of(first_number + i), false);
+            }
+        }
+        run_until(events, [&] {
+            return std::all_of(nodes.begin(), nodes.end(), [&](const node& one) {
+                return one.network->peers().size() == nodes.size() - 1;
+            });
+        });
+        return static_cast<double>(bytes_sent(nodes));
+    };
+    const double small = start_bytes(20, 10);
+    const double large = start_bytes(40, 30);
+    BOOST_TEST_MESSAGE("bytes of a start: " << small << " and " << large);
+    BOOST_TEST(large < small * growth_limit);
+}
