--- a/libs/fleet/include/fleet/policy_follower.h
+++ b/libs/fleet/include/fleet/policy_follower.h
@@ -34,6 +34,17 @@
 using policy_decoder =
     std::function<result<traffic_policy::parts>(std::string_view, std::vector<std::string>&)>;
 
+/// What another instance said of the policy.
+struct relayed_policy {
+    /// The policy was the newest one at this time, or later.
+    time_point confirmed_at;
+    /// The document, if it differs from the one held.
+    std::optional<store_value> changed;
+};
+
+/// Asks another instance for the policy. The callback gets nothing if none could answer.
+using policy_relay = std::function<void(std::function<void(std::optional<relayed_policy>)>)>;
+
 /// Keeps the newest known policy and never replaces it by one with a lower number. Not thread safe.
 class policy_follower {
 public:
@@ -42,6 +53,9 @@
 
     /// Starts to read and watch the policy document.
     void start();
+    /// While set, the policy is read through other instances, and from the store only when none of
+    /// them answers. The document is then not watched. Null: from the store.
+    void set_relay(policy_relay relay);
     void set_options(const policy_follower_options& changed) noexcept { this->options = changed; }
     /// The newest known policy; null until the first one has been read.
     [[nodiscard]] const traffic_policy_ptr& current() const noexcept { return this->policy; }
@@ -60,20 +74,32 @@
     /// Notes that a peer has adopted policy \p number. Reads the store after a short delay if that
     /// is newer than the local policy.
     void note_peer_policy_number(config_number number);
-    /// Whether the store answered the last call.
+    /// Whether the store, or an instance that relays it, answered the last call.
     [[nodiscard]] bool is_store_reachable() const noexcept { return this->reachable; }
+    /// Whether the last read of the store by this instance itself succeeded; true before the first.
+    [[nodiscard]] bool is_own_read_answered() const noexcept { return this->own_read_answered; }
+    /// When the last read of the store by this instance itself started.
+    [[nodiscard]] time_point last_own_read() const noexcept { return this->last_own_read_started; }
+    /// The policy document as it was read; revision 0 before the first read.
+    [[nodiscard]] const store_value& document() const noexcept { return this->newest; }
 
     /// Called after a policy has been adopted.
     std::function<void()> on_adopted;
 
 private:
     void read();
+    void read_from_store();
+    void finish_relayed_read(std::optional<relayed_policy> answer);
+    void finish_store_read(const result<store_value>& value, time_point read_started);
+    void confirm(time_point confirmed_at);
     void watch();
+    void stop_watching();
     void watch_again(duration delay);
     /// Replaces the watch in progress unless it soon delivers the change that a read has shown.
     void check_watch();
     /// How the instance learnt of a policy.
-    enum class source { read, watch };
+    enum class source { read, watch, relay };
+    [[nodiscard]] static const char* source_name(source learnt_by);
     void process(const store_value& value, source learnt_by);
     void record_store_call(bool answered, std::string_view detail);
     void finish_confirmation();
@@ -84,12 +110,15 @@
     policy_decoder decode;
     policy_follower_options options;
     traffic_policy_ptr policy;
-    std::uint64_t revision{0};
+    policy_relay relay;
+    store_value newest;
     std::optional<time_point> confirmed_at;
     time_point last_read_started;
     std::optional<time_point> watch_sent_at;
     bool reading{false};
     bool reachable{false};
+    bool own_read_answered{true};
+    time_point last_own_read_started;
     bool watching{false};
     std::vector<std::function<void()>> confirmation_waiters;
     timer retry_timer;
--- a/libs/fleet/include/fleet/report_exchange.h
+++ b/libs/fleet/include/fleet/report_exchange.h
@@ -102,6 +102,8 @@
     /// Recently received requests per second.
     double request_rate{0};
     bool store_reachable{false};
+    /// Whether the instance can read the store on behalf of others.
+    bool can_relay{false};
     /// Whether the report lists the targets.
     bool has_targets{false};
     duration uptime{duration::zero()};
--- a/libs/fleet/include/fleet/target_directory.h
+++ b/libs/fleet/include/fleet/target_directory.h
@@ -31,6 +31,25 @@
     time_point first_seen;
 };
 
+/// A change of a registration.
+struct registration_change {
+    /// The registration as it was written; the value has revision 0 if it was removed.
+    store_item item;
+    /// The change was made at this time or later.
+    time_point changed_after;
+};
+
+/// Registrations as another instance knows them.
+struct relayed_registrations {
+    /// Store revision up to which they are complete.
+    std::uint64_t revision{0};
+    /// They were complete up to the store's revision at this time, or later.
+    time_point confirmed_at;
+    /// Whether changes holds all registrations, instead of those changed since a revision.
+    bool in_full{false};
+    std::vector<registration_change> changes;
+};
+
 /// Intervals and timeouts of a target_directory.
 struct target_directory_options {
     /// Time for which a target whose registration vanished is kept, in case it returns.
@@ -39,6 +58,8 @@
     duration batch_window{milliseconds(200)};
     /// Longest time for which one watch call waits for a change.
     duration watch_wait{milliseconds(5000)};
+    /// Delay of the first watch, in which an instance may find others to ask instead.
+    duration first_watch_delay{duration::zero()};
 };
 
 /// Decodes the registration of the target \p id.
@@ -53,6 +74,22 @@
 
     /// Starts to read and watch the registrations.
     void start();
+    /// While true, the registrations come from other instances through apply_relayed(), and the
+    /// store is neither read nor watched.
+    void set_relayed(bool relayed);
+    /// Asks the store for changes at once, beside the watch in progress, and then calls \p done,
+    /// also when the store does not answer.
+    /// \pre is_loaded()
+    void confirm(std::function<void()> done);
+    /// Takes over what another instance knows, unless this one already knows more.
+    /// \pre changes since a revision start at known_revision() or before
+    void apply_relayed(const relayed_registrations& known);
+    /// Store revision up to which the registrations are known; 0 before they are loaded.
+    [[nodiscard]] std::uint64_t known_revision() const noexcept { return this->synced_revision; }
+    /// Registrations that changed later than revision \p since, or all if the changes since then
+    /// are not known.
+    /// \pre is_loaded()
+    [[nodiscard]] relayed_registrations changes_since(std::uint64_t since) const;
     /// Changes the options. A watch in progress that would wait longer than \p changed allows is
     /// replaced.
     void set_options(const target_directory_options& changed);
@@ -69,6 +106,11 @@
 
     /// Time since the directory was last in sync with the store; empty before it is loaded.
     [[nodiscard]] std::optional<duration> age(time_point now) const noexcept;
+    /// The registrations are complete up to the store's revision at this time, or later; empty
+    /// before they are loaded.
+    [[nodiscard]] std::optional<time_point> confirmed_at() const noexcept {
+        return this->confirmed;
+    }
 
     /// Called with each service whose targets changed.
     std::function<void(const service_id&)> on_changed;
@@ -76,11 +118,18 @@
 private:
     void read_all();
     void read_page(const std::string& after, const std::shared_ptr<std::vector<store_item>>& items,
-                   std::optional<std::uint64_t> first_revision);
-    void replace_all(const std::vector<store_item>& items);
+                   std::optional<std::uint64_t> first_revision, time_point read_started);
+    void replace_all(const std::vector<store_item>& items, std::uint64_t revision,
+                     time_point changed_after);
+    [[nodiscard]] time_point earliest_unheard_change() const;
+    void finish_sync(std::uint64_t revision, time_point confirmed_at);
     void watch();
+    void apply_changes(const store_changes& changes, time_point sent, time_point changed_after);
+    void notify_confirmation_waiters();
     void schedule(duration delay, void (target_directory::*step)());
     void apply(const store_item& item, time_point changed_after);
+    [[nodiscard]] bool record(const store_item& item, time_point changed_after);
+    void forget_old_removals();
     void add(registered_target&& registration);
     void mark_vanished(const target_id& id, time_point since);
     void remove(const service_id& service, const target_id& id);
@@ -94,7 +143,14 @@
     target_directory_options options;
     std::map<service_id, std::map<target_id, known_target>> by_service;
     std::map<target_id, service_id> service_by_id;
-    std::uint64_t known_revision{0};
+    /// Last change of each registration, by key, removals included.
+    std::map<std::string, registration_change> last_changes;
+    /// Revision since which last_changes holds every change.
+    std::uint64_t complete_since{0};
+    std::uint64_t synced_revision{0};
+    bool is_relayed{false};
+    std::vector<std::function<void()>> confirmation_waiters;
+    std::optional<time_point> confirmed;
     std::uint64_t newest_change{0};
     std::uint64_t last_generation{0};
     /// Sequence number of the newest watch call; results of earlier ones are ignored.
--- a/libs/fleet/src/policy_follower.cpp
+++ b/libs/fleet/src/policy_follower.cpp
@@ -1,5 +1,6 @@
 #include "fleet/policy_follower.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "base/log.h"
@@ -70,26 +71,83 @@
 /// Reads the document. A successful read confirms that the policy was the newest one when the read
 /// started, and returns a newer policy if there is one.
 void policy_follower::read() {
+    if (!this->relay) {
+        this->read_from_store();
+        return;
+    }
+    this->reading = true;
+    this->last_read_started = boot_clock::now();
+    this->relay([this](std::optional<relayed_policy> answer) {
+        this->finish_relayed_read(std::move(answer));
+    });
+}
+
+void policy_follower::finish_relayed_read(std::optional<relayed_policy> answer) {
+    if (!answer) {
+        this->read_from_store();
+        return;
+    }
+    this->reading = false;
+    this->record_store_call(true, "");
+    if (answer->changed) {
+        this->process(*answer->changed, source::relay);
+    }
+    this->confirm(answer->confirmed_at);
+    this->finish_confirmation();
+}
+
+void policy_follower::read_from_store() {
     this->reading = true;
     const time_point read_started = boot_clock::now();
     this->last_read_started = read_started;
+    this->last_own_read_started = read_started;
     this->store.get(this->key, [this, read_started](const result<store_value>& value) {
-        this->reading = false;
-        this->record_store_call(value.has_value(), value ? "" : value.error().detail);
-        if (value) {
-            this->process(*value, source::read);
-            this->confirmed_at = read_started;
-        }
-        this->finish_confirmation();
-        if (!value && !this->confirmed_at) {
-            this->retry_timer = this->owner.after(retry_delay, [this] { this->read(); });
-        }
-        if (!this->watching && value) {
-            this->watch();
-        }
+        this->finish_store_read(value, read_started);
     });
 }
 
+void policy_follower::finish_store_read(const result<store_value>& value, time_point read_started) {
+    this->reading = false;
+    this->own_read_answered = value.has_value();
+    this->record_store_call(value.has_value(), value ? "" : value.error().detail);
+    if (value) {
+        this->process(*value, source::read);
+        this->confirm(read_started);
+    }
+    this->finish_confirmation();
+    if (!value && !this->confirmed_at) {
+        this->retry_timer = this->owner.after(retry_delay, [this] { this->read(); });
+    }
+    if (!this->watching && value && !this->relay) {
+        this->watch();
+    }
+}
+
+/// Answers may arrive in another order than that of the reads behind them.
+void policy_follower::confirm(time_point at) {
+    this->confirmed_at = this->confirmed_at ? std::max(*this->confirmed_at, at) : at;
+}
+
+void policy_follower::set_relay(policy_relay changed) {
+    const bool was_set = static_cast<bool>(this->relay);
+    this->relay = std::move(changed);
+    if (this->relay) {
+        this->stop_watching();
+    } else if (was_set && !this->reading) {
+        this->read();
+    }
+}
+
+void policy_follower::stop_watching() {
+    if (this->watching) {
+        ++this->last_watch;
+        this->watching = false;
+        this->watch_sent_at.reset();
+        this->retry_timer = timer();
+        this->watch_check_timer = timer();
+    }
+}
+
 void policy_follower::finish_confirmation() {
     const std::vector<std::function<void()>> done = std::exchange(this->confirmation_waiters, {});
     for (const auto& callback : done) {
@@ -99,7 +157,7 @@
 
 void policy_follower::watch() {
     this->watching = true;
-    const std::uint64_t after = this->revision;
+    const std::uint64_t after = this->newest.revision;
     this->watch_sent_at = boot_clock::now();
     this->store.watch(
         this->key, after, this->options.watch_wait,
@@ -137,8 +195,20 @@
     this->retry_timer = this->owner.after(delay, [this] { this->watch(); });
 }
 
+const char* policy_follower::source_name(source learnt_by) {
+    switch (learnt_by) {
+    case source::read:
+        return "read";
+    case source::watch:
+        return "watch";
+    case source::relay:
+        return "relay";
+    }
+    return "read";
+}
+
 void policy_follower::process(const store_value& value, source learnt_by) {
-    if (value.revision <= this->revision) {
+    if (value.revision <= this->newest.revision) {
         return;
     }
     std::vector<std::string> problems;
@@ -147,7 +217,7 @@
         log_event(log_level::warning, "policy_entry_unreadable",
                   {{"revision", std::to_string(value.revision)}, {"problem", problem}});
     }
-    this->revision = value.revision;
+    this->newest = value;
     if (!parts) {
         log_event(
             log_level::error, "policy_unreadable",
@@ -167,12 +237,12 @@
     log_event(log_level::info, "policy_adopted",
               {{"number", std::to_string(this->policy->number().value)},
                {"last_proof_age_ms", std::to_string(age ? to_milliseconds(*age) : -1)},
-               {"source", learnt_by == source::watch ? "watch" : "read"},
+               {"source", source_name(learnt_by)},
                {"watch_age_ms", std::to_string(watched_for ? to_milliseconds(*watched_for) : -1)},
-               {"revision", std::to_string(this->revision)},
+               {"revision", std::to_string(this->newest.revision)},
                {"routes", std::to_string(this->policy->route_count())},
                {"accounts", std::to_string(this->policy->accounts().size())}});
-    if (learnt_by == source::read) {
+    if (learnt_by != source::watch) {
         this->check_watch();
     }
     if (this->on_adopted) {
--- a/libs/fleet/src/report_exchange.cpp
+++ b/libs/fleet/src/report_exchange.cpp
@@ -13,6 +13,7 @@
 constexpr std::uint32_t ready_flag = 1;
 constexpr std::uint32_t serving_flag = 2;
 constexpr std::uint32_t store_flag = 4;
+constexpr std::uint32_t relay_flag = 8;
 // Suspicions are sent as integer multiples of this unit.
 constexpr double suspicion_unit = 1.0 / 16;
 // Least time between two early reports.
@@ -30,7 +31,7 @@
 wire::reportT encode(const instance_report& report) {
     wire::reportT message;
     message.flags = (report.ready ? ready_flag : 0) | (report.serving ? serving_flag : 0) |
-                    (report.store_reachable ? store_flag : 0);
+                    (report.store_reachable ? store_flag : 0) | (report.can_relay ? relay_flag : 0);
     message.uptime_ms =
         clamp_to<std::uint32_t>(static_cast<double>(to_milliseconds(report.uptime)));
     message.request_rate = static_cast<float>(report.request_rate);
@@ -65,6 +66,7 @@
     report.ready = (message.flags & ready_flag) != 0;
     report.serving = (message.flags & serving_flag) != 0;
     report.store_reachable = (message.flags & store_flag) != 0;
+    report.can_relay = (message.flags & relay_flag) != 0;
     report.uptime = milliseconds(message.uptime_ms);
     report.request_rate = message.request_rate;
     report.policy_number.value = message.policy_number;
--- /dev/null
+++ b/libs/fleet/src/store_relay.cpp
@@ -0,0 +1,326 @@
+#include "fleet/store_relay.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/log.h"
+
+namespace knapweedknot {
+
+namespace {
+
+constexpr duration tick_interval = milliseconds(125);
+// Time after the start in which an instance looks for relays before it watches the store itself.
+constexpr duration search_time = milliseconds(1000);
+// A relay that has to ask another one first is given longer.
+constexpr duration direct_reply_timeout = milliseconds(250);
+constexpr duration chained_reply_timeout = milliseconds(500);
+// Time for which a relay that gave no answer is not asked again.
+constexpr duration avoidance_time = seconds(2);
+constexpr duration refusal_avoidance_time = milliseconds(500);
+// Interval between two requests while none is answered, and between two reads by an instance that
+// the store did not answer.
+constexpr duration unanswered_interval = milliseconds(1000);
+constexpr duration own_read_interval = seconds(6);
+
+/// Age in milliseconds, rounded up: an age must not be understated.
+std::uint32_t age_in_ms(time_point since, time_point now) {
+    return static_cast<std::uint32_t>(to_milliseconds(now - since) + 1);
+}
+
+std::unique_ptr<wire::registrationT> encode(const registration_change& change, time_point now) {
+    auto message = std::make_unique<wire::registrationT>();
+    message->key = change.item.key;
+    message->data = change.item.value.data;
+    message->revision = change.item.value.revision;
+    message->changed_at = change.item.changed_at;
+    message->changed_ms = age_in_ms(change.changed_after, now);
+    return message;
+}
+
+registration_change decode(const wire::registrationT& message, time_point asked_at) {
+    return {{message.key, {message.data, message.revision}, message.changed_at},
+            asked_at - milliseconds(message.changed_ms)};
+}
+
+} // namespace
+
+store_relay::store_relay(const dependencies& given, const store_relay_options& relay_options)
+    : parts(given), options(relay_options), started_at(boot_clock::now()) {}
+
+void store_relay::start() {
+    this->parts.policy.set_relay([this](callback done) { this->ask(std::move(done)); });
+    this->tick_timer = this->parts.owner.every(tick_interval, [this] { this->tick(); });
+}
+
+bool store_relay::can_relay() const noexcept {
+    // The operator may not have written a policy yet; a read shows that as well.
+    const policy_follower& policy = this->parts.policy;
+    return policy.confirmation_age(boot_clock::now()) && this->parts.directory.is_loaded() &&
+           policy.is_own_read_answered();
+}
+
+void store_relay::tick() {
+    const time_point now = boot_clock::now();
+    const duration interval = !this->was_answered  ? unanswered_interval
+                              : this->is_serving() ? this->options.serving_interval
+                                                   : this->options.idle_interval;
+    const bool is_due = now - this->last_asked >= interval;
+    if (!is_due || now - this->started_at < search_time) {
+        return;
+    }
+    const relay_choice choice = this->choose();
+    this->follow_choice(choice);
+    if (!choice.relays.empty() && !this->pending) {
+        this->last_asked = now;
+        this->parts.policy.await_confirmation([] {});
+    }
+}
+
+/// Reads the store itself while there is no relay, and through relays otherwise.
+void store_relay::follow_choice(const relay_choice& choice) {
+    const std::optional<incarnation_id> first =
+        choice.relays.empty() ? std::nullopt : std::optional(choice.relays.front());
+    const bool is_changed = std::exchange(this->followed, first) != first;
+    if (is_changed) {
+        log_event(log_level::info, "relay_chosen",
+                  {{"relay", first ? std::to_string(first->value) : "none"},
+                   {"domain_relay", choice.is_domain_relay ? "1" : "0"}});
+    }
+    if (first) {
+        this->parts.policy.set_relay([this](callback done) { this->ask(std::move(done)); });
+    } else {
+        this->parts.policy.set_relay(nullptr);
+        this->parts.directory.set_relayed(false);
+    }
+}
+
+void store_relay::ask(callback done) {
+    const time_point now = boot_clock::now();
+    std::erase_if(this->avoided_until, [now](const auto& item) { return item.second <= now; });
+    relay_choice choice = this->choose();
+    std::erase_if(choice.relays,
+                  [this](incarnation_id relay) { return this->avoided_until.contains(relay); });
+    const policy_follower& policy = this->parts.policy;
+    // Finds out whether the store answers this instance again.
+    const bool is_own_read_due =
+        !policy.is_own_read_answered() && now - policy.last_own_read() >= own_read_interval;
+    this->last_asked = now;
+    this->pending.emplace();
+    this->pending->may_ask = !choice.is_domain_relay;
+    this->pending->done = std::move(done);
+    this->pending->is_own_read = is_own_read_due;
+    if (!is_own_read_due) {
+        this->pending->relays = std::move(choice.relays);
+    }
+    this->ask_first();
+}
+
+void store_relay::ask_first() {
+    if (this->pending->relays.empty()) {
+        this->finish(std::nullopt);
+        return;
+    }
+    detail::pending_store_request& request = *this->pending;
+    request.id = ++this->last_id;
+    request.asked_at = boot_clock::now();
+    request.policy_revision = this->parts.policy.document().revision;
+    wire::store_requestT message;
+    message.id = request.id;
+    message.may_ask = request.may_ask;
+    message.policy_revision = request.policy_revision;
+    message.targets_revision = this->parts.directory.known_revision();
+    message.max_policy_age_ms =
+        static_cast<std::uint32_t>(to_milliseconds(this->options.max_policy_age));
+    message.max_targets_age_ms =
+        static_cast<std::uint32_t>(to_milliseconds(this->options.max_targets_age));
+    ++this->totals.asked;
+    const duration limit = request.may_ask ? chained_reply_timeout : direct_reply_timeout;
+    request.timeout = this->parts.owner.after(limit, [this] {
+        // The timer owns this function.
+        const timer expired = std::move(this->pending->timeout);
+        this->ask_next(failure::timed_out);
+    });
+    if (!this->parts.network.send(request.relays.front(), message)) {
+        this->ask_next(failure::disconnected);
+    }
+}
+
+const char* store_relay::name_of(failure reason) {
+    switch (reason) {
+    case failure::timed_out:
+        return "timed_out";
+    case failure::refused:
+        return "refused";
+    case failure::unusable:
+        return "unusable";
+    case failure::disconnected:
+        return "disconnected";
+    }
+    return "timed_out";
+}
+
+void store_relay::ask_next(failure reason) {
+    ++this->totals.unanswered;
+    std::vector<incarnation_id>& relays = this->pending->relays;
+    log_event(log_level::info, "relay_unanswered",
+              {{"relay", std::to_string(relays.front().value)}, {"reason", name_of(reason)}});
+    // A relay that refuses has lost the store or its own relay, and says so at once.
+    if (reason != failure::disconnected) {
+        this->avoided_until[relays.front()] =
+            boot_clock::now() +
+            (reason == failure::refused ? refusal_avoidance_time : avoidance_time);
+    }
+    relays.erase(relays.begin());
+    this->ask_first();
+}
+
+void store_relay::finish(std::optional<relayed_policy> answer) {
+    // Moved out first: the callback may ask again.
+    const detail::pending_store_request ended = std::move(*this->pending);
+    this->pending.reset();
+    this->was_answered = answer.has_value();
+    // A domain relay is asked by others: it reads the store at once.
+    if (!answer && ended.may_ask && !ended.is_own_read) {
+        answer = this->recent_confirmation();
+    }
+    if (!answer && this->followed) {
+        this->parts.directory.set_relayed(false);
+    }
+    ended.done(std::move(answer));
+}
+
+/// What is known already, if it was confirmed so recently that the store need not be asked: a relay
+/// may answer again by the time that it must.
+std::optional<relayed_policy> store_relay::recent_confirmation() const {
+    const time_point now = boot_clock::now();
+    const auto policy_age = this->parts.policy.confirmation_age(now);
+    const auto targets_at = this->parts.directory.confirmed_at();
+    const bool is_recent = this->followed && policy_age && targets_at &&
+                           *policy_age < this->options.max_unconfirmed_policy &&
+                           now - *targets_at < this->options.max_unconfirmed_targets;
+    return is_recent ? std::optional(relayed_policy{now - *policy_age, std::nullopt})
+                     : std::nullopt;
+}
+
+void store_relay::handle(const peer_info& from, const wire::store_replyT& message) {
+    const bool is_expected = this->pending && this->pending->id == message.id &&
+                             !this->pending->relays.empty() &&
+                             this->pending->relays.front() == from.incarnation;
+    if (!is_expected) {
+        return;
+    }
+    auto answer = message.answered ? this->take(message) : std::nullopt;
+    if (!answer) {
+        this->ask_next(message.answered ? failure::unusable : failure::refused);
+        return;
+    }
+    this->parts.directory.set_relayed(true);
+    this->finish(std::move(answer));
+}
+
+/// Takes over the registrations of a reply and returns what it says of the policy; empty if the
+/// reply is of no use.
+std::optional<relayed_policy> store_relay::take(const wire::store_replyT& message) {
+    const time_point asked_at = this->pending->asked_at;
+    const bool is_newer = message.policy_revision > this->pending->policy_revision;
+    if (is_newer && message.policy.empty()) {
+        log_event(log_level::warning, "relay_reply_unusable",
+                  {{"problem", "a newer policy without its document"},
+                   {"revision", std::to_string(message.policy_revision)}});
+        return std::nullopt;
+    }
+    relayed_registrations known;
+    known.revision = message.targets_revision;
+    known.confirmed_at = asked_at - milliseconds(message.targets_age_ms);
+    known.in_full = message.targets_in_full;
+    for (const auto& registration : message.registrations) {
+        known.changes.push_back(decode(*registration, asked_at));
+    }
+    this->parts.directory.apply_relayed(known);
+    relayed_policy answer;
+    answer.confirmed_at = asked_at - milliseconds(message.policy_age_ms);
+    if (is_newer) {
+        answer.changed = store_value{message.policy, message.policy_revision};
+    }
+    return answer;
+}
+
+void store_relay::peer_lost(incarnation_id peer) {
+    if (this->pending && !this->pending->relays.empty() && this->pending->relays.front() == peer) {
+        this->ask_next(failure::disconnected);
+    }
+}
+
+bool store_relay::is_policy_young(const wire::store_requestT& message, time_point now) const {
+    const auto age = this->parts.policy.confirmation_age(now);
+    return age && *age <= milliseconds(message.max_policy_age_ms);
+}
+
+bool store_relay::are_targets_young(const wire::store_requestT& message, time_point now) const {
+    const auto at = this->parts.directory.confirmed_at();
+    return at && now - *at <= milliseconds(message.max_targets_age_ms);
+}
+
+/// Replies at once if what this instance knows is young enough; else first asks the store, or its
+/// own relay if the asker allows that.
+void store_relay::handle(const peer_info& from, const wire::store_requestT& message) {
+    const time_point now = boot_clock::now();
+    const bool is_policy_due = !this->is_policy_young(message, now);
+    const bool are_targets_due = !this->are_targets_young(message, now);
+    const auto answer = [this, from, message] { this->reply(from, message); };
+    if (this->followed) {
+        if (message.may_ask && (is_policy_due || are_targets_due)) {
+            this->parts.policy.await_confirmation(answer);
+        } else {
+            answer();
+        }
+        return;
+    }
+    const auto confirm_targets = [this, message, answer] {
+        const bool is_due = !this->are_targets_young(message, boot_clock::now());
+        if (is_due && this->parts.directory.is_loaded()) {
+            this->parts.directory.confirm(answer);
+        } else {
+            answer();
+        }
+    };
+    if (is_policy_due) {
+        this->parts.policy.await_confirmation(confirm_targets);
+    } else {
+        confirm_targets();
+    }
+}
+
+void store_relay::reply(const peer_info& to, const wire::store_requestT& message) {
+    wire::store_replyT answer = this->make_reply(message, boot_clock::now());
+    ++(answer.answered ? this->totals.replied : this->totals.refused);
+    this->parts.network.send(to.incarnation, std::move(answer));
+}
+
+wire::store_replyT store_relay::make_reply(const wire::store_requestT& message,
+                                           time_point now) const {
+    const target_directory& directory = this->parts.directory;
+    wire::store_replyT answer;
+    answer.id = message.id;
+    answer.answered = this->is_policy_young(message, now) && this->are_targets_young(message, now);
+    if (!answer.answered) {
+        return answer;
+    }
+    const store_value& document = this->parts.policy.document();
+    answer.policy_revision = document.revision;
+    answer.policy_age_ms = age_in_ms(now - *this->parts.policy.confirmation_age(now), now);
+    if (document.revision > message.policy_revision) {
+        answer.policy = document.data;
+    }
+    const relayed_registrations known = directory.changes_since(message.targets_revision);
+    answer.targets_revision = known.revision;
+    answer.targets_age_ms = age_in_ms(known.confirmed_at, now);
+    answer.targets_in_full = known.in_full;
+    for (const registration_change& change : known.changes) {
+        answer.registrations.push_back(encode(change, now));
+    }
+    return answer;
+}
+
+} // namespace knapweedknot
--- a/libs/fleet/src/target_directory.cpp
+++ b/libs/fleet/src/target_directory.cpp
@@ -16,6 +16,9 @@
 constexpr duration missed_change_delay = milliseconds(1000);
 // A watch that is answered sooner than this may deliver changes from before it was sent.
 constexpr duration prompt_answer_limit = milliseconds(150);
+constexpr duration longest_usual_gap = seconds(3);
+// Time for which a removal is kept, to be told to instances that have not heard of it.
+constexpr duration removal_retention = seconds(120);
 // Least time between two replacements. Where answers are late because the link is full, each
 // further call would fill it more.
 constexpr duration watch_replacement_interval = seconds(8);
@@ -64,16 +67,23 @@
 }
 
 void target_directory::read_all() {
-    this->read_page("", std::make_shared<std::vector<store_item>>(), std::nullopt);
+    this->read_page("", std::make_shared<std::vector<store_item>>(), std::nullopt,
+                    boot_clock::now());
 }
 
 void target_directory::read_page(const std::string& after,
                                  const std::shared_ptr<std::vector<store_item>>& items,
-                                 std::optional<std::uint64_t> first_revision) {
+                                 std::optional<std::uint64_t> first_revision,
+                                 time_point read_started) {
     this->store.list(
         this->prefix, after, read_mode::linearizable,
-        [this, items, first_revision](result<store_page> page) {
+        [this, items, first_revision, read_started](result<store_page> page) {
+            if (this->is_relayed) {
+                this->notify_confirmation_waiters();
+                return;
+            }
             if (!page) {
+                this->notify_confirmation_waiters();
                 this->schedule(retry_delay, &target_directory::read_all);
                 return;
             }
@@ -82,35 +92,104 @@
             const std::uint64_t revision = first_revision.value_or(page->store_revision);
             std::move(page->items.begin(), page->items.end(), std::back_inserter(*items));
             if (page->has_more && !items->empty()) {
-                this->read_page(items->back().key, items, revision);
+                this->read_page(items->back().key, items, revision, read_started);
                 return;
             }
-            this->replace_all(*items);
-            this->known_revision = revision;
-            this->loaded = true;
-            this->last_synced = boot_clock::now();
-            this->watch();
+            this->replace_all(*items, revision, boot_clock::now());
+            this->finish_sync(revision, read_started);
+            this->notify_confirmation_waiters();
+            this->schedule(std::exchange(this->options.first_watch_delay, duration::zero()),
+                           &target_directory::watch);
         });
 }
 
-void target_directory::replace_all(const std::vector<store_item>& items) {
-    std::set<target_id> listed;
-    const time_point now = boot_clock::now();
+/// Takes over the listing \p items, read at \p revision. What it lacks was removed at
+/// \p changed_after or later.
+void target_directory::replace_all(const std::vector<store_item>& items, std::uint64_t revision,
+                                   time_point changed_after) {
+    std::set<std::string_view> listed;
     for (const store_item& item : items) {
-        this->apply(item, now);
-        if (item.key.size() > this->prefix.size()) {
-            listed.insert(target_id{item.key.substr(this->prefix.size())});
+        this->apply(item, changed_after);
+        listed.insert(item.key);
+    }
+    std::vector<store_item> removed;
+    for (const auto& [key, change] : this->last_changes) {
+        if (change.item.value.revision != 0 && !listed.contains(key)) {
+            removed.push_back({key, {}, revision});
         }
     }
-    std::vector<target_id> missing;
-    for (const auto& [id, service] : this->service_by_id) {
-        if (!listed.contains(id)) {
-            missing.push_back(id);
+    for (const store_item& item : removed) {
+        this->apply(item, changed_after);
+    }
+    this->complete_since = revision;
+}
+
+void target_directory::finish_sync(std::uint64_t revision, time_point confirmed_at) {
+    this->synced_revision = std::max(this->synced_revision, revision);
+    this->confirmed = this->confirmed ? std::max(*this->confirmed, confirmed_at) : confirmed_at;
+    this->last_synced = boot_clock::now();
+    this->loaded = true;
+}
+
+void target_directory::set_relayed(bool relayed) {
+    if (this->is_relayed == relayed) {
+        return;
+    }
+    this->is_relayed = relayed;
+    if (relayed) {
+        ++this->last_watch;
+        this->current_watch_wait.reset();
+        this->unwatched_since.reset();
+        this->step_timer = timer();
+        this->watch_check_timer = timer();
+    } else if (this->loaded) {
+        this->watch();
+    } else {
+        this->read_all();
+    }
+}
+
+void target_directory::apply_relayed(const relayed_registrations& known) {
+    // What is complete up to a later revision is so up to an earlier one.
+    if (known.revision < this->synced_revision) {
+        this->finish_sync(this->synced_revision, known.confirmed_at);
+        return;
+    }
+    if (known.in_full) {
+        std::vector<store_item> items;
+        for (const registration_change& change : known.changes) {
+            items.push_back(change.item);
+        }
+        this->replace_all(items, known.revision, this->earliest_unheard_change());
+    } else {
+        for (const registration_change& change : known.changes) {
+            this->apply(change.item, change.changed_after);
         }
     }
-    for (const target_id& id : missing) {
-        this->mark_vanished(id, now);
+    this->finish_sync(known.revision, known.confirmed_at);
+}
+
+/// Earliest time of a change that this instance can have missed. After a longer gap, the store may
+/// have been away and lost registrations that return, so these keep their whole grace period.
+time_point target_directory::earliest_unheard_change() const {
+    const time_point now = boot_clock::now();
+    const bool was_in_sync = this->confirmed && now - *this->confirmed < longest_usual_gap;
+    return was_in_sync ? *this->confirmed : now;
+}
+
+relayed_registrations target_directory::changes_since(std::uint64_t since) const {
+    relayed_registrations known;
+    known.revision = this->synced_revision;
+    known.confirmed_at = *this->confirmed;
+    known.in_full = since < this->complete_since;
+    for (const auto& [key, change] : this->last_changes) {
+        const bool is_wanted =
+            known.in_full ? change.item.value.revision != 0 : change.item.changed_at > since;
+        if (is_wanted) {
+            known.changes.push_back(change);
+        }
     }
+    return known;
 }
 
 void target_directory::set_options(const target_directory_options& changed) {
@@ -124,7 +203,7 @@
     const time_point now = boot_clock::now();
     const bool replaced_recently = this->last_watch_replacement &&
                                    now - *this->last_watch_replacement < watch_replacement_interval;
-    if (revision <= this->known_revision || !this->current_watch_wait || this->watch_check_timer ||
+    if (revision <= this->synced_revision || !this->current_watch_wait || this->watch_check_timer ||
         replaced_recently) {
         return;
     }
@@ -132,10 +211,10 @@
         this->owner.after(missed_change_delay, [this, revision, number = this->last_watch] {
             this->watch_check_timer = timer();
             const bool is_waiting = this->current_watch_wait && number == this->last_watch;
-            if (is_waiting && this->known_revision < revision) {
+            if (is_waiting && this->synced_revision < revision) {
                 log_event(log_level::warning, "watch_lost",
                           {{"document", this->prefix},
-                           {"known_revision", std::to_string(this->known_revision)},
+                           {"known_revision", std::to_string(this->synced_revision)},
                            {"peer_revision", std::to_string(revision)}});
                 this->last_watch_replacement = boot_clock::now();
                 this->watch();
@@ -147,7 +226,7 @@
     this->current_watch_wait = this->options.watch_wait;
     const time_point sent = boot_clock::now();
     this->store.watch_prefix(
-        this->prefix, this->known_revision, this->options.watch_wait,
+        this->prefix, this->synced_revision, this->options.watch_wait,
         [this, sent, number = ++this->last_watch](const result<store_changes>& changes) {
             if (number != this->last_watch) {
                 return;
@@ -161,28 +240,86 @@
             }
             if (changes->history_lost) {
                 log_event(log_level::info, "target_history_lost",
-                          {{"revision", std::to_string(this->known_revision)}});
+                          {{"revision", std::to_string(this->synced_revision)}});
                 this->schedule(duration::zero(), &target_directory::read_all);
                 return;
             }
             const time_point now = boot_clock::now();
             const bool is_prompt = now - sent < prompt_answer_limit;
             const time_point changed_after = is_prompt ? unwatched_since.value_or(now) : now;
-            for (const store_item& item : changes->items) {
-                this->apply(item, changed_after);
-            }
-            this->known_revision = std::max(this->known_revision, changes->store_revision);
-            this->last_synced = now;
+            this->apply_changes(*changes, sent, changed_after);
             this->unwatched_since = now;
             this->schedule(changes->items.empty() ? duration::zero() : this->options.batch_window,
                            &target_directory::watch);
         });
 }
 
+void target_directory::apply_changes(const store_changes& changes, time_point sent,
+                                     time_point changed_after) {
+    for (const store_item& item : changes.items) {
+        this->apply(item, changed_after);
+    }
+    this->finish_sync(changes.store_revision, sent);
+}
+
+void target_directory::confirm(std::function<void()> done) {
+    this->confirmation_waiters.push_back(std::move(done));
+    if (this->confirmation_waiters.size() > 1) {
+        return;
+    }
+    const time_point sent = boot_clock::now();
+    this->store.watch_prefix(this->prefix, this->synced_revision, duration::zero(),
+                             [this, sent](const result<store_changes>& changes) {
+                                 if (changes && changes->history_lost) {
+                                     // The waiters are called when the registrations have been read
+                                     // again.
+                                     this->set_relayed(false);
+                                     this->read_all();
+                                     return;
+                                 }
+                                 if (changes) {
+                                     this->apply_changes(*changes, sent,
+                                                         this->earliest_unheard_change());
+                                 }
+                                 this->notify_confirmation_waiters();
+                             });
+}
+
+void target_directory::notify_confirmation_waiters() {
+    const auto waiters = std::exchange(this->confirmation_waiters, {});
+    for (const auto& waiter : waiters) {
+        waiter();
+    }
+}
+
+/// Records a change. False if a later change of the same registration is known.
+bool target_directory::record(const store_item& item, time_point changed_after) {
+    this->newest_change = std::max(this->newest_change, item.changed_at);
+    const auto [place, is_new] = this->last_changes.try_emplace(item.key);
+    if (!is_new && item.changed_at < place->second.item.changed_at) {
+        return false;
+    }
+    place->second = {item, changed_after};
+    return true;
+}
+
+/// Forgets removals that every instance has heard of by now.
+void target_directory::forget_old_removals() {
+    const time_point now = boot_clock::now();
+    std::erase_if(this->last_changes, [&](const auto& entry) {
+        const registration_change& change = entry.second;
+        const bool is_old =
+            change.item.value.revision == 0 && now - change.changed_after > removal_retention;
+        if (is_old) {
+            this->complete_since = std::max(this->complete_since, change.item.changed_at);
+        }
+        return is_old;
+    });
+}
+
 /// Applies a change that was made at \p changed_after or later.
 void target_directory::apply(const store_item& item, time_point changed_after) {
-    this->newest_change = std::max(this->newest_change, item.changed_at);
-    if (item.key.size() <= this->prefix.size()) {
+    if (item.key.size() <= this->prefix.size() || !this->record(item, changed_after)) {
         return;
     }
     const target_id id{item.key.substr(this->prefix.size())};
@@ -227,8 +364,8 @@
     }
 }
 
-/// Notes that the registration of \p id disappeared, no earlier than \p since: the grace period runs
-/// from there, as the bound on using the target runs from the removal in the store.
+/// Notes that the registration of \p id disappeared, no earlier than \p since: the grace period
+/// runs from there, as the bound on using the target runs from the removal in the store.
 void target_directory::mark_vanished(const target_id& id, time_point since) {
     const auto found = this->service_by_id.find(id);
     if (found == this->service_by_id.end()) {
@@ -256,6 +393,7 @@
 }
 
 void target_directory::remove_expired() {
+    this->forget_old_removals();
     const time_point now = boot_clock::now();
     std::vector<std::pair<service_id, target_id>> expired;
     for (const auto& [service, targets] : this->by_service) {
--- a/libs/fleet/tests/follower_test.cpp
+++ b/libs/fleet/tests/follower_test.cpp
@@ -1,87 +1,16 @@
 #define BOOST_TEST_MODULE fleet
 #include <boost/test/unit_test.hpp>
 
-#include <optional>
 #include <string>
 
-#include <nlohmann/json.hpp>
-
-#include "event/http_client.h"
 #include "fleet/policy_follower.h"
 #include "fleet/target_directory.h"
-#include "platform/store_documents.h"
-#include "platform_service.h"
+#include "store_fixture.h"
 
 using namespace knapweedknot;
 
 namespace {
 
-const endpoint store_address{"127.0.0.1", 18975};
-constexpr duration wait_limit = seconds(5);
-
-/// An in-process store stand-in with two clients: `client` belongs to the code under test, `writer`
-/// acts as the operator and the targets.
-struct store_fixture {
-    loop events;
-    standin::platform_service service{events, duration::zero(), 1};
-    store_client writer{events, store_address};
-    store_client client{events, store_address};
-
-    store_fixture() { BOOST_REQUIRE(this->service.listen(store_address).has_value()); }
-
-    template <typename Condition>
-    bool run_until(Condition condition, duration limit = wait_limit) {
-        const time_point end = boot_clock::now() + limit;
-        const timer poll = this->events.every(milliseconds(1), [&] {
-            if (condition() || boot_clock::now() > end) {
-                this->events.stop();
-            }
-        });
-        this->events.run();
-        return condition();
-    }
-    void run_for(duration time) {
-        this->run_until([] { return false; }, time);
-    }
-    void write(const std::string& key, const std::string& data) {
-        bool written = false;
-        this->writer.put(key, data, [&](const auto& outcome) { written = outcome.has_value(); });
-        BOOST_REQUIRE(this->run_until([&] { return written; }));
-    }
-    void remove(const std::string& key) {
-        std::optional<std::uint64_t> revision;
-        this->writer.get(key, [&](const auto& value) { revision = value->revision; });
-        BOOST_REQUIRE(this->run_until([&] { return revision.has_value(); }));
-        bool done = false;
-        this->writer.erase(key, *revision,
-                           [&](const auto& outcome) { done = outcome.has_value(); });
-        BOOST_REQUIRE(this->run_until([&] { return done; }));
-    }
-    void set_faults(const nlohmann::json& faults) {
-        http_request request;
-        request.method = "PUT";
-        request.uri = "/v1/admin/faults";
-        request.body = make_body(faults.dump());
-        bool done = false;
-        send_once(this->events, store_address, request, seconds(1), {},
-                  [&](const auto& outcome) { done = outcome.has_value(); });
-        BOOST_REQUIRE(this->run_until([&] { return done; }));
-    }
-};
-
-std::string policy_text(const std::string& version, const std::string& prefix) {
-    return R"({"version":")" + version + R"(","resources":[
-        {"resource-kind":"routes","metadata":{"name":"r"},"spec":{"hostname":"h.example","prefix":")" +
-           prefix + R"(","kind":"safe","timeout-ms":1000,"target-latency-ms":500,"priority":1,
-           "service":"s","max-attempts":2}}]})";
-}
-
-std::string target_text(const std::string& address, const std::string& state) {
-    return R"({"service":"s","address":")" + address +
-           R"(","zone":"z","version":"v1","slots":4,"state":")" + state +
-           R"(","warmup-left-ms":0,"sequence":1,"born":1700000000000})";
-}
-
 policy_follower make_follower(store_fixture& store) {
     policy_follower_options options;
     options.watch_wait = milliseconds(400);
@@ -271,9 +200,9 @@
     BOOST_TEST(store.run_until(is_draining, drain_bound));
 }
 
-// Guards against requests to a target whose registration was removed longer ago than the drain bound
-// (DRAIN): the removal falls into the pause between two watches of an instance that serves little,
-// and the grace period began only when that instance heard of it.
+// Guards against requests to a target whose registration was removed longer ago than the drain
+// bound (DRAIN): the removal falls into the pause between two watches of an instance that serves
+// little, and the grace period began only when that instance heard of it.
 BOOST_AUTO_TEST_CASE(a_removal_during_the_batch_window_keeps_the_drain_bound) {
     constexpr duration drain_bound = seconds(2);
     target_directory_options options;
@@ -289,8 +218,8 @@
     store.write("servers/i-2", target_text("127.0.0.1:9001", "ready"));
     BOOST_REQUIRE(store.run_until([&] { return directory.targets_of(service).size() == 2; }));
     store.remove("servers/i-1");
-    BOOST_TEST(store.run_until([&] { return directory.targets_of(service).size() == 1; },
-                               drain_bound));
+    BOOST_TEST(
+        store.run_until([&] { return directory.targets_of(service).size() == 1; }, drain_bound));
 }
 
 // Guards against a link that fills up with watch calls: where answers are late because the link is
--- a/libs/peers/include/peers/mesh.h
+++ b/libs/peers/include/peers/mesh.h
@@ -42,9 +42,9 @@
     std::size_t queued{0};
 };
 
-/// Maintains one link to each reachable instance. An instance asks the first few that it connects to
-/// for the addresses of their peers, and later one at a time, so one seed is enough to find all. Not
-/// thread safe.
+/// Maintains one link to each reachable instance. An instance asks the first few that it connects
+/// to for the addresses of their peers, and later one at a time, so one seed is enough to find all.
+/// Not thread safe.
 class mesh {
 public:
     mesh(loop& owner, peer_info self, mesh_handlers handlers);
--- a/libs/peers/tests/mesh_test.cpp
+++ b/libs/peers/tests/mesh_test.cpp
@@ -24,10 +24,9 @@
 
 /// Bytes that all nodes have sent.
 std::uint64_t bytes_sent(const std::vector<node>& nodes) {
-    return std::accumulate(nodes.begin(), nodes.end(), std::uint64_t{0},
-                           [](std::uint64_t sum, const node& one) {
-                               return sum + one.network->traffic().sent;
-                           });
+    return std::accumulate(
+        nodes.begin(), nodes.end(), std::uint64_t{0},
+        [](std::uint64_t sum, const node& one) { return sum + one.network->traffic().sent; });
 }
 
 void start(loop& events, node& one, int number) {
@@ -88,9 +87,9 @@
     BOOST_TEST(nodes[4].disconnects == 1);
 }
 
-// Guards against a start whose cost grows with the cube of the fleet: each new link was answered with
-// the addresses of all other peers. Twice the instances have four times the links, so the bytes of
-// a start may grow fourfold, and a quarter of that again for lists that are longer.
+// Guards against a start whose cost grows with the cube of the fleet: each new link was answered
+// with the addresses of all other peers. Twice the instances have four times the links, so the
+// bytes of a start may grow fourfold, and a quarter of that again for lists that are longer.
 BOOST_AUTO_TEST_CASE(the_bytes_of_a_start_grow_with_the_number_of_links) {
     constexpr double growth_limit = 4 * 1.25;
     const auto start_bytes = [](int count, int first_number) {
--- a/programs/knapweedknotd/edge_instance.cpp
+++ b/programs/knapweedknotd/edge_instance.cpp
@@ -18,6 +18,7 @@
 // Callers may use an address response for up to this many lifetimes.
 constexpr int max_address_response_reuse = 3;
 constexpr duration directory_options_interval = seconds(1);
+constexpr duration first_watch_delay = milliseconds(1500);
 constexpr duration drain_check_interval = milliseconds(50);
 // Requests still without a response after this share of the stop grace are failed, so that the
 // responses queued behind them on their connections are delivered.
@@ -38,6 +39,19 @@
     return options;
 }
 
+/// Options for asking other instances: what an instance knows of a target is known everywhere well
+/// within the bound on using a target that is leaving.
+store_relay_options make_relay_options(const fleet_bounds& bounds) {
+    store_relay_options options;
+    options.serving_interval = bounds.target_drain / 6;
+    options.idle_interval = bounds.target_drain / 4;
+    options.max_policy_age = bounds.policy_apply / 4;
+    options.max_targets_age = bounds.target_drain * 2 / 5;
+    options.max_unconfirmed_policy = bounds.policy_apply / 2;
+    options.max_unconfirmed_targets = bounds.target_drain / 2;
+    return options;
+}
+
 /// Options of the target directory. An instance that serves no requests batches more changes per
 /// store call and detects a lost watch later.
 target_directory_options make_directory_options(bool is_serving, const fleet_bounds& bounds) {
@@ -48,6 +62,13 @@
     return options;
 }
 
+/// The first watch waits until the instance has found others to ask.
+target_directory_options make_initial_directory_options(const fleet_bounds& bounds) {
+    target_directory_options options = make_directory_options(false, bounds);
+    options.first_watch_delay = first_watch_delay;
+    return options;
+}
+
 report_options make_report_options(const machine_resources& machine) {
     report_options options;
     options.full_report_bytes_per_s = machine.link_bytes_per_s * report_link_share;
@@ -80,9 +101,10 @@
       policy(event_loop, store, std::string(platform::policy_key), &platform::decode_policy,
              make_policy_options(given.bounds)),
       directory(event_loop, store, std::string(platform::targets_prefix), &platform::decode_target,
-                make_directory_options(false, given.bounds)),
+                make_initial_directory_options(given.bounds)),
+      relay({event_loop, network, policy, directory}, make_relay_options(given.bounds)),
       gateway({event_loop, settings, headers, policy, directory, reports}),
-      load({event_loop, network, reports, store, policy, directory, gateway}),
+      load({event_loop, network, reports, store, policy, directory, relay, gateway}),
       readiness(event_loop, {}, [this](const auto& request) { this->handle_readiness(request); }),
       addresses(event_loop, {}, [this](const auto& request) { this->handle_addresses(request); }),
       metrics(event_loop, {}, [this](const auto& request) { this->handle_metrics(request); }),
@@ -97,7 +119,10 @@
         this->directory.note_peer_change(peer.report->last_target_change);
         this->gateway.handle_report(peer, before);
     };
+    this->relay.choose = [this] { return this->choose_relay(); };
+    this->relay.is_serving = [this] { return this->gateway.is_serving(boot_clock::now()); };
     this->reports.on_peer_lost = [this](const reporting_peer& peer) {
+        this->relay.peer_lost(peer.info.incarnation);
         this->gateway.handle_peer_lost(peer);
     };
 }
@@ -106,6 +131,11 @@
     return {[this](const peer_info& from, const wire::messageT& message) {
                 if (const auto* report = message.body.Asreport(); report != nullptr) {
                     this->reports.handle(from, *report);
+                } else if (const auto* request = message.body.Asstore_request();
+                           request != nullptr) {
+                    this->relay.handle(from, *request);
+                } else if (const auto* reply = message.body.Asstore_reply(); reply != nullptr) {
+                    this->relay.handle(from, *reply);
                 }
             },
             [](const peer_info& /*unused*/, const wire::heartbeat_fields& /*unused*/) {},
@@ -125,6 +155,7 @@
         .and_then([this] { return this->metrics.listen(this->settings.metrics_address); })
         .and_then(listen_for_addresses)
         .map([this] {
+            this->relay.start();
             this->policy.start();
             this->directory.start();
             this->registry.start();
@@ -151,12 +182,27 @@
     this->directory.set_options(make_directory_options(is_serving, this->settings.bounds));
 }
 
+relay_choice edge_instance::choose_relay() const {
+    const time_point now = boot_clock::now();
+    std::vector<relay_candidate> others;
+    for (const auto& [incarnation, peer] : this->reports.peers()) {
+        if (this->reports.is_live(peer, now) && peer.report->can_relay) {
+            others.push_back(
+                {incarnation, peer.info.instance, peer.info.failure_domain, peer.info.capacity});
+        }
+    }
+    const relay_candidate own{this->self.incarnation, this->self.instance,
+                              this->self.failure_domain, this->self.capacity};
+    return choose_relays(std::move(others), own, !this->draining && this->relay.can_relay());
+}
+
 instance_report edge_instance::make_report(report_kind kind) {
     const time_point now = boot_clock::now();
     instance_report report;
     report.has_targets = kind == report_kind::full;
     report.ready = this->is_ready();
     report.store_reachable = this->policy.is_store_reachable();
+    report.can_relay = !this->draining && this->relay.can_relay();
     report.uptime = now - this->started_at;
     report.policy_number =
         this->policy.current() == nullptr ? config_number{} : this->policy.current()->number();
@@ -232,6 +278,7 @@
 void edge_instance::apply_settings(const edge_settings& changed) {
     this->settings.bounds = changed.bounds;
     this->policy.set_options(make_policy_options(changed.bounds));
+    this->relay.set_options(make_relay_options(changed.bounds));
     log_event(log_level::info, "settings_reloaded", {});
 }
 
--- a/programs/knapweedknotd/edge_instance.h
+++ b/programs/knapweedknotd/edge_instance.h
@@ -8,6 +8,7 @@
 #include "fleet/instance_registry.h"
 #include "fleet/policy_follower.h"
 #include "fleet/report_exchange.h"
+#include "fleet/store_relay.h"
 #include "fleet/target_directory.h"
 #include "peers/mesh.h"
 #include "platform/store_client.h"
@@ -40,6 +41,7 @@
     [[nodiscard]] mesh_handlers make_mesh_handlers();
     [[nodiscard]] instance_report make_report(report_kind kind);
     void update_directory_options();
+    [[nodiscard]] relay_choice choose_relay() const;
     [[nodiscard]] bool is_ready() const;
     [[nodiscard]] bool is_eligible(const reporting_peer& peer, time_point now) const;
     void handle_readiness(const std::shared_ptr<incoming_request>& request);
@@ -59,6 +61,7 @@
     instance_registry registry;
     policy_follower policy;
     target_directory directory;
+    store_relay relay;
     edge_gateway gateway;
     load_monitor load;
     http_server readiness;
--- a/programs/knapweedknotd/load_monitor.cpp
+++ b/programs/knapweedknotd/load_monitor.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr duration sample_interval = seconds(1);
+constexpr duration store_calls_interval = seconds(10);
 
 std::string milliseconds_text(std::optional<duration> value) {
     return std::to_string(value ? to_milliseconds(*value) : -1);
@@ -39,7 +40,33 @@
 
 load_monitor::load_monitor(const dependencies& given)
     : sources(given), lateness_monitor(given.owner),
-      sample_timer(given.owner.every(sample_interval, [this] { this->sample(); })) {}
+      sample_timer(given.owner.every(sample_interval, [this] { this->sample(); })),
+      store_calls_timer(
+          given.owner.every(store_calls_interval, [this] { this->log_store_calls(); })) {}
+
+/// Logs the calls since the start by kind, if there were any since the last line.
+void load_monitor::log_store_calls() {
+    const std::uint64_t total = this->sources.store.calls();
+    if (std::exchange(this->logged_store_calls, total) == total) {
+        return;
+    }
+    const auto& calls = this->sources.store.calls_by_kind();
+    const auto count_of = [&calls](const char* kind) {
+        const auto found = calls.find(kind);
+        return std::to_string(found == calls.end() ? 0 : found->second.sent);
+    };
+    const store_relay_counts& relayed = this->sources.relay.counts();
+    log_event(log_level::info, "store_calls",
+              {{"total", std::to_string(total)},
+               {"get", count_of("get")},
+               {"list", count_of("list")},
+               {"watch", count_of("watch")},
+               {"write", count_of("write")},
+               {"relay_asked", std::to_string(relayed.asked)},
+               {"relay_unanswered", std::to_string(relayed.unanswered)},
+               {"relay_replied", std::to_string(relayed.replied)},
+               {"relay_refused", std::to_string(relayed.refused)}});
+}
 
 void load_monitor::sample() {
     const time_point now = boot_clock::now();
@@ -65,6 +92,7 @@
          {"serving_peers_heard", std::to_string(peers.on_time)},
          {"serving_peers_unheard", std::to_string(peers.overdue)},
          {"oldest_report_ms", milliseconds_text(peers.oldest_report_age)},
+         {"store_calls", std::to_string(this->sources.store.calls())},
          {"proof_age_ms", milliseconds_text(this->sources.policy.confirmation_age(now))},
          {"targets_age_ms", milliseconds_text(this->sources.directory.age(now))}});
 }
@@ -86,6 +114,11 @@
         write("reports_sent_total", label, sent.count);
         write("report_bytes_sent_total", label, sent.bytes);
     }
+    const store_relay_counts& relayed = this->sources.relay.counts();
+    write("relay_requests_total", "outcome=\"sent\"", relayed.asked);
+    write("relay_requests_total", "outcome=\"unanswered\"", relayed.unanswered);
+    write("relay_replies_total", "outcome=\"answered\"", relayed.replied);
+    write("relay_replies_total", "outcome=\"refused\"", relayed.refused);
     write("policy_proof_age_seconds", "",
           seconds_or_minus_one(this->sources.policy.confirmation_age(now)));
     write("policy_watch_age_seconds", "",
--- a/programs/knapweedknotd/load_monitor.h
+++ b/programs/knapweedknotd/load_monitor.h
@@ -5,6 +5,7 @@
 #include "event/loop_monitor.h"
 #include "fleet/policy_follower.h"
 #include "fleet/report_exchange.h"
+#include "fleet/store_relay.h"
 #include "fleet/target_directory.h"
 #include "proxy/edge_gateway.h"
 
@@ -26,6 +27,7 @@
         store_client& store;
         const policy_follower& policy;
         const target_directory& directory;
+        const store_relay& relay;
         const edge_gateway& gateway;
     };
 
@@ -36,13 +38,16 @@
 
 private:
     void sample();
+    void log_store_calls();
 
     dependencies sources;
     loop_monitor lateness_monitor;
     mesh_traffic previous_traffic;
     duration max_lateness{duration::zero()};
     duration longest_store_call{duration::zero()};
+    std::uint64_t logged_store_calls{0};
     timer sample_timer;
+    timer store_calls_timer;
 };
 
 } // namespace knapweedknot
--- a/tools/check_models.sh
+++ b/tools/check_models.sh
@@ -48,5 +48,9 @@
 for rule in PROOF_FROM_ANSWER NO_LIFETIME; do
     expect fails proof "-D$rule"
 done
+expect holds relayed_proof
+for rule in AGE_FROM_READ_END NOTE_AT_ANSWER ANSWER_FROM_WATCH AGE_WITHOUT_PAUSE; do
+    expect fails relayed_proof "-D$rule"
+done
 echo "$passed passed, $failed failed"
 [ "$failed" -eq 0 ]
