Instances in reserve report at five times the usual intervals

Seen: at 293 instances each one sends some 136 reports a second, 40,000 in the fleet (worked out), most of them from instances that serve nobody to others that serve nobody. Cause: every instance reports to all of its failure domain each second and to all others each 3 s, whatever it does. Change: an instance that does not serve, and before which eight better ranked ones of its domain wait as well, announces five times the interval; its links are kept for as long. When fewer wait before it, it reports at once. Callers and relays are chosen from instances heard at the usual interval, as before. The order in which instances are preferred stood twice and is now decide/instance_rank.h. Ruled out: leaving the accounts out of reports to instances that do not serve (these would take all earlier admissions for new ones when they begin to).

--- a/libs/decide/src/instance_choice.cpp
+++ b/libs/decide/src/instance_choice.cpp
@@ -4,7 +4,7 @@
 #include <cmath>
 #include <tuple>
 
-#include "base/digest.h"
+#include "decide/instance_rank.h"
 
 namespace knapweedknot {
 
@@ -31,12 +31,12 @@
     double min_capacity{0};
 };
 
-/// Sort key of \p candidate; smaller is better. The hash breaks ties.
-auto rank_of(const instance_candidate& candidate, const failure_domain_id& failure_domain,
-             const instance_choice_policy& policy) {
+/// Sort key of \p candidate; smaller is better.
+auto preference_of(const instance_candidate& candidate, const failure_domain_id& failure_domain,
+                   const instance_choice_policy& policy) {
     return std::tuple(candidate.failure_domain != failure_domain,
-                      candidate.uptime < policy.warm_up_time, -candidate.capacity,
-                      hash64(candidate.instance.value));
+                      candidate.uptime < policy.warm_up_time,
+                      rank_of(candidate.instance, candidate.capacity));
 }
 
 /// Aggregates the candidates of \p failure_domain.
@@ -95,7 +95,8 @@
     std::erase_if(candidates, [](const instance_candidate& item) { return !item.ready; });
     std::sort(candidates.begin(), candidates.end(),
               [&](const instance_candidate& a, const instance_candidate& b) {
-                  return rank_of(a, failure_domain, policy) < rank_of(b, failure_domain, policy);
+                  return preference_of(a, failure_domain, policy) <
+                         preference_of(b, failure_domain, policy);
               });
     const domain_load load = load_of(candidates, failure_domain, policy);
     const std::size_t selected = instances_needed(load, policy);
--- a/libs/decide/src/relay_choice.cpp
+++ b/libs/decide/src/relay_choice.cpp
@@ -3,15 +3,15 @@
 #include <algorithm>
 #include <tuple>
 
-#include "base/digest.h"
+#include "decide/instance_rank.h"
 
 namespace knapweedknot {
 
 namespace {
 
-/// Sort key; smaller is better. The hash breaks ties in the same way on all instances.
-auto rank_of(const relay_candidate& candidate) {
-    return std::tuple(-candidate.capacity, hash64(candidate.instance.value), candidate.incarnation);
+/// Sort key; smaller is better.
+auto preference_of(const relay_candidate& candidate) {
+    return std::tuple(rank_of(candidate.instance, candidate.capacity), candidate.incarnation);
 }
 
 } // namespace
@@ -20,12 +20,13 @@
                            bool own_can_relay) {
     constexpr std::size_t max_relays = 2;
     std::sort(others.begin(), others.end(),
-              [](const auto& a, const auto& b) { return rank_of(a) < rank_of(b); });
-    const auto own_place = own_can_relay ? std::find_if(others.begin(), others.end(),
-                                                        [&own](const relay_candidate& other) {
-                                                            return rank_of(own) < rank_of(other);
-                                                        })
-                                         : others.end();
+              [](const auto& a, const auto& b) { return preference_of(a) < preference_of(b); });
+    const auto own_place = own_can_relay
+                               ? std::find_if(others.begin(), others.end(),
+                                              [&own](const relay_candidate& other) {
+                                                  return preference_of(own) < preference_of(other);
+                                              })
+                               : others.end();
     const auto own_domain = [&own](const relay_candidate& candidate) {
         return candidate.failure_domain == own.failure_domain;
     };
--- a/libs/fleet/include/fleet/report_exchange.h
+++ b/libs/fleet/include/fleet/report_exchange.h
@@ -27,10 +27,16 @@
     duration same_domain_interval{milliseconds(1000)};
     /// Interval to and from instances of other failure domains, where bandwidth is expensive.
     duration cross_domain_interval{milliseconds(3000)};
+    /// An instance that serves no requests reports to others at this multiple of the intervals if
+    /// this many better ranked ones of its failure domain wait as well. Callers are not sent to it.
+    int reserve_interval_factor{5};
+    std::size_t prompt_spares{8};
+    /// For this long after its start an instance reports at the usual intervals.
+    duration prompt_time{seconds(10)};
     /// Time after which a peer's list of running requests is ignored.
     duration running_count_lifetime{milliseconds(1200)};
-    /// A peer whose newest report is older than this many of its intervals is not live, and its
-    /// link is replaced.
+    /// A peer whose newest report is older than this many of the usual intervals is not live. Its
+    /// link is replaced after as many of the intervals that it has announced.
     double timeout_intervals{2.6};
     /// A serving peer whose newest report is older than this many serving intervals is overdue: it
     /// may have admitted requests that it has not reported.
@@ -104,6 +110,8 @@
     bool store_reachable{false};
     /// Whether the instance can read the store on behalf of others.
     bool can_relay{false};
+    /// Time until the next report if it is longer than the usual interval; else zero.
+    duration next_in{duration::zero()};
     /// Whether the report lists the targets.
     bool has_targets{false};
     duration uptime{duration::zero()};
@@ -182,7 +190,10 @@
     void retain_report(const reporting_peer& lost);
     [[nodiscard]] std::optional<instance_report> take_retained_report(incarnation_id peer);
     [[nodiscard]] bool is_in_same_domain(const reporting_peer& peer) const;
+    [[nodiscard]] duration interval_of(const reporting_peer& peer) const;
     [[nodiscard]] duration report_timeout(const reporting_peer& peer) const;
+    [[nodiscard]] duration link_timeout(const reporting_peer& peer) const;
+    [[nodiscard]] bool is_reserve(time_point now) const;
 
     loop& owner;
     mesh& network;
@@ -200,6 +211,12 @@
     time_point last_same_domain_send;
     time_point last_cross_domain_send;
     time_point last_early_report;
+    time_point started_at;
+    /// Multiple of the usual intervals at which other instances get reports at present.
+    int interval_factor{1};
+    /// Times until the next reports, as the last ones announced them.
+    duration announced_same_domain_interval{duration::zero()};
+    duration announced_cross_domain_interval{duration::zero()};
     /// When the own reports began to say that this instance serves; empty while they do not.
     std::optional<time_point> serving_since;
     timer tick_timer;
--- a/libs/fleet/src/report_exchange.cpp
+++ b/libs/fleet/src/report_exchange.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "base/log.h"
+#include "decide/instance_rank.h"
 
 namespace knapweedknot {
 
@@ -38,6 +39,7 @@
     message.policy_number = report.policy_number.value;
     message.targets_revision = report.last_target_change;
     message.in_full = report.has_targets;
+    message.next_ms = static_cast<std::uint32_t>(to_milliseconds(report.next_in));
     for (const auto& [account, use] : report.accounts) {
         message.accounts.emplace_back(account, use.admitted, clamp_to<std::int32_t>(use.tokens));
     }
@@ -72,6 +74,7 @@
     report.policy_number.value = message.policy_number;
     report.last_target_change = message.targets_revision;
     report.has_targets = message.in_full;
+    report.next_in = milliseconds(message.next_ms);
     for (const wire::account_use& use : message.accounts) {
         report.accounts[use.account()] = {use.admitted(), static_cast<double>(use.tokens())};
     }
@@ -96,7 +99,8 @@
 
 report_exchange::report_exchange(loop& event_loop, mesh& peer_mesh,
                                  const report_options& report_settings)
-    : owner(event_loop), network(peer_mesh), options(report_settings) {}
+    : owner(event_loop), network(peer_mesh), options(report_settings),
+      started_at(boot_clock::now()) {}
 
 void report_exchange::start() {
     this->tick_timer = this->owner.every(this->options.serving_interval, [this] { this->tick(); });
@@ -207,12 +211,39 @@
     return peer.info.failure_domain == this->network.self().failure_domain;
 }
 
+duration report_exchange::interval_of(const reporting_peer& peer) const {
+    return this->is_in_same_domain(peer) ? this->options.same_domain_interval
+                                         : this->options.cross_domain_interval;
+}
+
 duration report_exchange::report_timeout(const reporting_peer& peer) const {
-    const duration interval = this->is_in_same_domain(peer) ? this->options.same_domain_interval
-                                                            : this->options.cross_domain_interval;
+    return from_seconds(to_seconds(this->interval_of(peer)) * this->options.timeout_intervals);
+}
+
+duration report_exchange::link_timeout(const reporting_peer& peer) const {
+    const duration announced = peer.report ? peer.report->next_in : duration::zero();
+    const duration interval = std::max(this->interval_of(peer), announced);
     return from_seconds(to_seconds(interval) * this->options.timeout_intervals);
 }
 
+/// Whether enough better ranked instances of the failure domain wait to serve, so that the others
+/// need not hear of this one soon.
+bool report_exchange::is_reserve(time_point now) const {
+    if (this->serving_since || now - this->started_at < this->options.prompt_time) {
+        return false;
+    }
+    const peer_info& own = this->network.self();
+    const instance_rank own_rank = rank_of(own.instance, own.capacity);
+    const auto is_better_spare = [&](const auto& item) {
+        const reporting_peer& peer = item.second;
+        return this->is_in_same_domain(peer) && this->is_live(peer, now) && peer.report->ready &&
+               !peer.report->serving && rank_of(peer.info.instance, peer.info.capacity) < own_rank;
+    };
+    const auto better =
+        std::count_if(this->connected.begin(), this->connected.end(), is_better_spare);
+    return static_cast<std::size_t>(better) >= this->options.prompt_spares;
+}
+
 std::size_t report_exchange::live_peer_count() const {
     const time_point now = boot_clock::now();
     return static_cast<std::size_t>(
@@ -274,20 +305,24 @@
     const time_point now = boot_clock::now();
     std::vector<incarnation_id> timed_out;
     for (const auto& [incarnation, peer] : this->connected) {
-        if (now - peer.last_heard > this->report_timeout(peer)) {
+        if (now - peer.last_heard > this->link_timeout(peer)) {
             timed_out.push_back(incarnation);
         }
     }
     for (const incarnation_id peer : timed_out) {
         this->network.disconnect(peer);
     }
+    this->send_to_serving(now < this->next_full_at ? report_kind::changes : report_kind::full);
     const bool same_domain_due =
-        now - this->last_same_domain_send >= this->options.same_domain_interval;
+        now - this->last_same_domain_send >= this->announced_same_domain_interval;
     const bool cross_domain_due =
-        now - this->last_cross_domain_send >= this->options.cross_domain_interval;
-    this->send_to_serving(now < this->next_full_at ? report_kind::changes : report_kind::full);
-    if (same_domain_due || cross_domain_due) {
-        this->send_brief(same_domain_due, cross_domain_due);
+        now - this->last_cross_domain_send >= this->announced_cross_domain_interval;
+    const int factor = std::exchange(
+        this->interval_factor, this->is_reserve(now) ? this->options.reserve_interval_factor : 1);
+    // An instance that is needed again says so at once.
+    const bool is_needed = this->interval_factor < factor;
+    if (same_domain_due || cross_domain_due || is_needed) {
+        this->send_brief(same_domain_due || is_needed, cross_domain_due || is_needed);
     }
 }
 
@@ -329,15 +364,33 @@
 }
 
 void report_exchange::send_brief(bool to_same_domain, bool to_other_domains) {
-    const std::string frame = encode_frame(encode(this->make_report(report_kind::brief)));
+    instance_report report = this->make_report(report_kind::brief);
+    const auto encode_with = [&report](duration announced, duration usual) {
+        report.next_in = announced > usual ? announced : duration::zero();
+        return encode_frame(encode(report));
+    };
+    const duration same_domain_next = this->options.same_domain_interval * this->interval_factor;
+    const duration cross_domain_next = this->options.cross_domain_interval * this->interval_factor;
+    const std::string same_domain_frame =
+        encode_with(same_domain_next, this->options.same_domain_interval);
+    const std::string cross_domain_frame =
+        encode_with(cross_domain_next, this->options.cross_domain_interval);
     for (const auto& [incarnation, peer] : this->connected) {
-        if (this->is_in_same_domain(peer) ? to_same_domain : to_other_domains) {
-            this->send(incarnation, report_kind::brief, frame);
+        const bool is_same = this->is_in_same_domain(peer);
+        if (is_same ? to_same_domain : to_other_domains) {
+            this->send(incarnation, report_kind::brief,
+                       is_same ? same_domain_frame : cross_domain_frame);
         }
     }
     const time_point now = boot_clock::now();
-    this->last_same_domain_send = to_same_domain ? now : this->last_same_domain_send;
-    this->last_cross_domain_send = to_other_domains ? now : this->last_cross_domain_send;
+    if (to_same_domain) {
+        this->last_same_domain_send = now;
+        this->announced_same_domain_interval = same_domain_next;
+    }
+    if (to_other_domains) {
+        this->last_cross_domain_send = now;
+        this->announced_cross_domain_interval = cross_domain_next;
+    }
 }
 
 void report_exchange::schedule_early_report() {
@@ -353,6 +406,7 @@
 }
 
 void report_exchange::send_to_all() {
+    this->interval_factor = 1;
     this->send_brief(true, true);
 }
 
--- a/libs/fleet/tests/reports_test.cpp
+++ b/libs/fleet/tests/reports_test.cpp
@@ -233,3 +233,58 @@
     BOOST_TEST(received.report->accounts.at(1).admitted + 40 >
                fleet.front().own.accounts[1].admitted);
 }
+
+// Guards against reports that grow with the square of the fleet: each instance that waited reported
+// to every other as often as one that serves. One with enough better ranked ones before it reports
+// at longer intervals, keeps its links, and is heard at once when it is needed.
+BOOST_AUTO_TEST_CASE(an_instance_in_reserve_reports_less_often) {
+    constexpr std::uint16_t first_port = 18920;
+    report_options options = short_intervals();
+    options.prompt_spares = 1;
+    options.prompt_time = milliseconds(200);
+    options.timeout_intervals = 4;
+    loop events;
+    std::list<reporter> fleet;
+    for (std::uint16_t number = 0; number < 3; ++number) {
+        peer_info info = describe("n" + std::to_string(number), 1U + number,
+                                  static_cast<std::uint16_t>(first_port + 2 * number));
+        info.capacity = 100 - number;
+        reporter& added = fleet.emplace_back(events, info, options);
+        added.own.ready = true;
+        added.start();
+        for (const reporter& other : fleet) {
+            added.network.add_address(other.network.self().peers_address, false);
+        }
+    }
+    const auto have_links = [&] {
+        return std::all_of(fleet.begin(), fleet.end(),
+                           [](const reporter& one) { return one.reports.peers().size() == 2; });
+    };
+    BOOST_REQUIRE(run_until(events, have_links));
+    const auto brief_reports = [](const reporter& one) {
+        const auto found = one.reports.sent().find(report_kind::brief);
+        return found == one.reports.sent().end() ? 0 : found->second.count;
+    };
+    const auto run_for = [&](duration time) {
+        const timer end = events.after(time, [&] { events.stop(); });
+        events.run();
+    };
+    run_for(milliseconds(400));
+    const reporter& best = fleet.front();
+    const reporter& last = fleet.back();
+    const std::uint64_t best_before = brief_reports(best);
+    const std::uint64_t last_before = brief_reports(last);
+    run_for(milliseconds(1500));
+    const std::uint64_t by_best = brief_reports(best) - best_before;
+    const std::uint64_t by_last = brief_reports(last) - last_before;
+    BOOST_TEST_MESSAGE("reports of the best and of the last: " << by_best << " and " << by_last);
+    BOOST_TEST(by_last * 3 < by_best);
+    BOOST_TEST(have_links());
+    // The better ones serve, so the last one has to be ready to.
+    for (reporter& one : fleet) {
+        one.own.serving = &one != &last;
+    }
+    const std::uint64_t before = brief_reports(last);
+    run_for(milliseconds(600));
+    BOOST_TEST((brief_reports(last) - before) * 4 > by_best);
+}
