A relay confirms the registrations by a listing, not by a watch (DRAIN)

Cause, found by reading: the relay proved its registrations by a watch that does not wait. While the store's watches deliver nothing (platform_compact), such a watch is empty and still moves the known revision on, so a target's leaving could be missed for good, by the whole fleet. Change: the relay lists the registrations when an asker needs a younger proof, beside its watch; unchanged entries are skipped before they are decoded. A listing no longer makes other instances read everything again. Test: a_relay_whose_watch_delivers_nothing_learns_of_changes, failed before (2 s passed), passes now.

--- a/libs/fleet/include/fleet/target_directory.h
+++ b/libs/fleet/include/fleet/target_directory.h
@@ -66,6 +66,20 @@
 using target_decoder =
     std::function<result<registered_target>(std::string_view id, std::string_view data)>;
 
+namespace detail {
+
+/// A read of all registrations in progress.
+struct listing {
+    time_point started_at{boot_clock::now()};
+    std::vector<store_item> items;
+    /// Store revision of the first page.
+    std::optional<std::uint64_t> revision;
+    /// Whether to watch for changes from there on.
+    bool then_watch{false};
+};
+
+} // namespace detail
+
 /// Keeps the registered targets of each service. Not thread safe.
 class target_directory {
 public:
@@ -77,9 +91,8 @@
     /// While true, the registrations come from other instances through apply_relayed(), and the
     /// store is neither read nor watched.
     void set_relayed(bool relayed);
-    /// Asks the store for changes at once, beside the watch in progress, and then calls \p done,
-    /// also when the store does not answer.
-    /// \pre is_loaded()
+    /// Reads the registrations from the store, beside the watch in progress, and then calls \p
+    /// done, also when the store does not answer.
     void confirm(std::function<void()> done);
     /// Takes over what another instance knows, unless this one already knows more.
     /// \pre changes since a revision start at known_revision() or before
@@ -117,14 +130,14 @@
 
 private:
     void read_all();
-    void read_page(const std::string& after, const std::shared_ptr<std::vector<store_item>>& items,
-                   std::optional<std::uint64_t> first_revision, time_point read_started);
+    void read_page(const std::shared_ptr<detail::listing>& read);
+    void finish_listing(const detail::listing& read);
     void replace_all(const std::vector<store_item>& items, std::uint64_t revision,
                      time_point changed_after);
     [[nodiscard]] time_point earliest_unheard_change() const;
-    void finish_sync(std::uint64_t revision, time_point confirmed_at);
+    void finish_sync(std::uint64_t revision);
+    void confirm_at(time_point at);
     void watch();
-    void apply_changes(const store_changes& changes, time_point sent, time_point changed_after);
     void notify_confirmation_waiters();
     void schedule(duration delay, void (target_directory::*step)());
     void apply(const store_item& item, time_point changed_after);
--- a/libs/fleet/src/target_directory.cpp
+++ b/libs/fleet/src/target_directory.cpp
@@ -67,42 +67,46 @@
 }
 
 void target_directory::read_all() {
-    this->read_page("", std::make_shared<std::vector<store_item>>(), std::nullopt,
-                    boot_clock::now());
+    auto started = std::make_shared<detail::listing>();
+    started->then_watch = true;
+    this->read_page(started);
 }
 
-void target_directory::read_page(const std::string& after,
-                                 const std::shared_ptr<std::vector<store_item>>& items,
-                                 std::optional<std::uint64_t> first_revision,
-                                 time_point read_started) {
+void target_directory::read_page(const std::shared_ptr<detail::listing>& read) {
+    const std::string after = read->items.empty() ? "" : read->items.back().key;
     this->store.list(
-        this->prefix, after, read_mode::linearizable,
-        [this, items, first_revision, read_started](result<store_page> page) {
-            if (this->is_relayed) {
-                this->notify_confirmation_waiters();
-                return;
-            }
+        this->prefix, after, read_mode::linearizable, [this, read](result<store_page> page) {
             if (!page) {
                 this->notify_confirmation_waiters();
-                this->schedule(retry_delay, &target_directory::read_all);
+                if (read->then_watch && !this->is_relayed) {
+                    this->schedule(retry_delay, &target_directory::read_all);
+                }
                 return;
             }
-            // The pages are not a snapshot: the watch starts at the revision of the first page
-            // and returns changes made since then again.
-            const std::uint64_t revision = first_revision.value_or(page->store_revision);
-            std::move(page->items.begin(), page->items.end(), std::back_inserter(*items));
-            if (page->has_more && !items->empty()) {
-                this->read_page(items->back().key, items, revision, read_started);
-                return;
+            // The pages are not a snapshot: the watch starts at the revision of the
+            // first page and returns changes made since then again.
+            read->revision = read->revision.value_or(page->store_revision);
+            const bool has_more = page->has_more && !page->items.empty();
+            std::move(page->items.begin(), page->items.end(), std::back_inserter(read->items));
+            if (has_more) {
+                this->read_page(read);
+            } else {
+                this->finish_listing(*read);
             }
-            this->replace_all(*items, revision, boot_clock::now());
-            this->finish_sync(revision, read_started);
-            this->notify_confirmation_waiters();
-            this->schedule(std::exchange(this->options.first_watch_delay, duration::zero()),
-                           &target_directory::watch);
         });
 }
 
+void target_directory::finish_listing(const detail::listing& read) {
+    this->replace_all(read.items, *read.revision, this->earliest_unheard_change());
+    this->finish_sync(*read.revision);
+    this->confirm_at(read.started_at);
+    this->notify_confirmation_waiters();
+    if (read.then_watch && !this->is_relayed) {
+        this->schedule(std::exchange(this->options.first_watch_delay, duration::zero()),
+                       &target_directory::watch);
+    }
+}
+
 /// Takes over the listing \p items, read at \p revision. What it lacks was removed at
 /// \p changed_after or later.
 void target_directory::replace_all(const std::vector<store_item>& items, std::uint64_t revision,
@@ -121,16 +125,21 @@
     for (const store_item& item : removed) {
         this->apply(item, changed_after);
     }
-    this->complete_since = revision;
+    if (!this->loaded) {
+        this->complete_since = revision;
+    }
 }
 
-void target_directory::finish_sync(std::uint64_t revision, time_point confirmed_at) {
+void target_directory::finish_sync(std::uint64_t revision) {
     this->synced_revision = std::max(this->synced_revision, revision);
-    this->confirmed = this->confirmed ? std::max(*this->confirmed, confirmed_at) : confirmed_at;
     this->last_synced = boot_clock::now();
     this->loaded = true;
 }
 
+void target_directory::confirm_at(time_point at) {
+    this->confirmed = this->confirmed ? std::max(*this->confirmed, at) : at;
+}
+
 void target_directory::set_relayed(bool relayed) {
     if (this->is_relayed == relayed) {
         return;
@@ -152,7 +161,7 @@
 void target_directory::apply_relayed(const relayed_registrations& known) {
     // What is complete up to a later revision is so up to an earlier one.
     if (known.revision < this->synced_revision) {
-        this->finish_sync(this->synced_revision, known.confirmed_at);
+        this->confirm_at(known.confirmed_at);
         return;
     }
     if (known.in_full) {
@@ -166,7 +175,8 @@
             this->apply(change.item, change.changed_after);
         }
     }
-    this->finish_sync(known.revision, known.confirmed_at);
+    this->finish_sync(known.revision);
+    this->confirm_at(known.confirmed_at);
 }
 
 /// Earliest time of a change that this instance can have missed. After a longer gap, the store may
@@ -247,42 +257,22 @@
             const time_point now = boot_clock::now();
             const bool is_prompt = now - sent < prompt_answer_limit;
             const time_point changed_after = is_prompt ? unwatched_since.value_or(now) : now;
-            this->apply_changes(*changes, sent, changed_after);
+            for (const store_item& item : changes->items) {
+                this->apply(item, changed_after);
+            }
+            this->finish_sync(changes->store_revision);
             this->unwatched_since = now;
             this->schedule(changes->items.empty() ? duration::zero() : this->options.batch_window,
                            &target_directory::watch);
         });
 }
 
-void target_directory::apply_changes(const store_changes& changes, time_point sent,
-                                     time_point changed_after) {
-    for (const store_item& item : changes.items) {
-        this->apply(item, changed_after);
-    }
-    this->finish_sync(changes.store_revision, sent);
-}
-
+/// Lists the registrations: a watch that delivers nothing proves nothing.
 void target_directory::confirm(std::function<void()> done) {
     this->confirmation_waiters.push_back(std::move(done));
-    if (this->confirmation_waiters.size() > 1) {
-        return;
+    if (this->confirmation_waiters.size() == 1) {
+        this->read_page(std::make_shared<detail::listing>());
     }
-    const time_point sent = boot_clock::now();
-    this->store.watch_prefix(this->prefix, this->synced_revision, duration::zero(),
-                             [this, sent](const result<store_changes>& changes) {
-                                 if (changes && changes->history_lost) {
-                                     // The waiters are called when the registrations have been read
-                                     // again.
-                                     this->set_relayed(false);
-                                     this->read_all();
-                                     return;
-                                 }
-                                 if (changes) {
-                                     this->apply_changes(*changes, sent,
-                                                         this->earliest_unheard_change());
-                                 }
-                                 this->notify_confirmation_waiters();
-                             });
 }
 
 void target_directory::notify_confirmation_waiters() {
@@ -292,11 +282,14 @@
     }
 }
 
-/// Records a change. False if a later change of the same registration is known.
+/// Records a change. False if it, or a later change of the same registration, is known already.
 bool target_directory::record(const store_item& item, time_point changed_after) {
     this->newest_change = std::max(this->newest_change, item.changed_at);
     const auto [place, is_new] = this->last_changes.try_emplace(item.key);
-    if (!is_new && item.changed_at < place->second.item.changed_at) {
+    const store_item& known = place->second.item;
+    const bool is_known =
+        item.changed_at == known.changed_at && item.value.revision == known.value.revision;
+    if (!is_new && (item.changed_at < known.changed_at || is_known)) {
         return false;
     }
     place->second = {item, changed_after};
--- a/libs/fleet/tests/relay_test.cpp
+++ b/libs/fleet/tests/relay_test.cpp
@@ -196,6 +196,19 @@
     BOOST_TEST(fleet.run_until(is_up_to_date, drain_bound));
 }
 
+// Guards against requests to a target that is leaving (DRAIN): watches of the store deliver nothing
+// for a while, and say nothing of it. The relay must go by reads.
+BOOST_AUTO_TEST_CASE(a_relay_whose_watch_delivers_nothing_learns_of_changes) {
+    relayed_fixture fleet;
+    fleet.service.faults().lose_watches = true;
+    fleet.write("servers/i-1", target_text("127.0.0.1:9000", "draining"));
+    const auto is_draining = [&] {
+        return fleet.leaf().directory.targets_of(service).at(target_id{"i-1"}).registration.state ==
+               target_state::draining;
+    };
+    BOOST_TEST(fleet.run_until(is_draining, drain_bound));
+}
+
 // Guards against requests to a target that was removed longer ago than the drain bound (DRAIN): the
 // grace period of an instance that hears of a removal from a relay counts from the removal.
 BOOST_AUTO_TEST_CASE(a_relayed_removal_keeps_the_drain_bound) {
