An instance without its relay lists the registrations, and answers others from that

Cause, from the log (relay_refused, added): an instance whose relay does not answer read the policy from the store, but of the registrations it only started a watch, which is no proof. It refused all that asked it, with registrations up to 7.8 s old, and these turned to the store in turn. Change: in place of a reply it reads both. It starts a watch of its own after three unanswered requests in a row.

--- a/libs/fleet/include/fleet/store_relay.h
+++ b/libs/fleet/include/fleet/store_relay.h
@@ -109,6 +109,7 @@
     enum class failure { timed_out, refused, unusable, disconnected };
     [[nodiscard]] static const char* name_of(failure reason);
     void ask_next(failure reason);
+    void read_targets_from_store();
     [[nodiscard]] std::optional<relayed_policy> recent_confirmation() const;
     void finish(std::optional<relayed_policy> answer);
     [[nodiscard]] std::optional<relayed_policy> take(const wire::store_replyT& message);
@@ -126,6 +127,7 @@
     std::map<incarnation_id, time_point> avoided_until;
     std::optional<incarnation_id> followed;
     bool was_answered{false};
+    int unanswered_in_row{0};
     store_relay_counts totals;
     time_point started_at;
     time_point last_asked;
--- a/libs/fleet/src/store_relay.cpp
+++ b/libs/fleet/src/store_relay.cpp
@@ -21,6 +21,8 @@
 // Interval between two requests while none is answered, and between two reads by an instance that
 // the store did not answer.
 constexpr duration unanswered_interval = milliseconds(1000);
+// After so many unanswered requests, an instance watches the registrations itself.
+constexpr int max_unanswered_in_row = 3;
 constexpr duration own_read_interval = seconds(6);
 
 /// Age in milliseconds, rounded up: an age must not be understated.
@@ -180,16 +182,31 @@
     const detail::pending_store_request ended = std::move(*this->pending);
     this->pending.reset();
     this->was_answered = answer.has_value();
+    if (answer) {
+        this->unanswered_in_row = 0;
+    }
     // A domain relay is asked by others: it reads the store at once.
     if (!answer && ended.may_ask && !ended.is_own_read) {
         answer = this->recent_confirmation();
     }
     if (!answer && this->followed) {
-        this->parts.directory.set_relayed(false);
+        this->read_targets_from_store();
     }
     ended.done(std::move(answer));
 }
 
+/// Replaces the part of a reply that is about the registrations.
+void store_relay::read_targets_from_store() {
+    const auto confirmed_at = this->parts.directory.confirmed_at();
+    const duration limit = this->options.max_unconfirmed_targets / 2;
+    if (!confirmed_at || boot_clock::now() - *confirmed_at >= limit) {
+        this->parts.directory.confirm([] {});
+    }
+    if (++this->unanswered_in_row >= max_unanswered_in_row) {
+        this->parts.directory.set_relayed(false);
+    }
+}
+
 /// What is known already, if it was confirmed so recently that the store need not be asked: a relay
 /// may answer again by the time that it must.
 std::optional<relayed_policy> store_relay::recent_confirmation() const {
@@ -269,23 +286,19 @@
     const bool is_policy_due = !this->is_policy_young(message, now);
     const bool are_targets_due = !this->are_targets_young(message, now);
     const auto answer = [this, from, message] { this->reply(from, message); };
-    if (this->followed) {
-        if (message.may_ask && (is_policy_due || are_targets_due)) {
-            this->parts.policy.await_confirmation(answer);
-        } else {
-            answer();
-        }
+    if (this->followed && !message.may_ask) {
+        answer();
         return;
     }
     const auto confirm_targets = [this, message, answer] {
-        const bool is_due = !this->are_targets_young(message, boot_clock::now());
-        if (is_due && this->parts.directory.is_loaded()) {
-            this->parts.directory.confirm(answer);
-        } else {
+        if (this->are_targets_young(message, boot_clock::now())) {
             answer();
+        } else {
+            this->parts.directory.confirm(answer);
         }
     };
-    if (is_policy_due) {
+    // Through its own relay, an instance learns of both.
+    if (is_policy_due || (are_targets_due && this->followed)) {
         this->parts.policy.await_confirmation(confirm_targets);
     } else {
         confirm_targets();
@@ -293,8 +306,20 @@
 }
 
 void store_relay::reply(const peer_info& to, const wire::store_requestT& message) {
-    wire::store_replyT answer = this->make_reply(message, boot_clock::now());
+    const time_point now = boot_clock::now();
+    wire::store_replyT answer = this->make_reply(message, now);
     ++(answer.answered ? this->totals.replied : this->totals.refused);
+    if (!answer.answered) {
+        const auto policy_age = this->parts.policy.confirmation_age(now);
+        const auto targets_at = this->parts.directory.confirmed_at();
+        log_event(
+            log_level::info, "relay_refused",
+            {{"asker", to.instance.value},
+             {"relay", this->followed ? std::to_string(this->followed->value) : "none"},
+             {"policy_age_ms", std::to_string(policy_age ? to_milliseconds(*policy_age) : -1)},
+             {"targets_age_ms",
+              std::to_string(targets_at ? to_milliseconds(now - *targets_at) : -1)}});
+    }
     this->parts.network.send(to.incarnation, std::move(answer));
 }
 
--- a/libs/fleet/tests/relay_test.cpp
+++ b/libs/fleet/tests/relay_test.cpp
@@ -60,6 +60,7 @@
     store_relay relay;
     /// Incarnations that this instance asks.
     std::vector<incarnation_id> relays;
+    bool is_domain_relay{false};
 
     instance(loop& events, std::uint64_t number)
         : store(events, store_address),
@@ -75,7 +76,7 @@
                     &platform::decode_target, directory_options()),
           relay({events, this->network, this->policy, this->directory}, relay_options()) {
         BOOST_REQUIRE(this->network.listen().has_value());
-        this->relay.choose = [this] { return relay_choice{this->relays, this->relays.empty()}; };
+        this->relay.choose = [this] { return relay_choice{this->relays, this->is_domain_relay}; };
         this->relay.is_serving = [] { return true; };
     }
 
@@ -180,6 +181,28 @@
     BOOST_TEST(fleet.run_until(is_up_to_date, policy_bound));
 }
 
+// Guards against a domain whose instances all turn to the store: the instance that they ask has
+// lost its own relay, reads the store instead and has to answer them from that.
+BOOST_AUTO_TEST_CASE(a_domain_relay_without_the_root_answers_from_its_own_reads) {
+    relayed_fixture fleet(2);
+    instance& domain_relay = *fleet.leaves.front();
+    instance& other = *fleet.leaves.back();
+    domain_relay.is_domain_relay = true;
+    other.relays = {domain_relay.network.self().incarnation};
+    other.network.add_address(domain_relay.network.self().peers_address, true);
+    fleet.run_for(settling_time);
+    const std::uint64_t before = other.store.calls();
+    fleet.root.reset();
+    fleet.run_for(seconds(3));
+    fleet.write("op/config", policy_text("00000007", "/b/"));
+    fleet.write("servers/i-3", target_text("127.0.0.1:9002", "ready"));
+    const auto is_up_to_date = [&] {
+        return other.policy_number() == 7 && other.target_count() == 3;
+    };
+    BOOST_TEST(fleet.run_until(is_up_to_date, drain_bound));
+    BOOST_TEST(other.store.calls() == before);
+}
+
 // Guards against a change that is not in force in time (CONFIG, DRAIN): the store turns the relay
 // away without a sign and serves the others.
 BOOST_AUTO_TEST_CASE(a_relay_that_the_store_turns_away_is_not_relied_on) {
