--- a/libs/fleet/src/target_directory.cpp
+++ b/libs/fleet/src/target_directory.cpp
@@ -16,7 +16,9 @@
 constexpr duration missed_change_delay = milliseconds(1000);
 // A watch that is answered sooner than this may deliver changes from before it was sent.
 constexpr duration prompt_answer_limit = milliseconds(150);
-constexpr duration longest_usual_gap = seconds(3);
+// After a longer time without a proof, the store has been away, and may have lost registrations
+// that will return.
+constexpr duration longest_usual_gap = milliseconds(1500);
 // Time for which a removal is kept, to be told to instances that have not heard of it.
 constexpr duration removal_retention = seconds(120);
 // Least time between two replacements. Where answers are late because the link is full, each
@@ -179,8 +181,8 @@
     this->confirm_at(known.confirmed_at);
 }
 
-/// Earliest time of a change that this instance can have missed. After a longer gap, the store may
-/// have been away and lost registrations that return, so these keep their whole grace period.
+/// Earliest time of a change that this instance can have missed; now if the store has been away, so
+/// that registrations which return keep their whole grace period.
 time_point target_directory::earliest_unheard_change() const {
     const time_point now = boot_clock::now();
     const bool was_in_sync = this->confirmed && now - *this->confirmed < longest_usual_gap;
--- a/libs/fleet/tests/follower_test.cpp
+++ b/libs/fleet/tests/follower_test.cpp
@@ -222,6 +222,29 @@
         store.run_until([&] { return directory.targets_of(service).size() == 1; }, drain_bound));
 }
 
+// Guards against sound targets that all drop out after a short outage of the store (FLOOR): their
+// registrations lapsed meanwhile and return within two seconds.
+BOOST_AUTO_TEST_CASE(a_registration_that_lapsed_in_an_outage_keeps_its_grace_period) {
+    target_directory_options options;
+    options.vanished_grace = milliseconds(1500);
+    store_fixture store;
+    store.write("servers/i-1", target_text("127.0.0.1:9000", "ready"));
+    target_directory directory(store.events, store.client, std::string(platform::targets_prefix),
+                               &platform::decode_target, options);
+    directory.start();
+    BOOST_REQUIRE(store.run_until([&] { return directory.is_loaded(); }));
+    store.run_for(milliseconds(50));
+    store.service.faults().lose_watches = true;
+    store.remove("servers/i-1");
+    store.run_for(seconds(2));
+    bool is_confirmed = false;
+    directory.confirm([&] { is_confirmed = true; });
+    BOOST_REQUIRE(store.run_until([&] { return is_confirmed; }));
+    store.run_for(milliseconds(700));
+    BOOST_TEST(directory.targets_of(service).contains(target_id{"i-1"}));
+    BOOST_TEST(store.run_until([&] { return directory.targets_of(service).empty(); }, seconds(2)));
+}
+
 // Guards against a link that fills up with watch calls: where answers are late because the link is
 // slow, a watch must not be taken for lost and repeated again and again.
 BOOST_AUTO_TEST_CASE(a_slow_watch_is_replaced_once) {
