--- a/libs/fleet/include/fleet/store_relay.h
+++ b/libs/fleet/include/fleet/store_relay.h
@@ -18,7 +18,8 @@
 ///
 /// A reply states the age of the read behind it, counted from before that read to the reply. The
 /// asker counts it back from before its own question, so the proof is sound without synchronized
-/// clocks, and also if either of the two is suspended meanwhile (models/proof.pml).
+/// clocks, and also if either of the two is suspended meanwhile
+/// (models/relayed_proof.pml).
 
 namespace knapweedknot {
 
--- a/libs/fleet/src/store_relay.cpp
+++ b/libs/fleet/src/store_relay.cpp
@@ -18,11 +18,11 @@
 // Time for which a relay that gave no answer is not asked again.
 constexpr duration avoidance_time = seconds(2);
 constexpr duration refusal_avoidance_time = milliseconds(500);
-// Interval between two requests while none is answered, and between two reads by an instance that
-// the store did not answer.
+// Interval between two requests while none is answered.
 constexpr duration unanswered_interval = milliseconds(1000);
 // After so many unanswered requests, an instance watches the registrations itself.
 constexpr int max_unanswered_in_row = 3;
+// Interval at which an instance that the store did not answer reads it again.
 constexpr duration own_read_interval = seconds(6);
 
 /// Age in milliseconds, rounded up: an age must not be understated.
