An empty answer of a watch does not move what an instance says it knows (DRAIN)

Cause, found by reading: while the store's watches deliver nothing (platform_compact), a relay's watch that ends is answered empty, with a newer revision. The relay told that revision to the others, so these asked only for later changes; when its next listing showed a target's leaving, it never passed that on. Change: an empty answer moves the position of the next watch only; what is known moves by listings and by delivered changes. Test: a_change_that_a_watch_left_out_is_passed_on_once_it_is_read (stand-in: watches that deliver nothing), failed before, passes now.

--- a/libs/fleet/include/fleet/target_directory.h
+++ b/libs/fleet/include/fleet/target_directory.h
@@ -160,7 +160,10 @@
     std::map<std::string, registration_change> last_changes;
     /// Revision since which last_changes holds every change.
     std::uint64_t complete_since{0};
+    /// Revision up to which reads and delivered changes show the registrations. An empty answer of
+    /// a watch is no proof, so it moves only the position of the next watch.
     std::uint64_t synced_revision{0};
+    std::uint64_t watch_position{0};
     bool is_relayed{false};
     std::vector<std::function<void()>> confirmation_waiters;
     std::optional<time_point> confirmed;
--- a/libs/fleet/src/target_directory.cpp
+++ b/libs/fleet/src/target_directory.cpp
@@ -134,6 +134,7 @@
 
 void target_directory::finish_sync(std::uint64_t revision) {
     this->synced_revision = std::max(this->synced_revision, revision);
+    this->watch_position = std::max(this->watch_position, revision);
     this->last_synced = boot_clock::now();
     this->loaded = true;
 }
@@ -238,7 +239,7 @@
     this->current_watch_wait = this->options.watch_wait;
     const time_point sent = boot_clock::now();
     this->store.watch_prefix(
-        this->prefix, this->synced_revision, this->options.watch_wait,
+        this->prefix, this->watch_position, this->options.watch_wait,
         [this, sent, number = ++this->last_watch](const result<store_changes>& changes) {
             if (number != this->last_watch) {
                 return;
@@ -261,8 +262,10 @@
             const time_point changed_after = is_prompt ? unwatched_since.value_or(now) : now;
             for (const store_item& item : changes->items) {
                 this->apply(item, changed_after);
+                this->synced_revision = std::max(this->synced_revision, item.changed_at);
             }
-            this->finish_sync(changes->store_revision);
+            this->watch_position = std::max(this->watch_position, changes->store_revision);
+            this->last_synced = now;
             this->unwatched_since = now;
             this->schedule(changes->items.empty() ? duration::zero() : this->options.batch_window,
                            &target_directory::watch);
--- a/libs/fleet/tests/follower_test.cpp
+++ b/libs/fleet/tests/follower_test.cpp
@@ -245,6 +245,26 @@
     BOOST_TEST(store.run_until([&] { return directory.targets_of(service).empty(); }, seconds(2)));
 }
 
+// Guards against a leaving target that the whole fleet goes on to use (DRAIN): the relay's watch is
+// answered without the change, and the others ask only for what is newer than that answer.
+BOOST_AUTO_TEST_CASE(a_change_that_a_watch_left_out_is_passed_on_once_it_is_read) {
+    target_directory_options options;
+    options.watch_wait = milliseconds(100);
+    waiting_directory_fixture store;
+    store.directory.set_options(options);
+    target_directory asker = make_directory(store);
+    store.service.faults().silence_watches = true;
+    store.write("servers/i-1", target_text("127.0.0.1:9000", "draining"));
+    store.run_for(milliseconds(400));
+    asker.apply_relayed(store.directory.changes_since(asker.known_revision()));
+    bool is_confirmed = false;
+    store.directory.confirm([&] { is_confirmed = true; });
+    BOOST_REQUIRE(store.run_until([&] { return is_confirmed; }));
+    asker.apply_relayed(store.directory.changes_since(asker.known_revision()));
+    BOOST_TEST((asker.targets_of(service).at(target_id{"i-1"}).registration.state ==
+                target_state::draining));
+}
+
 // Guards against a link that fills up with watch calls: where answers are late because the link is
 // slow, a watch must not be taken for lost and repeated again and again.
 BOOST_AUTO_TEST_CASE(a_slow_watch_is_replaced_once) {
--- a/tools/platform_standin/platform_service.cpp
+++ b/tools/platform_standin/platform_service.cpp
@@ -220,7 +220,7 @@
         this->leave_unanswered(request);
         return;
     }
-    if (this->respond_to_watch(request, prefix, after)) {
+    if (!this->current_faults.silence_watches && this->respond_to_watch(request, prefix, after)) {
         return;
     }
     this->watches.push_back({request, prefix, after, timer()});
@@ -249,6 +249,9 @@
 }
 
 void platform_service::notify_watches() {
+    if (this->current_faults.silence_watches) {
+        return;
+    }
     if (this->current_faults.lose_watches) {
         this->lose_pending_watches();
         return;
--- a/tools/platform_standin/platform_service.h
+++ b/tools/platform_standin/platform_service.h
@@ -35,6 +35,8 @@
     double lose_answers{0};
     /// No watch call is answered, and its connection stays open. Other calls work.
     bool lose_watches{false};
+    /// Watch calls deliver no change, and are answered when their wait has ended.
+    bool silence_watches{false};
 };
 
 /// HTTP server of the stand-in. Not thread safe.
