The mesh test uses ports of its own

Change: 18700 to 18769, which no other test uses. Ruled out: load, since the ports are the same in each run.

--- a/libs/peers/tests/mesh_test.cpp
+++ b/libs/peers/tests/mesh_test.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr std::uint16_t first_port = 18900;
+constexpr std::uint16_t first_port = 18700;
 
 struct node {
     std::unique_ptr<mesh> network;
