One place sets the relay of the policy's reads

The same callback stood in start() and follow_choice(). No change of behaviour; fleet_test passes, formatter and linter are clean on the file.

--- a/libs/fleet/include/fleet/store_relay.h
+++ b/libs/fleet/include/fleet/store_relay.h
@@ -103,6 +103,7 @@
     using callback = detail::relay_callback;
 
     void tick();
+    void relay_policy_reads();
     void follow_choice(const relay_choice& choice);
     void ask(callback done);
     void ask_first();
--- a/libs/fleet/src/store_relay.cpp
+++ b/libs/fleet/src/store_relay.cpp
@@ -51,10 +51,14 @@
     : parts(given), options(relay_options), started_at(boot_clock::now()) {}
 
 void store_relay::start() {
-    this->parts.policy.set_relay([this](callback done) { this->ask(std::move(done)); });
+    this->relay_policy_reads();
     this->tick_timer = this->parts.owner.every(tick_interval, [this] { this->tick(); });
 }
 
+void store_relay::relay_policy_reads() {
+    this->parts.policy.set_relay([this](callback done) { this->ask(std::move(done)); });
+}
+
 bool store_relay::can_relay() const noexcept {
     // The operator may not have written a policy yet; a read shows that as well.
     const policy_follower& policy = this->parts.policy;
@@ -90,7 +94,7 @@
                    {"domain_relay", choice.is_domain_relay ? "1" : "0"}});
     }
     if (first) {
-        this->parts.policy.set_relay([this](callback done) { this->ask(std::move(done)); });
+        this->relay_policy_reads();
     } else {
         this->parts.policy.set_relay(nullptr);
         this->parts.directory.set_relayed(false);
