--- a/review/build.sh
+++ b/review/build.sh
@@ -5,8 +5,8 @@
 cd "$(dirname "$0")/.."
 mkdir -p target/review
 flags=(-std=c++20 -O1 -Wall -Wextra -pthread -Ireview/standins)
-g++ "${flags[@]}" -c review/standins/kit.cpp -o target/review/kit.o
-for source in review/[1-5]/case.cpp; do
+g++ "${flags[@]}" -c review/standins/kit.cc -o target/review/kit.o
+for source in review/[1-5]/case.cc; do
     [ -e "$source" ] || continue
     number=$(basename "$(dirname "$source")")
     g++ "${flags[@]}" "$source" target/review/kit.o -o "target/review/case-$number"
--- a/review/standins/kit.h
+++ b/review/standins/kit.hh
@@ -35,6 +35,8 @@
 void record(const std::string& line);
 /// Opens FOLDER/record.txt.
 void open_record(const std::string& folder);
+/// Ends all processes that were started, and this one with \p result.
+[[noreturn]] void finish(int result);
 /// Writes \p why to the record, ends all processes and exits with could_not_run.
 [[noreturn]] void give_up(const std::string& why);
 
@@ -124,6 +126,7 @@
     std::string method;
     std::string target;
     std::string tenant;
+    /// Empty if it was larger than 64 kB.
     std::string body;
     double started{0};
     double ended{0};
@@ -161,22 +164,23 @@
 public:
     /// Fills in deploy/settings.json and starts the process.
     edge(std::string name, std::string zone, std::string ip, const std::string& store_address);
-    ~edge();
     void start();
     void signal(int number) const;
     /// Waits up to \p limit_s for its end; the status of waitpid, or nothing.
     std::optional<int> wait_end(double limit_s);
     [[nodiscard]] bool is_ready() const;
+    /// Memory of the process in RAM; 0 if it does not run.
+    [[nodiscard]] long resident_bytes() const;
 
     std::string name;
     std::string ip;
     std::string front;
     std::string ready;
     std::string directory;
+    std::string log_path;
 
 private:
     std::string settings_path;
-    std::string log_path;
     pid_t pid{-1};
 };
 
@@ -197,7 +201,7 @@
     int timeout_ms{10000};
 };
 /// A configuration with these routes at host "shop.example", one tenant "printers" with the key
-/// "key-printers-1" and the services that the routes name.
+/// "key-printers-1", the services that the routes name, and the limits that fleetbench wire shows.
 std::string configuration(const std::string& version, const std::vector<route>& routes);
 
 /// Bytes of a client's request.
