--- a/review/standins/kit.hh
+++ b/review/standins/kit.hh
@@ -63,7 +63,11 @@
     connection& operator=(const connection&) = delete;
 
     /// Connects to IP:PORT; null after one second without a connection.
-    static std::unique_ptr<connection> open(const std::string& address, int receive_buffer = 0);
+    /// \param receive_buffer size of the receive buffer; 0 leaves it to the system
+    /// \param segment largest segment, as on a network with packets of 1500 bytes; 0: the
+    /// loopback's
+    static std::unique_ptr<connection> open(const std::string& address, int receive_buffer = 0,
+                                            int segment = 0);
     bool send(std::string_view bytes) const;
     /// Reads one message with a body of its Content-Length; nothing at the end of the connection or
     /// after \p limit_s. A message that ends early is returned with is_whole false.
@@ -92,6 +96,11 @@
     /// Writes a key as the operator or an endpoint does.
     void put(const std::string& key, const std::string& value);
     void remove(const std::string& key);
+    /// While silent, no call gets an answer, and a connection on which one is lost returns nothing
+    /// further. Watches that wait go on waiting.
+    std::atomic<bool> is_silent{false};
+    /// When the last watch of \p prefix arrived; empty before the first.
+    std::optional<double> last_watch(const std::string& prefix);
     std::string address;
 
 private:
@@ -116,6 +125,7 @@
     std::map<std::string, item> items;
     std::vector<change> history;
     std::uint64_t revision{1};
+    std::map<std::string, double> watch_times;
 };
 
 /// One request that an endpoint began to run.
@@ -199,6 +209,8 @@
     std::string kind;
     std::string service;
     int timeout_ms{10000};
+    /// Needs no key.
+    bool is_public{false};
 };
 /// A configuration with these routes at host "shop.example", one tenant "printers" with the key
 /// "key-printers-1", the services that the routes name, and the limits that fleetbench wire shows.
