A stopping instance refuses requests that are complete only late (LOST)

Change: from that moment a request is refused with 503 "stopping", not run, and may be sent to another instance at once.

Evidence: a_graceful_stop_refuses_a_request_that_is_complete_only_late failed before (504, passed on once).

--- a/libs/proxy/include/proxy/edge_gateway.h
+++ b/libs/proxy/include/proxy/edge_gateway.h
@@ -49,6 +49,9 @@
     void apply_policy();
     /// Takes over the directory's targets of \p service.
     void update_targets(const service_id& service);
+    /// For a planned stop: accepts no further connections, and refuses requests that are received
+    /// from now on, since they may take longer than the rest of the stop.
+    void stop_accepting();
     /// Ends every request that has no response yet, so that the responses queued behind it on its
     /// connection can be sent.
     void fail_all();
@@ -131,6 +134,7 @@
     double request_rate{0};
     time_point rate_updated_at;
     std::optional<time_point> last_serving;
+    bool accepts_requests{true};
     http_server caller_server;
 };
 
--- a/libs/proxy/src/edge_gateway.cpp
+++ b/libs/proxy/src/edge_gateway.cpp
@@ -111,6 +111,11 @@
     }
 }
 
+void edge_gateway::stop_accepting() {
+    this->accepts_requests = false;
+    this->caller_server.stop_listening();
+}
+
 void edge_gateway::fail_all() {
     for (const auto& [service, balanced] : this->balancers) {
         balanced->fail_all();
@@ -131,6 +136,11 @@
 
 void edge_gateway::handle(const request_ptr& incoming) {
     this->record_request(boot_clock::now());
+    if (!this->accepts_requests) {
+        this->refuse(incoming, {error_kind::stopping, "the instance is stopping"},
+                     duration::zero());
+        return;
+    }
     if (this->policy.current() == nullptr || !this->directory.is_loaded()) {
         this->refuse(incoming, {error_kind::configuration_stale, "no policy is known yet"},
                      unready_retry_after);
--- a/programs/knapweedknotd/edge_instance.cpp
+++ b/programs/knapweedknotd/edge_instance.cpp
@@ -303,7 +303,7 @@
 }
 
 void edge_instance::stop_accepting() {
-    this->gateway.server().stop_listening();
+    this->gateway.stop_accepting();
     this->drain_check_timer =
         this->owner.every(drain_check_interval, [this] { this->check_drained(); });
 }
--- a/tests/edge_test.cpp
+++ b/tests/edge_test.cpp
@@ -418,6 +418,38 @@
     BOOST_TEST(received.find("HTTP/1.1 504") == std::string::npos);
 }
 
+// Guards against a request that was being received for long when a planned stop began, is passed on
+// late and broken off at its end (LOST).
+BOOST_AUTO_TEST_CASE(a_graceful_stop_refuses_a_request_that_is_complete_only_late) {
+    edge_fleet fleet(77);
+    fleet.bounds["stop_grace_s"] = 3;
+    fleet.write("op/config", edge_fleet::usual_policy("00000002").dump());
+    test_target& target = fleet.add_target("i-1");
+    fleet.start();
+    never_answer(target);
+    // A running request of another caller keeps the process from ending sooner.
+    const auto running =
+        fleet.send(fleet.callers_address(0), edge_fleet::make_request("GET", "/open/1"));
+    raw_socket caller;
+    caller.connect(fleet.callers_address(0));
+    caller.send("POST /once/1 HTTP/1.1\r\nHost: h.example\r\nX-Key: key-1\r\n"
+                "X-Request-Id: r1\r\nContent-Length: 4\r\n\r\nbo");
+    fleet.run_for(milliseconds(200));
+    fleet.daemons.at(0).signal(SIGTERM);
+    fleet.run_for(milliseconds(1800));
+    caller.send("dy");
+    std::string received;
+    fleet.run_until([&] {
+        received += caller.read_available();
+        return fleet.daemons.at(0).has_ended();
+    });
+    received += caller.read_available();
+    BOOST_TEST(received.starts_with("HTTP/1.1 503"), received);
+    BOOST_TEST(received.find("Knapweedknot-Error: stopping") != std::string::npos);
+    BOOST_TEST(received.find("Connection: close") != std::string::npos);
+    BOOST_TEST(fleet.total_requests("/once/1") == 0);
+}
+
 // A caller reports the id of a failed request: the logs alone must show the cause.
 BOOST_AUTO_TEST_CASE(the_logs_alone_show_why_a_request_failed) {
     edge_fleet fleet(75);
