Every instance reads the store again after an outage, by its own timer (CONFIG, DRAIN)

Cause: after a read without an answer only a request started another one. store_relay::tick asked relays only, and an instance whose read has failed is none, so all waited for each other. For the registrations, a watch sent in the outage hangs for its whole length, and a root that nobody asks did not list.

Change: the tick renews what is older than half of its bound, on each instance. While the store answers nobody, relays are chosen as if it answered all: a question always ends at an instance that reads. The best one of each failure domain tries each 0.5 s, others each policy_apply. An instance that nobody answers refuses questions at once.

Ruled out: a read that blocks the next one; each ends after 1.2 s.

--- a/libs/decide/tests/relay_choice_test.cpp
+++ b/libs/decide/tests/relay_choice_test.cpp
@@ -28,9 +28,10 @@
     const auto own = std::find_if(fleet.begin(), fleet.end(), [number](const auto& item) {
         return item.incarnation.value == number;
     });
-    const relay_candidate self = *own;
+    relay_candidate self = *own;
+    self.can_relay = can_relay;
     fleet.erase(own);
-    return choose_relays(std::move(fleet), self, can_relay);
+    return choose_relays(std::move(fleet), self);
 }
 
 } // namespace
@@ -55,7 +56,54 @@
 BOOST_AUTO_TEST_CASE(an_instance_without_the_store_asks_another_one) {
     const auto fleet = fleet_of_two_domains();
     BOOST_TEST(choose_as(1, fleet, false).relays.front().value == 2U);
-    const auto own = candidate(1, "a", 1);
-    BOOST_TEST(choose_relays({}, own, true).relays.empty());
-    BOOST_TEST(choose_relays({candidate(9, "b", 50)}, own, false).relays.size() == 1U);
+    auto own = candidate(1, "a", 1);
+    BOOST_TEST(choose_relays({}, own).relays.empty());
+    own.can_relay = false;
+    BOOST_TEST(choose_relays({candidate(9, "b", 50)}, own).relays.size() == 1U);
+}
+
+// Guards against instances that wait for each other (CONFIG): in every state of one to four
+// instances, the store answering each of them or not, whoever is asked passes the question on to an
+// instance that reads the store itself.
+BOOST_AUTO_TEST_CASE(every_question_ends_at_an_instance_that_reads_the_store) {
+    constexpr std::uint64_t largest = 4;
+    for (std::uint64_t size = 1; size <= largest; ++size) {
+        for (std::uint64_t state = 0; state < (1U << size); ++state) {
+            std::vector<relay_candidate> fleet;
+            for (std::uint64_t number = 1; number <= size; ++number) {
+                fleet.push_back(candidate(number, number % 2 == 0 ? "a" : "b", 100));
+                fleet.back().can_relay = (state >> (number - 1) & 1) != 0;
+            }
+            for (std::uint64_t number = 1; number <= size; ++number) {
+                std::uint64_t asked = number;
+                std::uint64_t steps = 0;
+                for (; steps <= size; ++steps) {
+                    const auto choice = choose_as(asked, fleet, fleet[asked - 1].can_relay);
+                    if (choice.relays.empty()) {
+                        break;
+                    }
+                    asked = choice.relays.front().value;
+                }
+                BOOST_TEST(steps <= size, "state " << state << " of " << size);
+            }
+        }
+    }
+}
+
+// Guards against an outage that is noticed to be over only late, or by all instances at once: one
+// of each failure domain finds out, whatever it and the others have seen last.
+BOOST_AUTO_TEST_CASE(one_instance_of_each_domain_finds_out_whether_the_store_answers_again) {
+    auto fleet = fleet_of_two_domains();
+    for (const bool own_can_relay : {false, true}) {
+        for (auto& item : fleet) {
+            item.can_relay = !item.can_relay;
+            int found = 0;
+            for (std::uint64_t number = 1; number <= fleet.size(); ++number) {
+                found += choose_as(number, fleet, own_can_relay).is_domain_best ? 1 : 0;
+            }
+            BOOST_TEST(found == 2);
+            BOOST_TEST(choose_as(1, fleet, own_can_relay).is_domain_best);
+            BOOST_TEST(choose_as(4, fleet, own_can_relay).is_domain_best);
+        }
+    }
 }
--- a/libs/fleet/include/fleet/policy_follower.h
+++ b/libs/fleet/include/fleet/policy_follower.h
@@ -5,6 +5,8 @@
 #include <string>
 #include <vector>
 
+#include <tl/expected.hpp>
+
 #include "base/clock.h"
 #include "config/traffic_policy.h"
 #include "event/loop.h"
@@ -42,8 +44,19 @@
     std::optional<store_value> changed;
 };
 
-/// Asks another instance for the policy. The callback gets nothing if none could answer.
-using policy_relay = std::function<void(std::function<void(std::optional<relayed_policy>)>)>;
+/// What to do when no other instance could answer.
+enum class relay_failure {
+    /// Read the store.
+    read_store,
+    /// Count the read as failed: the store has not answered this instance lately either.
+    give_up,
+};
+
+/// Answer of another instance, or what to do without one.
+using relayed_answer = tl::expected<relayed_policy, relay_failure>;
+
+/// Asks another instance for the policy.
+using policy_relay = std::function<void(std::function<void(relayed_answer)>)>;
 
 /// Keeps the newest known policy and never replaces it by one with a lower number. Not thread safe.
 class policy_follower {
@@ -53,8 +66,8 @@
 
     /// Starts to read and watch the policy document.
     void start();
-    /// While set, the policy is read through other instances, and from the store only when none of
-    /// them answers. The document is then not watched. Null: from the store.
+    /// While set, the policy is read through other instances, and from the store only when \p relay
+    /// says so. The document is then not watched. Null: from the store.
     void set_relay(policy_relay relay);
     void set_options(const policy_follower_options& changed) noexcept { this->options = changed; }
     /// The newest known policy; null until the first one has been read.
@@ -89,7 +102,8 @@
 private:
     void read();
     void read_from_store();
-    void finish_relayed_read(std::optional<relayed_policy> answer);
+    void finish_relayed_read(const relayed_answer& answer);
+    void fail_read(std::string_view detail);
     void finish_store_read(const result<store_value>& value, time_point read_started);
     void confirm(time_point confirmed_at);
     void watch();
--- a/libs/fleet/include/fleet/store_relay.h
+++ b/libs/fleet/include/fleet/store_relay.h
@@ -20,6 +20,9 @@
 /// asker counts it back from before its own question, so the proof is sound without synchronized
 /// clocks, and also if either of the two is suspended meanwhile
 /// (models/relayed_proof.pml).
+///
+/// What an instance knows of the store is renewed by a timer of its own, whether or not there are
+/// requests, watches or other instances.
 
 namespace knapweedknot {
 
@@ -37,6 +40,9 @@
     /// confirmed for this long.
     duration max_unconfirmed_policy{milliseconds(1500)};
     duration max_unconfirmed_targets{milliseconds(1500)};
+    /// Interval at which an instance that the store did not answer reads it again, while no relay
+    /// answers. The best instance of a failure domain does so at its shorter retry interval.
+    duration own_retry_interval{milliseconds(2000)};
 };
 
 /// Counts of a store_relay since its start.
@@ -49,7 +55,7 @@
 
 namespace detail {
 
-using relay_callback = std::function<void(std::optional<relayed_policy>)>;
+using relay_callback = std::function<void(relayed_answer)>;
 
 /// The request to a relay that is in progress.
 struct pending_store_request {
@@ -57,6 +63,8 @@
     bool may_ask{false};
     /// The store is to be read, to find out whether it answers this instance.
     bool is_own_read{false};
+    /// Whether the instance is the best one of its failure domain.
+    bool is_domain_best{false};
     std::uint64_t policy_revision{0};
     time_point asked_at;
     /// Relays to ask; the first has been asked.
@@ -105,6 +113,8 @@
     void tick();
     void relay_policy_reads();
     void follow_choice(const relay_choice& choice);
+    void refresh_from_store(time_point now);
+    [[nodiscard]] duration refresh_interval() const;
     void ask(callback done);
     void ask_first();
     /// Why a relay that was asked is of no use.
@@ -113,7 +123,9 @@
     void ask_next(failure reason);
     void read_targets_from_store();
     [[nodiscard]] std::optional<relayed_policy> recent_confirmation() const;
-    void finish(std::optional<relayed_policy> answer);
+    [[nodiscard]] bool may_read_store(const detail::pending_store_request& request) const;
+    void finish(const relayed_policy& answer);
+    void finish_unanswered();
     [[nodiscard]] std::optional<relayed_policy> take(const wire::store_replyT& message);
     [[nodiscard]] bool is_policy_young(const wire::store_requestT& message, time_point now) const;
     [[nodiscard]] bool are_targets_young(const wire::store_requestT& message, time_point now) const;
@@ -128,6 +140,7 @@
     /// Relays that gave no answer, each with the time until which it is not asked again.
     std::map<incarnation_id, time_point> avoided_until;
     std::optional<incarnation_id> followed;
+    /// Whether the last request was answered, or needed no answer.
     bool was_answered{false};
     int unanswered_in_row{0};
     store_relay_counts totals;
--- a/libs/fleet/src/policy_follower.cpp
+++ b/libs/fleet/src/policy_follower.cpp
@@ -77,14 +77,16 @@
     }
     this->reading = true;
     this->last_read_started = boot_clock::now();
-    this->relay([this](std::optional<relayed_policy> answer) {
-        this->finish_relayed_read(std::move(answer));
-    });
+    this->relay([this](const relayed_answer& answer) { this->finish_relayed_read(answer); });
 }
 
-void policy_follower::finish_relayed_read(std::optional<relayed_policy> answer) {
+void policy_follower::finish_relayed_read(const relayed_answer& answer) {
     if (!answer) {
-        this->read_from_store();
+        if (answer.error() == relay_failure::read_store) {
+            this->read_from_store();
+        } else {
+            this->fail_read("no relay answers");
+        }
         return;
     }
     this->reading = false;
@@ -107,22 +109,30 @@
 }
 
 void policy_follower::finish_store_read(const result<store_value>& value, time_point read_started) {
-    this->reading = false;
     this->own_read_answered = value.has_value();
-    this->record_store_call(value.has_value(), value ? "" : value.error().detail);
-    if (value) {
-        this->process(*value, source::read);
-        this->confirm(read_started);
+    if (!value) {
+        this->fail_read(value.error().detail);
+        return;
     }
+    this->reading = false;
+    this->record_store_call(true, "");
+    this->process(*value, source::read);
+    this->confirm(read_started);
     this->finish_confirmation();
-    if (!value && !this->confirmed_at) {
-        this->retry_timer = this->owner.after(retry_delay, [this] { this->read(); });
-    }
-    if (!this->watching && value && !this->relay) {
+    if (!this->watching && !this->relay) {
         this->watch();
     }
 }
 
+void policy_follower::fail_read(std::string_view detail) {
+    this->reading = false;
+    this->record_store_call(false, detail);
+    this->finish_confirmation();
+    if (!this->confirmed_at) {
+        this->retry_timer = this->owner.after(retry_delay, [this] { this->read(); });
+    }
+}
+
 /// Answers may arrive in another order than that of the reads behind them.
 void policy_follower::confirm(time_point at) {
     this->confirmed_at = this->confirmed_at ? std::max(*this->confirmed_at, at) : at;
--- a/libs/fleet/src/store_relay.cpp
+++ b/libs/fleet/src/store_relay.cpp
@@ -18,11 +18,12 @@
 // Time for which a relay that gave no answer is not asked again.
 constexpr duration avoidance_time = seconds(2);
 constexpr duration refusal_avoidance_time = milliseconds(500);
-// Interval between two requests while none is answered.
-constexpr duration unanswered_interval = milliseconds(1000);
+// Interval between two attempts while neither a relay nor the store answers.
+constexpr duration retry_interval = milliseconds(500);
 // After so many unanswered requests, an instance watches the registrations itself.
 constexpr int max_unanswered_in_row = 3;
-// Interval at which an instance that the store did not answer reads it again.
+// Interval at which an instance that the store did not answer reads it again, although a relay
+// answers.
 constexpr duration own_read_interval = seconds(6);
 
 /// Age in milliseconds, rounded up: an age must not be understated.
@@ -68,19 +69,42 @@
 
 void store_relay::tick() {
     const time_point now = boot_clock::now();
-    const duration interval = !this->was_answered  ? unanswered_interval
-                              : this->is_serving() ? this->options.serving_interval
-                                                   : this->options.idle_interval;
-    const bool is_due = now - this->last_asked >= interval;
+    const bool is_due = now - this->last_asked >= this->refresh_interval();
     if (!is_due || now - this->started_at < search_time) {
         return;
     }
     const relay_choice choice = this->choose();
     this->follow_choice(choice);
-    if (!choice.relays.empty() && !this->pending) {
+    if (this->pending) {
+        return;
+    }
+    if (choice.relays.empty()) {
+        this->refresh_from_store(now);
+    } else {
+        this->last_asked = now;
+        this->parts.policy.await_confirmation([] {});
+    }
+}
+
+duration store_relay::refresh_interval() const {
+    if (!this->followed || !this->was_answered) {
+        return retry_interval;
+    }
+    return this->is_serving() ? this->options.serving_interval : this->options.idle_interval;
+}
+
+/// Renews what is about to be too old. Usually the questions of other instances do so earlier.
+void store_relay::refresh_from_store(time_point now) {
+    const auto policy_age = this->parts.policy.confirmation_age(now);
+    if (!policy_age || *policy_age >= this->options.max_unconfirmed_policy) {
         this->last_asked = now;
         this->parts.policy.await_confirmation([] {});
     }
+    const auto targets_at = this->parts.directory.confirmed_at();
+    if (!targets_at || now - *targets_at >= this->options.max_unconfirmed_targets) {
+        this->last_asked = now;
+        this->parts.directory.confirm([] {});
+    }
 }
 
 /// Reads the store itself while there is no relay, and through relays otherwise.
@@ -116,6 +140,7 @@
     this->pending->may_ask = !choice.is_domain_relay;
     this->pending->done = std::move(done);
     this->pending->is_own_read = is_own_read_due;
+    this->pending->is_domain_best = choice.is_domain_best;
     if (!is_own_read_due) {
         this->pending->relays = std::move(choice.relays);
     }
@@ -124,7 +149,7 @@
 
 void store_relay::ask_first() {
     if (this->pending->relays.empty()) {
-        this->finish(std::nullopt);
+        this->finish_unanswered();
         return;
     }
     detail::pending_store_request& request = *this->pending;
@@ -181,22 +206,46 @@
     this->ask_first();
 }
 
-void store_relay::finish(std::optional<relayed_policy> answer) {
+void store_relay::finish(const relayed_policy& answer) {
     // Moved out first: the callback may ask again.
     const detail::pending_store_request ended = std::move(*this->pending);
     this->pending.reset();
-    this->was_answered = answer.has_value();
-    if (answer) {
-        this->unanswered_in_row = 0;
-    }
+    this->was_answered = true;
+    this->unanswered_in_row = 0;
+    ended.done(answer);
+}
+
+void store_relay::finish_unanswered() {
+    const detail::pending_store_request ended = std::move(*this->pending);
+    this->pending.reset();
+    this->was_answered = false;
     // A domain relay is asked by others: it reads the store at once.
-    if (!answer && ended.may_ask && !ended.is_own_read) {
-        answer = this->recent_confirmation();
+    if (ended.may_ask && !ended.is_own_read) {
+        if (const auto recent = this->recent_confirmation(); recent) {
+            ended.done(*recent);
+            return;
+        }
+    }
+    if (!this->may_read_store(ended)) {
+        ended.done(tl::unexpected(relay_failure::give_up));
+        return;
     }
-    if (!answer && this->followed) {
+    if (this->followed) {
         this->read_targets_from_store();
     }
-    ended.done(std::move(answer));
+    ended.done(tl::unexpected(relay_failure::read_store));
+}
+
+/// While the store does not answer, few instances ask it often, so that it is not met by all at
+/// once when it returns.
+bool store_relay::may_read_store(const detail::pending_store_request& request) const {
+    const policy_follower& policy = this->parts.policy;
+    if (request.is_own_read || policy.is_own_read_answered()) {
+        return true;
+    }
+    const duration interval =
+        request.is_domain_best ? retry_interval : this->options.own_retry_interval;
+    return boot_clock::now() - policy.last_own_read() >= interval;
 }
 
 /// Replaces the part of a reply that is about the registrations.
@@ -237,7 +286,7 @@
         return;
     }
     this->parts.directory.set_relayed(true);
-    this->finish(std::move(answer));
+    this->finish(*answer);
 }
 
 /// Takes over the registrations of a reply and returns what it says of the policy; empty if the
@@ -290,7 +339,10 @@
     const bool is_policy_due = !this->is_policy_young(message, now);
     const bool are_targets_due = !this->are_targets_young(message, now);
     const auto answer = [this, from, message] { this->reply(from, message); };
-    if (this->followed && !message.may_ask) {
+    // While nobody answers this instance, only its own timer tries again: the asker shall not wait.
+    const bool is_cut_off =
+        this->parts.policy.confirmation_age(now) && !this->parts.policy.is_store_reachable();
+    if (is_cut_off || (this->followed && !message.may_ask)) {
         answer();
         return;
     }
--- a/libs/fleet/tests/relay_test.cpp
+++ b/libs/fleet/tests/relay_test.cpp
@@ -3,123 +3,33 @@
 #include <memory>
 #include <vector>
 
-#include "fleet/store_relay.h"
-#include "store_fixture.h"
+#include "relay_fixture.h"
 
 using namespace knapweedknot;
+using namespace knapweedknot::relay_fixture;
 
 namespace {
 
-constexpr std::uint16_t first_port = 18850;
-constexpr duration drain_bound = seconds(2);
-// Longer than an instance looks for a relay after its start.
-constexpr duration settling_time = milliseconds(1600);
-const service_id service{"s"};
-
-peer_info describe(std::uint64_t number) {
-    peer_info info;
-    info.instance.value = "n" + std::to_string(number);
-    info.incarnation.value = number;
-    info.failure_domain.value = "domain";
-    info.peers_address = {"127.0.0.1", static_cast<std::uint16_t>(first_port + number)};
-    info.peers_listen = info.peers_address;
-    return info;
-}
-
-policy_follower_options follower_options() {
-    policy_follower_options options;
-    options.confirmation_lifetime = milliseconds(1500);
-    return options;
-}
-
-target_directory_options directory_options() {
-    target_directory_options options;
-    options.vanished_grace = drain_bound * 3 / 4;
-    options.batch_window = milliseconds(50);
-    options.first_watch_delay = settling_time;
-    return options;
-}
-
-store_relay_options relay_options() {
-    store_relay_options options;
-    options.serving_interval = milliseconds(100);
-    options.idle_interval = milliseconds(150);
-    options.max_policy_age = milliseconds(200);
-    options.max_targets_age = milliseconds(200);
-    options.max_unconfirmed_policy = milliseconds(600);
-    options.max_unconfirmed_targets = milliseconds(600);
-    return options;
-}
-
-/// What one instance knows of the store, with its mesh.
-struct instance {
-    store_client store;
-    mesh network;
-    policy_follower policy;
-    target_directory directory;
-    store_relay relay;
-    /// Incarnations that this instance asks.
-    std::vector<incarnation_id> relays;
-    bool is_domain_relay{false};
-
-    instance(loop& events, std::uint64_t number)
-        : store(events, store_address),
-          network(events, describe(number),
-                  {[this](const peer_info& from, const wire::messageT& message) {
-                       this->receive(from, message);
-                   },
-                   [](const auto&, const auto&) {}, [](const peer_info&) {},
-                   [this](const peer_info& peer) { this->relay.peer_lost(peer.incarnation); }}),
-          policy(events, this->store, std::string(platform::policy_key), &platform::decode_policy,
-                 follower_options()),
-          directory(events, this->store, std::string(platform::targets_prefix),
-                    &platform::decode_target, directory_options()),
-          relay({events, this->network, this->policy, this->directory}, relay_options()) {
-        BOOST_REQUIRE(this->network.listen().has_value());
-        this->relay.choose = [this] { return relay_choice{this->relays, this->is_domain_relay}; };
-        this->relay.is_serving = [] { return true; };
-    }
-
-    void start() {
-        this->relay.start();
-        this->policy.start();
-        this->directory.start();
-    }
-    void receive(const peer_info& from, const wire::messageT& message) {
-        if (const auto* request = message.body.Asstore_request(); request != nullptr) {
-            this->relay.handle(from, *request);
-        } else if (const auto* reply = message.body.Asstore_reply(); reply != nullptr) {
-            this->relay.handle(from, *reply);
-        }
-    }
-    [[nodiscard]] std::uint64_t policy_number() const {
-        return this->policy.current() == nullptr ? 0 : this->policy.current()->number().value;
-    }
-    [[nodiscard]] std::size_t target_count() const {
-        return this->directory.targets_of(service).size();
-    }
-};
-
 /// An instance that reads the store, and others that ask it. All have settled.
 struct relayed_fixture : store_fixture {
-    std::unique_ptr<instance> root;
-    std::vector<std::unique_ptr<instance>> leaves;
+    std::unique_ptr<relaying_instance> root;
+    std::vector<std::unique_ptr<relaying_instance>> leaves;
 
     explicit relayed_fixture(std::size_t leaf_count = 1)
-        : root(std::make_unique<instance>(this->events, 1)) {
+        : root(std::make_unique<relaying_instance>(this->events, 1)) {
         this->write("op/config", policy_text("00000002", "/a/"));
         this->write("servers/i-1", target_text("127.0.0.1:9000", "ready"));
         this->write("servers/i-2", target_text("127.0.0.1:9001", "ready"));
         this->root->start();
         for (std::size_t number = 0; number < leaf_count; ++number) {
-            this->leaves.push_back(std::make_unique<instance>(this->events, 2 + number));
+            this->leaves.push_back(std::make_unique<relaying_instance>(this->events, 2 + number));
             this->leaves.back()->relays = {incarnation_id{1}};
             this->leaves.back()->network.add_address(describe(1).peers_address, true);
             this->leaves.back()->start();
         }
         this->run_for(settling_time);
     }
-    instance& leaf() { return *this->leaves.front(); }
+    relaying_instance& leaf() { return *this->leaves.front(); }
     std::uint64_t leaf_calls() {
         std::uint64_t sum = 0;
         for (const auto& one : this->leaves) {
@@ -185,8 +95,8 @@
 // lost its own relay, reads the store instead and has to answer them from that.
 BOOST_AUTO_TEST_CASE(a_domain_relay_without_the_root_answers_from_its_own_reads) {
     relayed_fixture fleet(2);
-    instance& domain_relay = *fleet.leaves.front();
-    instance& other = *fleet.leaves.back();
+    relaying_instance& domain_relay = *fleet.leaves.front();
+    relaying_instance& other = *fleet.leaves.back();
     domain_relay.is_domain_relay = true;
     other.relays = {domain_relay.network.self().incarnation};
     other.network.add_address(domain_relay.network.self().peers_address, true);
@@ -219,6 +129,27 @@
     BOOST_TEST(fleet.run_until(is_up_to_date, drain_bound));
 }
 
+// Guards against instances that wait for each other after an outage (CONFIG): each takes the other
+// for the better relay, so neither is asked to read the store.
+BOOST_AUTO_TEST_CASE(instances_that_ask_each_other_read_the_store_after_an_outage) {
+    relayed_fixture fleet;
+    fleet.root->relays = {fleet.leaf().network.self().incarnation};
+    fleet.run_for(milliseconds(300));
+    fleet.service.faults().outage = "hang";
+    fleet.run_for(seconds(2));
+    fleet.service.faults().outage = "none";
+    fleet.run_for(seconds(1));
+    fleet.write("op/config", policy_text("00000007", "/b/"));
+    fleet.write("servers/i-1", target_text("127.0.0.1:9000", "draining"));
+    const auto is_up_to_date = [](const relaying_instance& instance) {
+        return instance.policy_number() == 7 &&
+               instance.directory.targets_of(service).at(target_id{"i-1"}).registration.state ==
+                   target_state::draining;
+    };
+    BOOST_TEST(fleet.run_until(
+        [&] { return is_up_to_date(*fleet.root) && is_up_to_date(fleet.leaf()); }, drain_bound));
+}
+
 // Guards against requests to a target that is leaving (DRAIN): watches of the store deliver nothing
 // for a while, and say nothing of it. The relay must go by reads.
 BOOST_AUTO_TEST_CASE(a_relay_whose_watch_delivers_nothing_learns_of_changes) {
--- a/programs/knapweedknotd/edge_instance.cpp
+++ b/programs/knapweedknotd/edge_instance.cpp
@@ -49,6 +49,7 @@
     options.max_targets_age = bounds.target_drain * 2 / 5;
     options.max_unconfirmed_policy = bounds.policy_apply / 2;
     options.max_unconfirmed_targets = bounds.target_drain / 2;
+    options.own_retry_interval = bounds.policy_apply;
     return options;
 }
 
@@ -186,14 +187,15 @@
     const time_point now = boot_clock::now();
     std::vector<relay_candidate> others;
     for (const auto& [incarnation, peer] : this->reports.peers()) {
-        if (this->reports.is_live(peer, now) && peer.report->can_relay) {
-            others.push_back(
-                {incarnation, peer.info.instance, peer.info.failure_domain, peer.info.capacity});
+        if (this->reports.is_live(peer, now)) {
+            others.push_back({incarnation, peer.info.instance, peer.info.failure_domain,
+                              peer.info.capacity, peer.report->can_relay});
         }
     }
     const relay_candidate own{this->self.incarnation, this->self.instance,
-                              this->self.failure_domain, this->self.capacity};
-    return choose_relays(std::move(others), own, !this->draining && this->relay.can_relay());
+                              this->self.failure_domain, this->self.capacity,
+                              !this->draining && this->relay.can_relay()};
+    return choose_relays(std::move(others), own);
 }
 
 instance_report edge_instance::make_report(report_kind kind) {
