A pool of connections gives up idle ones after a request timed out

Change: when a request gets no answer in time, connections that are idle then are closed; the next request opens a new one.

Evidence: a_pool_reuses_no_connection_that_was_idle_when_a_request_timed_out failed before (2 connections accepted, 3 expected).

--- a/libs/event/include/event/http_pool.h
+++ b/libs/event/include/event/http_pool.h
@@ -7,7 +7,8 @@
 #include "event/http_client.h"
 
 /// \file
-/// A pool of keep-alive connections to one endpoint.
+/// A pool of keep-alive connections to one endpoint. After a request without an answer in time, no
+/// connection that is idle then is used again: when one has gone silent, others may have as well.
 
 namespace knapweedknot {
 
@@ -27,6 +28,7 @@
 private:
     [[nodiscard]] http_connection& acquire_connection();
     void release_connection(http_connection& used);
+    void discard_idle_connections();
 
     loop& owner;
     endpoint address;
--- a/libs/event/src/http_pool.cpp
+++ b/libs/event/src/http_pool.cpp
@@ -14,6 +14,11 @@
     connection.send(request, timeout,
                     [this, &connection, reply = std::move(done)](http_outcome outcome) {
                         this->release_connection(connection);
+                        const bool is_timeout = !outcome && outcome.error().problem.kind ==
+                                                                error_kind::deadline_exceeded;
+                        if (is_timeout) {
+                            this->discard_idle_connections();
+                        }
                         reply(std::move(outcome));
                     });
 }
@@ -32,6 +37,10 @@
     return *this->connections.back();
 }
 
+void http_pool::discard_idle_connections() {
+    std::erase_if(this->connections, [](const auto& connection) { return !connection->is_busy(); });
+}
+
 void http_pool::release_connection(http_connection& used) {
     if (used.is_reusable()) {
         return;
--- a/libs/event/tests/event_test.cpp
+++ b/libs/event/tests/event_test.cpp
@@ -263,6 +263,34 @@
     BOOST_TEST(fixture.server.accepted_connections() == first + 1);
 }
 
+// Guards against a policy that is confirmed too late (CONFIG): when connections go silent, they all
+// do, and each read on another idle one would wait for its timeout.
+BOOST_AUTO_TEST_CASE(a_pool_reuses_no_connection_that_was_idle_when_a_request_timed_out) {
+    deferred_server fixture;
+    http_pool pool(fixture.events, server_address, {});
+    int answered = 0;
+    bool timed_out = false;
+    const auto send = [&](duration timeout) {
+        pool.send(http_request{}, timeout, [&](const auto& outcome) {
+            answered += outcome ? 1 : 0;
+            timed_out = timed_out || !outcome;
+        });
+    };
+    send(wait_timeout);
+    send(wait_timeout);
+    fixture.run_until([&] { return fixture.requests.size() == 2; });
+    fixture.respond_to_first("one");
+    fixture.respond_to_first("two");
+    fixture.run_until([&] { return answered == 2; });
+    BOOST_TEST(fixture.server.accepted_connections() == 2U);
+    send(milliseconds(50));
+    fixture.run_until([&] { return timed_out; });
+    BOOST_TEST(fixture.server.accepted_connections() == 2U);
+    send(wait_timeout);
+    fixture.run_until([&] { return fixture.requests.size() == 2; });
+    BOOST_TEST(fixture.server.accepted_connections() == 3U);
+}
+
 BOOST_AUTO_TEST_CASE(requests_that_allow_smuggling_are_rejected) {
     for (const char* head : {"Content-Length: 3\r\nContent-Length: 7\r\n",
                              "Transfer-Encoding : chunked\r\n", "Content-Length: 3, 7\r\n"}) {
