The read of the store keeps its share of the bound when relays do not answer (CONFIG, DRAIN)

The steps add up, and the last one has no share.

The timer also renews at that moment, not only at its interval.

Evidence: relays_that_fall_silent_leave_time_to_read_the_store failed before (2200 ms for the policy, 2451 ms for the targets; 1850 are allowed), passes.

Tried and left out: reading the store without asking relays once the knowledge is old. A start then costs two more reads an instance.

--- a/libs/fleet/include/fleet/store_relay.h
+++ b/libs/fleet/include/fleet/store_relay.h
@@ -36,8 +36,8 @@
     duration max_policy_age{milliseconds(750)};
     /// Greatest age of the registrations that is asked for.
     duration max_targets_age{milliseconds(1200)};
-    /// While no relay answers, the store is read once the policy or the registrations have not been
-    /// confirmed for this long.
+    /// The store is read once the policy or the registrations have not been confirmed for this long,
+    /// also while the answer of a relay is awaited.
     duration max_unconfirmed_policy{milliseconds(1500)};
     duration max_unconfirmed_targets{milliseconds(1500)};
     /// Interval at which an instance that the store did not answer reads it again, while no relay
@@ -71,6 +71,8 @@
     std::vector<incarnation_id> relays;
     relay_callback done;
     timer timeout;
+    /// Ends the request when what the instance knows has become too old.
+    timer late_timer;
 };
 
 } // namespace detail
@@ -115,6 +117,9 @@
     void follow_choice(const relay_choice& choice);
     void refresh_from_store(time_point now);
     [[nodiscard]] duration refresh_interval() const;
+    [[nodiscard]] duration time_until_too_old(time_point now) const;
+    [[nodiscard]] bool is_too_old(time_point now) const;
+    void give_up_relays();
     void ask(callback done);
     void ask_first();
     /// Why a relay that was asked is of no use.
@@ -142,6 +147,8 @@
     std::optional<incarnation_id> followed;
     /// Whether the last request was answered, or needed no answer.
     bool was_answered{false};
+    /// Whether what the instance knew was too old when the timer last renewed it.
+    bool asked_when_old{false};
     int unanswered_in_row{0};
     store_relay_counts totals;
     time_point started_at;
--- a/libs/fleet/src/store_relay.cpp
+++ b/libs/fleet/src/store_relay.cpp
@@ -15,6 +15,8 @@
 // A relay that has to ask another one first is given longer.
 constexpr duration direct_reply_timeout = milliseconds(250);
 constexpr duration chained_reply_timeout = milliseconds(500);
+// Relays are given this long in all once the instance's own knowledge is too old.
+constexpr duration late_reply_timeout = milliseconds(125);
 // Time for which a relay that gave no answer is not asked again.
 constexpr duration avoidance_time = seconds(2);
 constexpr duration refusal_avoidance_time = milliseconds(500);
@@ -69,7 +71,8 @@
 
 void store_relay::tick() {
     const time_point now = boot_clock::now();
-    const bool is_due = now - this->last_asked >= this->refresh_interval();
+    const bool is_first_old = this->is_too_old(now) && !this->asked_when_old;
+    const bool is_due = is_first_old || now - this->last_asked >= this->refresh_interval();
     if (!is_due || now - this->started_at < search_time) {
         return;
     }
@@ -78,6 +81,7 @@
     if (this->pending) {
         return;
     }
+    this->asked_when_old = this->is_too_old(now);
     if (choice.relays.empty()) {
         this->refresh_from_store(now);
     } else {
@@ -86,6 +90,34 @@
     }
 }
 
+/// Time after which what the instance knows is too old; zero or less if it is.
+duration store_relay::time_until_too_old(time_point now) const {
+    const auto policy_age = this->parts.policy.confirmation_age(now);
+    const auto targets_at = this->parts.directory.confirmed_at();
+    if (!policy_age || !targets_at) {
+        return duration::zero();
+    }
+    return std::min<duration>(this->options.max_unconfirmed_policy - *policy_age,
+                              this->options.max_unconfirmed_targets - (now - *targets_at));
+}
+
+bool store_relay::is_too_old(time_point now) const {
+    return this->time_until_too_old(now) <= duration::zero();
+}
+
+/// Timeouts of several relays, one after the other, would use up the bound: the read of the store
+/// needs its share.
+void store_relay::give_up_relays() {
+    // The timer owns this function.
+    const timer expired = std::move(this->pending->late_timer);
+    if (const auto& relays = this->pending->relays; !relays.empty()) {
+        this->avoided_until[relays.front()] = boot_clock::now() + avoidance_time;
+        log_event(log_level::info, "relay_unanswered",
+                  {{"relay", std::to_string(relays.front().value)}, {"reason", "too_late"}});
+    }
+    this->finish_unanswered();
+}
+
 duration store_relay::refresh_interval() const {
     if (!this->followed || !this->was_answered) {
         return retry_interval;
@@ -143,6 +175,9 @@
     this->pending->is_domain_best = choice.is_domain_best;
     if (!is_own_read_due) {
         this->pending->relays = std::move(choice.relays);
+        this->pending->late_timer =
+            this->parts.owner.after(std::max(late_reply_timeout, this->time_until_too_old(now)),
+                                    [this] { this->give_up_relays(); });
     }
     this->ask_first();
 }
@@ -265,10 +300,7 @@
 std::optional<relayed_policy> store_relay::recent_confirmation() const {
     const time_point now = boot_clock::now();
     const auto policy_age = this->parts.policy.confirmation_age(now);
-    const auto targets_at = this->parts.directory.confirmed_at();
-    const bool is_recent = this->followed && policy_age && targets_at &&
-                           *policy_age < this->options.max_unconfirmed_policy &&
-                           now - *targets_at < this->options.max_unconfirmed_targets;
+    const bool is_recent = this->followed && !this->is_too_old(now);
     return is_recent ? std::optional(relayed_policy{now - *policy_age, std::nullopt})
                      : std::nullopt;
 }
--- a/libs/fleet/tests/store_outage_test.cpp
+++ b/libs/fleet/tests/store_outage_test.cpp
@@ -158,4 +158,34 @@
     check_beliefs_after_outage(3, "refuse");
 }
 
+// Guards against a policy and registrations that are known too late (CONFIG, DRAIN) when the relays
+// are killed or squeezed: their timeouts add up, and the store is read only after them, here with
+// the time that a read takes over a busy link.
+BOOST_AUTO_TEST_CASE(relays_that_fall_silent_leave_time_to_read_the_store) {
+    constexpr duration read_time = milliseconds(600);
+    // Time that a request needs after the choice of its target, to connect and to be sent.
+    constexpr duration send_share = milliseconds(150);
+    idle_fleet fleet(3);
+    relaying_instance& asker = *fleet.instances.at(0);
+    for (const std::uint64_t number : {1, 2}) {
+        fleet.instances.at(number)->policy.set_relay([](const auto&) {}); // It never answers.
+        fleet.instances.at(number)->directory.set_relayed(true);
+    }
+    asker.relay.choose = [] {
+        return relay_choice{{incarnation_id{2}, incarnation_id{3}}, false, false};
+    };
+    fleet.service.faults().delay = read_time;
+    const time_point end = boot_clock::now() + seconds(8);
+    duration oldest_policy{0};
+    duration oldest_targets{0};
+    while (boot_clock::now() < end) {
+        fleet.run_for(milliseconds(10));
+        const time_point now = boot_clock::now();
+        oldest_policy = std::max(oldest_policy, *asker.policy.confirmation_age(now));
+        oldest_targets = std::max<duration>(oldest_targets, now - *asker.directory.confirmed_at());
+    }
+    BOOST_TEST((oldest_policy < policy_bound - send_share), to_milliseconds(oldest_policy));
+    BOOST_TEST((oldest_targets < drain_bound - send_share), to_milliseconds(oldest_targets));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
