An old policy is not used once another instance has a newer one (CONFIG)

One read got no answer in 1.2 s over a full link; the instance took that for an outage of the store and went on with a policy that was 3.6 s old, while 41 peers reported newer ones.

Change: once the policy is older than its bound and a report of a peer has a newer number, a confirmation is required: the request waits for the read in progress, or is refused at once (503, not run) while the store does not answer. While the store is away for all, nobody has a newer policy, and requests are served as before.

--- a/libs/fleet/include/fleet/policy_follower.h
+++ b/libs/fleet/include/fleet/policy_follower.h
@@ -87,6 +87,8 @@
     /// Notes that a peer has adopted policy \p number. Reads the store after a short delay if that
     /// is newer than the local policy.
     void note_peer_policy_number(config_number number);
+    /// Whether a peer has adopted a newer policy than the local one.
+    [[nodiscard]] bool is_superseded() const noexcept;
     /// Whether the store, or an instance that relays it, answered the last call.
     [[nodiscard]] bool is_store_reachable() const noexcept { return this->reachable; }
     /// Whether the last read of the store by this instance itself succeeded; true before the first.
@@ -124,6 +126,8 @@
     policy_decoder decode;
     policy_follower_options options;
     traffic_policy_ptr policy;
+    /// Number of the newest policy that a peer has adopted.
+    config_number newest_of_peers;
     policy_relay relay;
     store_value newest;
     std::optional<time_point> confirmed_at;
--- a/libs/fleet/include/fleet/store_relay.h
+++ b/libs/fleet/include/fleet/store_relay.h
@@ -36,8 +36,8 @@
     duration max_policy_age{milliseconds(750)};
     /// Greatest age of the registrations that is asked for.
     duration max_targets_age{milliseconds(1200)};
-    /// The store is read once the policy or the registrations have not been confirmed for this long,
-    /// also while the answer of a relay is awaited.
+    /// The store is read once the policy or the registrations have not been confirmed for this
+    /// long, also while the answer of a relay is awaited.
     duration max_unconfirmed_policy{milliseconds(1500)};
     duration max_unconfirmed_targets{milliseconds(1500)};
     /// Interval at which an instance that the store did not answer reads it again, while no relay
--- a/libs/fleet/src/policy_follower.cpp
+++ b/libs/fleet/src/policy_follower.cpp
@@ -54,7 +54,12 @@
     }
 }
 
+bool policy_follower::is_superseded() const noexcept {
+    return this->policy != nullptr && this->policy->number() < this->newest_of_peers;
+}
+
 void policy_follower::note_peer_policy_number(config_number number) {
+    this->newest_of_peers = std::max(this->newest_of_peers, number);
     if (this->policy != nullptr && number <= this->policy->number()) {
         return;
     }
--- a/libs/proxy/src/edge_gateway.cpp
+++ b/libs/proxy/src/edge_gateway.cpp
@@ -150,17 +150,19 @@
 }
 
 /// A confirmation is required where a withdrawn key must not be accepted, and where a newer policy
-/// may allow what this one refuses. It is preferred once the policy is older than the time in which
-/// a newer one has to be in force: a watch of the store can be lost without a sign.
+/// may allow what this one refuses. Once the policy is older than the time in which a newer one has
+/// to be in force, it is required if another instance has a newer one, and preferred otherwise: a
+/// watch of the store can be lost without a sign.
 edge_gateway::confirmation_need
 edge_gateway::needed_confirmation(const result<matched_request>& matched, time_point now) const {
     const bool uses_key = matched && matched->account != nullptr;
     const bool must_be_fresh = !matched || (uses_key && this->settings.bounds.strict_withdrawal);
-    if (must_be_fresh && !this->policy.is_fresh(now)) {
-        return confirmation_need::required;
-    }
     const auto age = this->policy.confirmation_age(now);
     const bool may_be_outdated = !age || *age > this->settings.bounds.policy_apply - policy_margin;
+    if ((must_be_fresh && !this->policy.is_fresh(now)) ||
+        (may_be_outdated && this->policy.is_superseded())) {
+        return confirmation_need::required;
+    }
     return may_be_outdated && this->policy.is_store_reachable() ? confirmation_need::preferred
                                                                 : confirmation_need::none;
 }
@@ -192,7 +194,7 @@
     // While the store is known to be unreachable, requests do not wait for a confirmation.
     const bool is_store_down = !this->policy.is_store_reachable();
     if (need == confirmation_need::required && (confirmation_awaited || is_store_down)) {
-        this->refuse(incoming, {error_kind::configuration_stale, "the store does not answer"},
+        this->refuse(incoming, {error_kind::configuration_stale, "the policy cannot be confirmed"},
                      unready_retry_after);
         this->policy.confirm_if_due(now, true);
         return;
