The age of the registrations is checked when a request leaves for its target (DRAIN)

Cause: nothing compared the age of the list of targets with the drain bound, neither when a request came nor when it was sent after waiting for a token, a slot or a second send.

Change: a target is chosen only if the registrations were confirmed within the drain bound less 0.5 s for reaching the target, or no peer has reported a later change. Otherwise the request is refused at once (503, not run), also those that wait in the queue. Second sends go by the same check.

Evidence: no_target_is_sent_a_request_once_a_peer_knows_of_a_later_change failed before (200, run once).

--- a/libs/fleet/include/fleet/target_directory.h
+++ b/libs/fleet/include/fleet/target_directory.h
@@ -116,6 +116,9 @@
     /// Notes that a peer knows a change at \p revision. If the watch in progress does not deliver
     /// it soon, it is replaced: its answer has been lost.
     void note_peer_change(std::uint64_t revision);
+    /// Whether a peer knows of a change that this instance does not, and the registrations have not
+    /// been confirmed since \p since: a target that they list may be leaving.
+    [[nodiscard]] bool is_superseded(time_point since) const noexcept;
 
     /// Time since the directory was last in sync with the store; empty before it is loaded.
     [[nodiscard]] std::optional<duration> age(time_point now) const noexcept;
@@ -168,6 +171,8 @@
     std::vector<std::function<void()>> confirmation_waiters;
     std::optional<time_point> confirmed;
     std::uint64_t newest_change{0};
+    /// Revision of the newest change that a peer knows.
+    std::uint64_t newest_change_of_peers{0};
     std::uint64_t last_generation{0};
     /// Sequence number of the newest watch call; results of earlier ones are ignored.
     std::uint64_t last_watch{0};
--- a/libs/fleet/src/target_directory.cpp
+++ b/libs/fleet/src/target_directory.cpp
@@ -212,7 +212,13 @@
     }
 }
 
+bool target_directory::is_superseded(time_point since) const noexcept {
+    const bool is_confirmed = this->confirmed && *this->confirmed >= since;
+    return !is_confirmed && this->synced_revision < this->newest_change_of_peers;
+}
+
 void target_directory::note_peer_change(std::uint64_t revision) {
+    this->newest_change_of_peers = std::max(this->newest_change_of_peers, revision);
     const time_point now = boot_clock::now();
     const bool replaced_recently = this->last_watch_replacement &&
                                    now - *this->last_watch_replacement < watch_replacement_interval;
--- a/libs/proxy/include/proxy/balancer.h
+++ b/libs/proxy/include/proxy/balancer.h
@@ -33,6 +33,9 @@
     /// The same for requests that are not idempotent, which cannot be retried when the target has
     /// closed the connection.
     duration idle_limit_non_idempotent{milliseconds(8000)};
+    /// While another instance knows of a change to the registrations that this one does not, and
+    /// these were confirmed longer ago, no target is sent a request: it may be leaving.
+    duration max_registrations_age{milliseconds(1500)};
 };
 
 /// Components shared by the balancers of an instance. All must outlive the balancer.
@@ -97,6 +100,9 @@
     [[nodiscard]] bool may_retry(const pending_request& pending, time_point now);
     void enqueue(const pending_request_ptr& pending);
     void dispatch_queued();
+    [[nodiscard]] bool knows_targets(time_point now) const;
+    void refuse_unknown_targets(const pending_request_ptr& pending);
+    void refuse_queued();
     void check_running_requests();
     void hedge_if_slow(const pending_request_ptr& pending, time_point now);
     void handle_deadline(const pending_request_ptr& pending);
--- a/libs/proxy/src/balancer.cpp
+++ b/libs/proxy/src/balancer.cpp
@@ -139,6 +139,10 @@
                                 std::nullopt);
         return;
     }
+    if (!this->knows_targets(now)) {
+        this->refuse_unknown_targets(pending);
+        return;
+    }
     if (const target_ptr chosen = this->choose(*pending, now); chosen != nullptr) {
         this->send(pending, chosen);
         return;
@@ -153,7 +157,22 @@
     this->enqueue(pending);
 }
 
+/// Whether what is known of the targets is young enough to send to them. Requests may have waited
+/// since they came.
+bool balancer::knows_targets(time_point now) const {
+    return !this->shared.directory.is_superseded(now - this->options.max_registrations_age);
+}
+
+void balancer::refuse_unknown_targets(const pending_request_ptr& pending) {
+    this->finish_with_error(
+        pending, {error_kind::configuration_stale, "the registrations cannot be confirmed"},
+        min_retry_after);
+}
+
 target_ptr balancer::choose(const pending_request& pending, time_point now) {
+    if (!this->knows_targets(now)) {
+        return nullptr;
+    }
     const bool is_retryable = pending.request.route->idempotent &&
                               pending.send_count + 1 < pending.request.route->max_attempts;
     return this->targets.choose(pending.tried_targets,
@@ -429,8 +448,27 @@
     this->queues[pending->request.priority].push(pending->request.account, pending->id);
 }
 
+void balancer::refuse_queued() {
+    std::vector<pending_request_ptr> queued;
+    for (auto& [priority, queue] : this->queues) {
+        while (const auto id = queue.pop()) {
+            const auto found = this->pending_requests.find(*id);
+            if (found != this->pending_requests.end()) {
+                queued.push_back(found->second);
+            }
+        }
+    }
+    for (const pending_request_ptr& pending : queued) {
+        this->refuse_unknown_targets(pending);
+    }
+}
+
 void balancer::dispatch_queued() {
     const time_point now = boot_clock::now();
+    if (!this->knows_targets(now)) {
+        this->refuse_queued();
+        return;
+    }
     for (auto& [priority, queue] : this->queues) {
         std::size_t left = queue.size();
         while (left-- > 0) {
--- a/libs/proxy/src/edge_gateway.cpp
+++ b/libs/proxy/src/edge_gateway.cpp
@@ -24,6 +24,8 @@
 constexpr duration max_token_wait = milliseconds(700);
 // Part of the bound on applying a policy that is reserved for reading it.
 constexpr duration policy_margin = milliseconds(150);
+// Part of the bound on using a target that is leaving that is reserved for reaching the target.
+constexpr duration target_connect_share = milliseconds(500);
 // A store that takes longer to confirm the policy is impaired; requests do not wait for it then.
 constexpr duration max_preferred_confirmation_wait = milliseconds(500);
 // Retry delay sent to callers while the instance has no policy or cannot confirm it.
@@ -286,6 +288,7 @@
         options.headers = this->headers;
         options.targets.failure_domain = this->settings.failure_domain;
         options.targets.rotation.floor_share = this->settings.bounds.floor_share;
+        options.max_registrations_age = this->settings.bounds.target_drain - target_connect_share;
         options.limits.connect_timeout = milliseconds(400);
         options.limits.accept_close_delimited = true;
         options.limits.echoed_header = this->headers.request_id;
--- a/libs/proxy/tests/old_knowledge_test.cpp
+++ b/libs/proxy/tests/old_knowledge_test.cpp
@@ -140,4 +140,16 @@
     BOOST_TEST((boot_clock::now() - sent < milliseconds(300)));
 }
 
+// Guards against a request to a target that is leaving (DRAIN): the age of the registrations was
+// looked at neither when a request came nor when it was sent.
+BOOST_AUTO_TEST_CASE(no_target_is_sent_a_request_once_a_peer_knows_of_a_later_change) {
+    cut_off_gateway fixture;
+    fixture.directory.note_peer_change(fixture.directory.known_revision() + 1);
+    const int runs = fixture.runs;
+    const time_point sent = boot_clock::now();
+    BOOST_TEST(fixture.get_status() == 503);
+    BOOST_TEST(fixture.runs == runs);
+    BOOST_TEST((boot_clock::now() - sent < milliseconds(300)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
