Requests are held for a second while the registrations are renewed

Change: requests wait in the queue for up to 1 s more, and are refused only if the registrations have not been renewed by then.

--- a/libs/proxy/include/proxy/balancer.h
+++ b/libs/proxy/include/proxy/balancer.h
@@ -34,7 +34,8 @@
     /// closed the connection.
     duration idle_limit_non_idempotent{milliseconds(8000)};
     /// While another instance knows of a change to the registrations that this one does not, and
-    /// these were confirmed longer ago, no target is sent a request: it may be leaving.
+    /// these were confirmed longer ago, no target is sent a request: it may be leaving. Requests
+    /// are held for a short time, and refused if that does not end.
     duration max_registrations_age{milliseconds(1500)};
 };
 
@@ -101,6 +102,8 @@
     void enqueue(const pending_request_ptr& pending);
     void dispatch_queued();
     [[nodiscard]] bool knows_targets(time_point now) const;
+    [[nodiscard]] bool has_lost_targets(time_point now) const;
+    void hold_or_refuse(const pending_request_ptr& pending, time_point now);
     void refuse_unknown_targets(const pending_request_ptr& pending);
     void refuse_queued();
     void check_running_requests();
--- a/libs/proxy/src/balancer.cpp
+++ b/libs/proxy/src/balancer.cpp
@@ -12,6 +12,8 @@
 constexpr duration check_interval = milliseconds(40);
 // Requests with less time left than this are not sent.
 constexpr duration min_time_left = milliseconds(5);
+// Time in which an instance usually hears of the targets again, by relays or from the store.
+constexpr duration renewal_time = milliseconds(1000);
 // Bounds of the retry delay sent to a caller that was refused because no target was free.
 constexpr duration min_retry_after = milliseconds(300);
 constexpr duration max_retry_after = milliseconds(3000);
@@ -140,7 +142,7 @@
         return;
     }
     if (!this->knows_targets(now)) {
-        this->refuse_unknown_targets(pending);
+        this->hold_or_refuse(pending, now);
         return;
     }
     if (const target_ptr chosen = this->choose(*pending, now); chosen != nullptr) {
@@ -163,6 +165,20 @@
     return !this->shared.directory.is_superseded(now - this->options.max_registrations_age);
 }
 
+/// Whether what is known of the targets is too old for longer than a renewal usually takes.
+bool balancer::has_lost_targets(time_point now) const {
+    return this->shared.directory.is_superseded(now - this->options.max_registrations_age -
+                                                renewal_time);
+}
+
+void balancer::hold_or_refuse(const pending_request_ptr& pending, time_point now) {
+    if (this->has_lost_targets(now)) {
+        this->refuse_unknown_targets(pending);
+    } else {
+        this->enqueue(pending);
+    }
+}
+
 void balancer::refuse_unknown_targets(const pending_request_ptr& pending) {
     this->finish_with_error(
         pending, {error_kind::configuration_stale, "the registrations cannot be confirmed"},
@@ -466,7 +482,9 @@
 void balancer::dispatch_queued() {
     const time_point now = boot_clock::now();
     if (!this->knows_targets(now)) {
-        this->refuse_queued();
+        if (this->has_lost_targets(now)) {
+            this->refuse_queued();
+        }
         return;
     }
     for (auto& [priority, queue] : this->queues) {
