One loop runner and one store fixture for the tests

connection_drain_test and old_knowledge_test had written the loop "run until a condition holds" again, which event_test, reports_test, store_fixture and edge_fixture had as well; it stands in tests/run_loop.h now. old_knowledge_test builds on store_fixture, which moves to tests/ and takes an address, as two test programs run at the same time. No expectation changes.

--- a/libs/event/tests/connection_drain_test.cpp
+++ b/libs/event/tests/connection_drain_test.cpp
@@ -5,6 +5,7 @@
 
 #include "event/http_server.h"
 #include "raw_socket.h"
+#include "run_loop.h"
 
 using namespace knapweedknot;
 using harness::raw_socket;
@@ -42,19 +43,9 @@
     }
     template <typename Condition>
     void run_until(Condition condition) {
-        const time_point limit = boot_clock::now() + wait_timeout;
-        const timer poll = this->events.every(milliseconds(1), [&] {
-            if (condition() || boot_clock::now() > limit) {
-                this->events.stop();
-            }
-        });
-        this->events.run();
-        BOOST_REQUIRE(condition());
-    }
-    void run_for(duration time) {
-        const time_point end = boot_clock::now() + time;
-        this->run_until([end] { return boot_clock::now() >= end; });
+        BOOST_REQUIRE(harness::run_until(this->events, condition, wait_timeout));
     }
+    void run_for(duration time) { harness::run_for(this->events, time); }
     void wait_for_requests(std::size_t count) {
         this->run_until([&] { return this->requests.size() == count; });
     }
--- a/libs/event/tests/event_test.cpp
+++ b/libs/event/tests/event_test.cpp
@@ -9,6 +9,7 @@
 #include "event/http_pool.h"
 #include "event/http_server.h"
 #include "raw_socket.h"
+#include "run_loop.h"
 
 using namespace knapweedknot;
 using harness::raw_socket;
@@ -28,14 +29,7 @@
     deferred_server() { BOOST_REQUIRE(this->server.listen(server_address).has_value()); }
     template <typename Condition>
     void run_until(Condition condition) {
-        const time_point limit = boot_clock::now() + wait_timeout;
-        const timer poll = this->events.every(milliseconds(1), [&] {
-            if (condition() || boot_clock::now() > limit) {
-                this->events.stop();
-            }
-        });
-        this->events.run();
-        BOOST_REQUIRE(condition());
+        BOOST_REQUIRE(harness::run_until(this->events, condition, wait_timeout));
     }
     void respond_to_first(std::string_view text) {
         http_response response;
--- a/libs/fleet/tests/reports_test.cpp
+++ b/libs/fleet/tests/reports_test.cpp
@@ -5,8 +5,10 @@
 #include <vector>
 
 #include "fleet/report_exchange.h"
+#include "run_loop.h"
 
 using namespace knapweedknot;
+using harness::run_until;
 
 namespace {
 
@@ -71,18 +73,6 @@
     }
 };
 
-template <typename Condition>
-bool run_until(loop& events, Condition condition) {
-    const time_point end = boot_clock::now() + seconds(5);
-    const timer poll = events.every(milliseconds(1), [&] {
-        if (condition() || boot_clock::now() > end) {
-            events.stop();
-        }
-    });
-    events.run();
-    return condition();
-}
-
 } // namespace
 
 BOOST_AUTO_TEST_CASE(target_status_is_summed_over_serving_instances) {
--- a/libs/proxy/tests/old_knowledge_test.cpp
+++ b/libs/proxy/tests/old_knowledge_test.cpp
@@ -5,9 +5,8 @@
 
 #include "event/http_client.h"
 #include "platform/edge_protocol.h"
-#include "platform/store_documents.h"
-#include "platform_service.h"
 #include "proxy/edge_gateway.h"
+#include "store_fixture.h"
 
 using namespace knapweedknot;
 
@@ -16,11 +15,11 @@
 
 namespace {
 
-const endpoint store_address{"127.0.0.1", 18966};
+// Other tests that run at the same time have their store at the usual address.
+const endpoint own_store_address{"127.0.0.1", 18966};
 const endpoint target_address{"127.0.0.1", 18967};
 const endpoint callers_address{"127.0.0.1", 18968};
 constexpr duration short_bound = milliseconds(900);
-constexpr duration wait_limit = seconds(5);
 
 edge_settings short_settings() {
     edge_settings settings;
@@ -33,10 +32,7 @@
 
 /// A gateway with one target, which has read policy and registrations. From then on nothing renews
 /// them: the store is silent, as it is to one instance whose link or processor is overloaded.
-struct cut_off_gateway {
-    loop events;
-    standin::platform_service store{events, duration::zero(), 1};
-    store_client client{events, store_address};
+struct cut_off_gateway : store_fixture {
     mesh network{events, peer_info{}, mesh_handlers{}};
     report_exchange reports{events, network, report_options{}};
     policy_follower policy{events, client, std::string(platform::policy_key),
@@ -49,51 +45,25 @@
     int runs{0};
     http_server target{events, {}, [this](const auto& request) { this->run(*request); }};
 
-    cut_off_gateway() {
-        BOOST_REQUIRE(this->store.listen(store_address).has_value());
+    cut_off_gateway() : store_fixture(own_store_address) {
         BOOST_REQUIRE(this->target.listen(target_address).has_value());
         BOOST_REQUIRE(this->gateway.listen().has_value());
-        this->write(std::string(platform::policy_key),
-                    R"({"version":"00000002","resources":[
-                    {"resource-kind":"routes","metadata":{"name":"r"},"spec":{
-                    "hostname":"h.example","prefix":"/a/","kind":"safe","timeout-ms":2000,
-                    "target-latency-ms":500,"priority":1,"service":"s","max-attempts":2}}]})");
-        this->write(std::string(platform::targets_prefix) + "i-1",
-                    R"({"service":"s","address":"127.0.0.1:18967","zone":"z","version":"v1",
-                    "slots":4,"state":"ready","warmup-left-ms":0,"sequence":1,
-                    "born":1700000000000})");
+        this->write("op/config", policy_text("00000002", "/a/"));
+        this->write("servers/i-1", target_text(to_string(target_address), "ready"));
         this->policy.start();
         this->directory.start();
-        this->run_until([this] {
-            return this->policy.current() != nullptr && this->directory.is_loaded() &&
-                   this->directory.last_change() > 0;
-        });
+        BOOST_REQUIRE(this->run_until([this] {
+            return this->policy.current() != nullptr && this->directory.last_change() > 0;
+        }));
         BOOST_REQUIRE(this->get_status() == 200);
-        this->store.faults().outage = "hang";
-        const time_point old = boot_clock::now() + 2 * short_bound;
-        this->run_until([old] { return boot_clock::now() > old; });
+        this->service.faults().outage = "hang";
+        this->run_for(2 * short_bound);
         // A read shows that the store does not answer.
         bool has_failed = false;
         this->policy.await_confirmation([&has_failed] { has_failed = true; });
-        this->run_until([&has_failed] { return has_failed; });
+        BOOST_REQUIRE(this->run_until([&has_failed] { return has_failed; }));
         BOOST_REQUIRE(!this->policy.is_store_reachable());
     }
-    template <typename Condition>
-    void run_until(Condition condition) {
-        const time_point limit = boot_clock::now() + wait_limit;
-        const timer poll = this->events.every(milliseconds(1), [&] {
-            if (condition() || boot_clock::now() > limit) {
-                this->events.stop();
-            }
-        });
-        this->events.run();
-        BOOST_REQUIRE(condition());
-    }
-    void write(const std::string& key, const std::string& data) {
-        bool written = false;
-        this->client.put(key, data, [&](const auto& outcome) { written = outcome.has_value(); });
-        this->run_until([&] { return written; });
-    }
     void run(incoming_request& request) {
         ++this->runs;
         http_response answer;
@@ -112,7 +82,7 @@
         std::optional<int> status;
         send_once(this->events, callers_address, request, wait_limit, {},
                   [&](const http_outcome& outcome) { status = outcome ? outcome->status : 0; });
-        this->run_until([&] { return status.has_value(); });
+        BOOST_REQUIRE(this->run_until([&] { return status.has_value(); }));
         return *status;
     }
 };
--- a/tests/edge_fixture.h
+++ b/tests/edge_fixture.h
@@ -19,6 +19,7 @@
 #include "platform/store_client.h"
 #include "platform_service.h"
 #include "process.h"
+#include "run_loop.h"
 
 /// \file
 /// Fixture for tests of edge processes. The store and the targets run inside the test process.
@@ -114,18 +115,9 @@
 
     template <typename Condition>
     bool run_until(Condition condition, duration limit = seconds(8)) {
-        const time_point end = boot_clock::now() + limit;
-        const timer poll = this->events.every(milliseconds(2), [&] {
-            if (condition() || boot_clock::now() > end) {
-                this->events.stop();
-            }
-        });
-        this->events.run();
-        return condition();
-    }
-    void run_for(duration time) {
-        this->run_until([] { return false; }, time);
+        return harness::run_until(this->events, condition, limit);
     }
+    void run_for(duration time) { harness::run_for(this->events, time); }
     void write(const std::string& key, const std::string& data) {
         bool written = false;
         this->writer.put(key, data, [&](const auto& outcome) { written = outcome.has_value(); });
--- a/libs/fleet/tests/store_fixture.h
+++ b/tests/store_fixture.h
@@ -10,6 +10,7 @@
 #include "platform/store_client.h"
 #include "platform/store_documents.h"
 #include "platform_service.h"
+#include "run_loop.h"
 
 /// \file
 /// A store stand-in inside the test process, and the documents that operators and targets write.
@@ -24,25 +25,19 @@
 struct store_fixture {
     loop events;
     standin::platform_service service{events, duration::zero(), 1};
-    store_client writer{events, store_address};
-    store_client client{events, store_address};
+    store_client writer;
+    store_client client;
 
-    store_fixture() { BOOST_REQUIRE(this->service.listen(store_address).has_value()); }
+    explicit store_fixture(const endpoint& address = store_address)
+        : writer(this->events, address), client(this->events, address) {
+        BOOST_REQUIRE(this->service.listen(address).has_value());
+    }
 
     template <typename Condition>
     bool run_until(Condition condition, duration limit = wait_limit) {
-        const time_point end = boot_clock::now() + limit;
-        const timer poll = this->events.every(milliseconds(1), [&] {
-            if (condition() || boot_clock::now() > end) {
-                this->events.stop();
-            }
-        });
-        this->events.run();
-        return condition();
-    }
-    void run_for(duration time) {
-        this->run_until([] { return false; }, time);
+        return harness::run_until(this->events, condition, limit);
     }
+    void run_for(duration time) { harness::run_for(this->events, time); }
     void write(const std::string& key, const std::string& data) {
         bool written = false;
         this->writer.put(key, data, [&](const auto& outcome) { written = outcome.has_value(); });
