Requests wait for the registrations through the queue's own rule

The check at the send had its own hold in dispatch and in dispatch_queued beside the queue's: when no target can be chosen, a request waits. It is in choose alone now. Its refusal is no_target, as the instance knows no target that it may use; configuration_stale made knapweedknotctl explain speak of the policy. old_knowledge_test passes unchanged.

--- a/libs/proxy/include/proxy/balancer.h
+++ b/libs/proxy/include/proxy/balancer.h
@@ -103,7 +103,6 @@
     void dispatch_queued();
     [[nodiscard]] bool knows_targets(time_point now) const;
     [[nodiscard]] bool has_lost_targets(time_point now) const;
-    void hold_or_refuse(const pending_request_ptr& pending, time_point now);
     void refuse_unknown_targets(const pending_request_ptr& pending);
     void refuse_queued();
     void check_running_requests();
--- a/libs/proxy/src/balancer.cpp
+++ b/libs/proxy/src/balancer.cpp
@@ -141,8 +141,8 @@
                                 std::nullopt);
         return;
     }
-    if (!this->knows_targets(now)) {
-        this->hold_or_refuse(pending, now);
+    if (this->has_lost_targets(now)) {
+        this->refuse_unknown_targets(pending);
         return;
     }
     if (const target_ptr chosen = this->choose(*pending, now); chosen != nullptr) {
@@ -165,24 +165,16 @@
     return !this->shared.directory.is_superseded(now - this->options.max_registrations_age);
 }
 
-/// Whether what is known of the targets is too old for longer than a renewal usually takes.
+/// Whether what is known of the targets is too old for longer than a renewal usually takes. Until
+/// then requests wait in the queue, as no target is chosen.
 bool balancer::has_lost_targets(time_point now) const {
     return this->shared.directory.is_superseded(now - this->options.max_registrations_age -
                                                 renewal_time);
 }
 
-void balancer::hold_or_refuse(const pending_request_ptr& pending, time_point now) {
-    if (this->has_lost_targets(now)) {
-        this->refuse_unknown_targets(pending);
-    } else {
-        this->enqueue(pending);
-    }
-}
-
 void balancer::refuse_unknown_targets(const pending_request_ptr& pending) {
     this->finish_with_error(
-        pending, {error_kind::configuration_stale, "the registrations cannot be confirmed"},
-        min_retry_after);
+        pending, {error_kind::no_target, "the registrations cannot be confirmed"}, min_retry_after);
 }
 
 target_ptr balancer::choose(const pending_request& pending, time_point now) {
@@ -481,10 +473,8 @@
 
 void balancer::dispatch_queued() {
     const time_point now = boot_clock::now();
-    if (!this->knows_targets(now)) {
-        if (this->has_lost_targets(now)) {
-            this->refuse_queued();
-        }
+    if (this->has_lost_targets(now)) {
+        this->refuse_queued();
         return;
     }
     for (auto& [priority, queue] : this->queues) {
