--- a/libs/fleet/include/fleet/store_relay.h
+++ b/libs/fleet/include/fleet/store_relay.h
@@ -45,6 +45,11 @@
     duration own_retry_interval{milliseconds(2000)};
 };
 
+/// Options with which a policy is in force within \p policy_apply, and a target that is leaving is
+/// known within \p target_drain, with time left to use what is known. Thread safe.
+[[nodiscard]] store_relay_options make_store_relay_options(duration policy_apply,
+                                                           duration target_drain);
+
 /// Counts of a store_relay since its start.
 struct store_relay_counts {
     std::uint64_t asked{0};
--- a/libs/fleet/src/store_relay.cpp
+++ b/libs/fleet/src/store_relay.cpp
@@ -50,6 +50,18 @@
 
 } // namespace
 
+store_relay_options make_store_relay_options(duration policy_apply, duration target_drain) {
+    store_relay_options options;
+    options.serving_interval = target_drain / 6;
+    options.idle_interval = target_drain / 4;
+    options.max_policy_age = policy_apply / 4;
+    options.max_targets_age = target_drain * 2 / 5;
+    options.max_unconfirmed_policy = policy_apply / 2;
+    options.max_unconfirmed_targets = target_drain / 2;
+    options.own_retry_interval = policy_apply;
+    return options;
+}
+
 store_relay::store_relay(const dependencies& given, const store_relay_options& relay_options)
     : parts(given), options(relay_options), started_at(boot_clock::now()) {}
 
--- a/libs/fleet/tests/store_outage_test.cpp
+++ b/libs/fleet/tests/store_outage_test.cpp
@@ -22,18 +22,6 @@
 /// Time that calls made at the end of the outage may still wait for their answers.
 constexpr duration settling_after_outage = seconds(1);
 
-store_relay_options usual_relay_options() {
-    store_relay_options options;
-    options.serving_interval = drain_bound / 6;
-    options.idle_interval = drain_bound / 4;
-    options.max_policy_age = policy_bound / 4;
-    options.max_targets_age = drain_bound * 2 / 5;
-    options.max_unconfirmed_policy = policy_bound / 2;
-    options.max_unconfirmed_targets = drain_bound / 2;
-    options.own_retry_interval = policy_bound;
-    return options;
-}
-
 /// Instances in up to two failure domains that choose their relays as an edge does. None of them
 /// serves a request.
 struct idle_fleet : store_fixture {
@@ -46,7 +34,8 @@
         }
         for (std::uint64_t number = 1; number <= size; ++number) {
             this->instances.push_back(std::make_unique<relaying_instance>(
-                this->events, number, number <= 2 ? "a" : "b", usual_relay_options()));
+                this->events, number, number <= 2 ? "a" : "b",
+                make_store_relay_options(policy_bound, drain_bound)));
             relaying_instance& added = *this->instances.back();
             added.relay.choose = [this, &added] { return this->choose_as(added); };
             added.relay.is_serving = [] { return false; };
--- a/programs/knapweedknotd/edge_instance.cpp
+++ b/programs/knapweedknotd/edge_instance.cpp
@@ -39,20 +39,6 @@
     return options;
 }
 
-/// Options for asking other instances: what an instance knows of a target is known everywhere well
-/// within the bound on using a target that is leaving.
-store_relay_options make_relay_options(const fleet_bounds& bounds) {
-    store_relay_options options;
-    options.serving_interval = bounds.target_drain / 6;
-    options.idle_interval = bounds.target_drain / 4;
-    options.max_policy_age = bounds.policy_apply / 4;
-    options.max_targets_age = bounds.target_drain * 2 / 5;
-    options.max_unconfirmed_policy = bounds.policy_apply / 2;
-    options.max_unconfirmed_targets = bounds.target_drain / 2;
-    options.own_retry_interval = bounds.policy_apply;
-    return options;
-}
-
 /// Options of the target directory. An instance that serves no requests batches more changes per
 /// store call and detects a lost watch later.
 target_directory_options make_directory_options(bool is_serving, const fleet_bounds& bounds) {
@@ -103,7 +89,8 @@
              make_policy_options(given.bounds)),
       directory(event_loop, store, std::string(platform::targets_prefix), &platform::decode_target,
                 make_initial_directory_options(given.bounds)),
-      relay({event_loop, network, policy, directory}, make_relay_options(given.bounds)),
+      relay({event_loop, network, policy, directory},
+            make_store_relay_options(given.bounds.policy_apply, given.bounds.target_drain)),
       gateway({event_loop, settings, headers, policy, directory, reports}),
       load({event_loop, network, reports, store, policy, directory, relay, gateway}),
       readiness(event_loop, {}, [this](const auto& request) { this->handle_readiness(request); }),
@@ -280,7 +267,8 @@
 void edge_instance::apply_settings(const edge_settings& changed) {
     this->settings.bounds = changed.bounds;
     this->policy.set_options(make_policy_options(changed.bounds));
-    this->relay.set_options(make_relay_options(changed.bounds));
+    this->relay.set_options(
+        make_store_relay_options(changed.bounds.policy_apply, changed.bounds.target_drain));
     log_event(log_level::info, "settings_reloaded", {});
 }
 
