Ends of caller connections are counted and logged by reason, with the requests they leave unanswered

No change of behaviour. The kernel is asked once for each end (SIOCOUTQ, FIONREAD), and once per 16 responses of a connection.

Tests: connection_ends/* (event_test), a_served_request_whose_response_was_lost_is_explained (log_reader_test).

--- a/libs/event/include/event/http_server.h
+++ b/libs/event/include/event/http_server.h
@@ -8,6 +8,7 @@
 
 #include "base/endpoint.h"
 #include "base/error.h"
+#include "event/connection_end.h"
 #include "event/http_message.h"
 #include "event/loop.h"
 
@@ -111,6 +112,10 @@
     /// Otherwise the request waits for their responses. When unset, requests of a connection run
     /// one at a time.
     std::function<bool(const http_request&)> may_run_concurrently;
+    /// Header of a request that identifies it in a connection_end; empty for none.
+    std::string id_header;
+    /// Called with the state of each connection at its end. Must not use the server.
+    std::function<void(const connection_end&)> on_connection_end;
     /// From now on closes each connection after the responses to the requests that run on it. What
     /// callers send behind those is not handled: they resend it on another connection.
     void close_after_responses();
--- a/libs/event/src/http_server.cpp
+++ b/libs/event/src/http_server.cpp
@@ -46,7 +46,8 @@
         // No response will follow; closing the connection tells the caller so.
         this->disconnect_callback = nullptr;
         const auto kept = this->connection->shared_from_this();
-        kept->close();
+        kept->close(connection_end_reason::request_dropped,
+                    connection_end_manner::closed_by_server);
     }
 }
 
@@ -99,7 +100,8 @@
 
 http_server::~http_server() {
     for (const auto& connection : std::list(this->connections)) {
-        connection->close();
+        connection->close(connection_end_reason::server_destroyed,
+                          connection_end_manner::closed_by_server);
     }
 }
 
@@ -144,7 +146,8 @@
 void http_server::close_idle_connections() {
     for (const auto& connection : std::list(this->connections)) {
         if (connection->is_idle()) {
-            connection->close();
+            connection->close(connection_end_reason::server_stopping,
+                              connection_end_manner::closed_by_server);
         }
     }
 }
--- a/libs/event/src/server_connection.cpp
+++ b/libs/event/src/server_connection.cpp
@@ -11,6 +11,8 @@
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 
+#include "socket_queues.h"
+
 namespace knapweedknot::detail {
 
 namespace {
@@ -20,6 +22,8 @@
 // How long to wait for the caller to close after the last response. Closing with unread input makes
 // the kernel reset the connection, which could discard the response before the caller reads it.
 constexpr duration linger_timeout = seconds(2);
+// Written responses that are remembered before the kernel is asked which of them are delivered.
+constexpr std::size_t max_remembered_responses = 16;
 
 bool has_body(int status) {
     constexpr int no_content = 204;
@@ -58,7 +62,7 @@
         [](bufferevent* /*unused*/, short what, void* argument) {
             const auto self = static_cast<server_connection*>(argument)->shared_from_this();
             if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) {
-                self->close();
+                self->handle_end_event((what & BEV_EVENT_ERROR) != 0);
             }
         },
         this);
@@ -78,7 +82,7 @@
 
 void server_connection::read_requests() {
     evbuffer* input = bufferevent_get_input(this->stream.get());
-    if (this->closing) {
+    if (this->closing_reason) {
         evbuffer_drain(input, evbuffer_get_length(input));
         return;
     }
@@ -140,8 +144,11 @@
 void server_connection::start_request(http_request&& message, bool keeps_alive) {
     this->reading_stopped = this->reading_stopped || !keeps_alive;
     const bool is_head = message.method == "HEAD";
+    const std::string* id = find_header(message.headers, this->server.id_header);
+    std::string known_id = id == nullptr ? std::string() : *id;
     auto request = std::make_shared<incoming_request>(*this, std::move(message));
-    this->exchanges.push_back({request.get(), is_head, !keeps_alive, std::nullopt});
+    this->exchanges.push_back(
+        {request.get(), std::move(known_id), is_head, !keeps_alive, std::nullopt});
     ++this->server.running;
     if (this->server.draining) {
         this->stop_reading_behind_running();
@@ -195,9 +202,9 @@
         // Later requests that already run must still get their responses before the close.
         const bool closes = is_last && (next.closes || this->server.draining ||
                                         has_connection_close(next.response->headers));
-        this->write(*next.response, next.is_head, closes);
+        this->write(next, closes);
         if (closes) {
-            this->start_lingering_close();
+            this->start_lingering_close(connection_end_reason::final_response);
             return;
         }
     }
@@ -214,7 +221,8 @@
     }
 }
 
-void server_connection::write(http_response& response, bool is_head, bool closes) {
+void server_connection::write(exchange& next, bool closes) {
+    http_response& response = *next.response;
     std::string head = "HTTP/1.1 " + std::to_string(response.status) + ' ' +
                        reason_phrase(response.status) + "\r\n";
     for (const auto& [name, value] : response.headers) {
@@ -225,51 +233,70 @@
     if (closes) {
         head += "Connection: close\r\n";
     }
-    if (has_body(response.status) && !is_head) {
+    if (has_body(response.status) && !next.is_head) {
         head += "Content-Length: " + std::to_string(body_size(response.body.get())) + "\r\n";
     }
     head += "\r\n";
     evbuffer* output = bufferevent_get_output(this->stream.get());
+    const std::size_t bytes_before = evbuffer_get_length(output);
     evbuffer_add(output, head.data(), head.size());
-    if (!is_head) {
+    if (!next.is_head) {
         evbuffer_add_buffer(output, response.body.get());
     }
+    this->written_responses.add(std::move(next.id), evbuffer_get_length(output) - bytes_before);
+    if (this->written_responses.size() > max_remembered_responses) {
+        this->written_responses.forget_delivered(this->bytes_queued() +
+                                                 this->unacknowledged_response_bytes());
+    }
 }
 
 /// Discards further input, and shuts down sending once the queued responses are written. Closes
 /// when the caller does, at the latest after linger_timeout.
-void server_connection::start_lingering_close() {
-    this->closing = true;
+void server_connection::start_lingering_close(connection_end_reason reason) {
+    this->closing_reason = reason;
     this->reading_stopped = true;
     this->idle_timer = timer();
     this->linger_timer = this->server.owner.after(linger_timeout, [this] {
         const auto self = this->shared_from_this();
-        this->close();
+        this->close(*this->closing_reason, connection_end_manner::timed_out);
     });
     evbuffer* input = bufferevent_get_input(this->stream.get());
     evbuffer_drain(input, evbuffer_get_length(input));
 }
 
 void server_connection::handle_output_drained() {
-    if (this->closing && !this->is_writing()) {
+    if (this->closing_reason && !this->is_writing() && !this->sent_fin) {
+        this->sent_fin = true;
         shutdown(bufferevent_getfd(this->stream.get()), SHUT_WR);
     }
 }
 
+void server_connection::handle_end_event(bool is_failure) {
+    if (is_failure) {
+        this->close(connection_end_reason::connection_failed, connection_end_manner::failed);
+    } else {
+        this->close(connection_end_reason::caller_closed, connection_end_manner::closed_by_caller);
+    }
+}
+
 void server_connection::restart_idle_timer() {
-    if (this->closing) {
+    if (this->closing_reason) {
         return;
     }
     this->idle_timer = this->server.owner.after(this->server.limits.idle_timeout, [this] {
         const auto self = this->shared_from_this();
-        this->close();
+        this->close(connection_end_reason::idle, connection_end_manner::closed_by_server);
     });
 }
 
-void server_connection::close() {
+void server_connection::close(connection_end_reason reason, connection_end_manner manner) {
     if (this->stream == nullptr) {
         return;
     }
+    if (this->server.on_connection_end) {
+        this->server.on_connection_end(
+            this->describe_end(this->closing_reason.value_or(reason), manner));
+    }
     this->stream.reset();
     this->header_timer = timer();
     this->idle_timer = timer();
@@ -289,6 +316,29 @@
     return evbuffer_get_length(bufferevent_get_output(this->stream.get()));
 }
 
+std::size_t server_connection::unacknowledged_response_bytes() const {
+    const std::size_t bytes = unacknowledged_bytes(bufferevent_getfd(this->stream.get()));
+    // The FIN counts as one byte until it is acknowledged.
+    return this->sent_fin && bytes > 0 ? bytes - 1 : bytes;
+}
+
+connection_end server_connection::describe_end(connection_end_reason reason,
+                                               connection_end_manner manner) const {
+    connection_end end;
+    end.reason = reason;
+    end.manner = manner;
+    for (const exchange& item : this->exchanges) {
+        end.unanswered.push_back(item.id);
+    }
+    end.unsent_bytes = this->bytes_queued();
+    end.unacknowledged_bytes = this->unacknowledged_response_bytes();
+    end.undelivered =
+        this->written_responses.undelivered(end.unsent_bytes + end.unacknowledged_bytes);
+    end.unread_bytes = evbuffer_get_length(bufferevent_get_input(this->stream.get())) +
+                       unread_bytes(bufferevent_getfd(this->stream.get()));
+    return end;
+}
+
 bool server_connection::is_idle() const {
     return this->exchanges.empty() && this->parser == nullptr && !this->is_writing() &&
            evbuffer_get_length(bufferevent_get_input(this->stream.get())) == 0;
--- a/libs/event/src/server_connection.h
+++ b/libs/event/src/server_connection.h
@@ -6,8 +6,10 @@
 #include <optional>
 #include <string>
 
+#include "event/connection_end.h"
 #include "event/http_server.h"
 #include "http_parser.h"
+#include "response_ledger.h"
 
 struct bufferevent;
 
@@ -31,7 +33,8 @@
     /// last running request closes the connection. Has no effect while no request runs.
     void stop_reading_behind_running();
     /// Closes the connection; its running requests are notified of the disconnect.
-    void close();
+    /// \param reason why it ends, unless it is closing already
+    void close(connection_end_reason reason, connection_end_manner manner);
     /// True when no request is running or partly received and all responses are written.
     [[nodiscard]] bool is_idle() const;
     [[nodiscard]] std::size_t bytes_queued() const;
@@ -48,6 +51,8 @@
     /// A request, in order of arrival, and its response once available.
     struct exchange {
         incoming_request* request{nullptr};
+        /// Value of the server's id_header.
+        std::string id;
         bool is_head{false};
         bool closes{false};
         std::optional<http_response> response;
@@ -59,13 +64,18 @@
     void start_request(http_request&& message, bool keeps_alive);
     void reject(const error& problem);
     void flush_responses();
-    void write(http_response& response, bool is_head, bool closes);
+    void write(exchange& next, bool closes);
     void handle_output_drained();
-    void start_lingering_close();
+    void handle_end_event(bool is_failure);
+    void start_lingering_close(connection_end_reason reason);
     void handle_partial_request();
     void restart_idle_timer();
     void handle_header_timeout();
     [[nodiscard]] parse_limits parser_limits() const;
+    /// Bytes of responses that the kernel holds and the caller's host has not acknowledged.
+    [[nodiscard]] std::size_t unacknowledged_response_bytes() const;
+    [[nodiscard]] connection_end describe_end(connection_end_reason reason,
+                                              connection_end_manner manner) const;
 
     http_server& server;
     std::string ip;
@@ -75,8 +85,11 @@
     std::optional<http_request> pending_request;
     bool pending_keeps_alive{true};
     std::deque<exchange> exchanges;
+    response_ledger written_responses;
     bool reading_stopped{false};
-    bool closing{false};
+    /// Why the connection is being closed, while it is.
+    std::optional<connection_end_reason> closing_reason;
+    bool sent_fin{false};
     bool sent_continue{false};
     timer header_timer;
     timer idle_timer;
--- a/libs/event/tests/connection_drain_test.cpp
+++ b/libs/event/tests/connection_drain_test.cpp
@@ -1,79 +1,17 @@
 #include <boost/test/unit_test.hpp>
 
-#include <deque>
 #include <string>
 
-#include "event/http_server.h"
-#include "raw_socket.h"
-#include "run_loop.h"
+#include "one_caller_server.h"
 
 using namespace knapweedknot;
-using harness::raw_socket;
+using harness::get_request;
+using draining_server = harness::one_caller_server;
 
 /// \file
 /// What each connection gets when its server starts to close connections for a planned stop: one
 /// test for each state in which a connection can be at that moment.
 
-namespace {
-
-const endpoint server_address{"127.0.0.1", 18978};
-constexpr duration wait_timeout = seconds(5);
-
-std::string get_request(const std::string& path) {
-    return "GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n";
-}
-
-/// A server whose requests the test answers, and one connection to it. GET requests of the
-/// connection run concurrently.
-struct draining_server {
-    loop events;
-    std::deque<std::shared_ptr<incoming_request>> requests;
-    http_server server{events, http_server_limits{},
-                       [this](auto request) { this->requests.push_back(std::move(request)); }};
-    raw_socket caller;
-    std::string received;
-
-    draining_server() {
-        BOOST_REQUIRE(this->server.listen(server_address).has_value());
-        this->server.may_run_concurrently = [](const http_request& request) {
-            return request.method == "GET";
-        };
-        this->caller.connect(server_address);
-        this->run_until([this] { return this->server.open_connections() == 1; });
-    }
-    template <typename Condition>
-    void run_until(Condition condition) {
-        BOOST_REQUIRE(harness::run_until(this->events, condition, wait_timeout));
-    }
-    void run_for(duration time) { harness::run_for(this->events, time); }
-    void wait_for_requests(std::size_t count) {
-        this->run_until([&] { return this->requests.size() == count; });
-    }
-    void respond(std::size_t index, std::string_view text) {
-        http_response response;
-        response.status = 200;
-        response.body = make_body(text);
-        this->requests.at(index)->respond(std::move(response));
-    }
-    /// Reads until the server has closed the connection.
-    void read_to_end() {
-        this->run_until([this] {
-            this->received += this->caller.read_available();
-            return this->caller.is_closed_by_peer();
-        });
-    }
-    [[nodiscard]] std::size_t count(std::string_view text) const {
-        std::size_t found = 0;
-        for (auto at = this->received.find(text); at != std::string::npos;
-             at = this->received.find(text, at + text.size())) {
-            ++found;
-        }
-        return found;
-    }
-};
-
-} // namespace
-
 BOOST_AUTO_TEST_SUITE(connection_drain)
 
 // Guards against callers that keep a connection open without using it and hold up a planned stop.
--- a/libs/log_reader/src/request_explanation.cpp
+++ b/libs/log_reader/src/request_explanation.cpp
@@ -117,6 +117,19 @@
            describe_target(lines, final_event.field("target"));
 }
 
+/// Describes the end of the connection on which the response was lost; empty if none was.
+std::string describe_lost_response(const std::vector<log_line>& lines, std::string_view id) {
+    const auto lost = std::find_if(lines.begin(), lines.end(), [id](const log_line& line) {
+        return line.event == "response_lost" && line.field("id") == id;
+    });
+    if (lost == lines.end()) {
+        return {};
+    }
+    return " The caller did not get a whole response: its connection ended with reason " +
+           std::string(lost->field("reason")) + ", manner " + std::string(lost->field("manner")) +
+           ".";
+}
+
 /// Targets and instances that the events of one request name, and the time span of these events.
 struct request_scope {
     name_set targets;
@@ -176,6 +189,7 @@
             ? describe_outcome(explanation.lines, *final_event)
             : "The logs show no end: the instance was killed or hung, or the caller "
               "disconnected unnoticed.";
+    explanation.cause += describe_lost_response(explanation.lines, id);
     return explanation;
 }
 
--- a/libs/log_reader/tests/log_reader_test.cpp
+++ b/libs/log_reader/tests/log_reader_test.cpp
@@ -83,6 +83,18 @@
     BOOST_TEST(cause.find("policy 7") != std::string::npos);
 }
 
+// Guards against lost answers that look served: the caller's connection ended before it had them.
+BOOST_AUTO_TEST_CASE(a_served_request_whose_response_was_lost_is_explained) {
+    const auto log = read(
+        {"a time=2026-01-01T00:00:10.000Z" + head +
+             "event=request_served id=r1 target=t1 attempts=1 outcome=served total_ms=120",
+         "a time=2026-01-01T00:00:11.000Z" + head +
+             "event=response_lost id=r1 state=undelivered reason=idle manner=closed_by_server"});
+    const std::string cause = explain_request(log, "r1").cause;
+    BOOST_TEST(cause.find("Served after 120 ms") == 0U);
+    BOOST_TEST(cause.find("reason idle, manner closed_by_server") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(missing_log_lines_are_reported) {
     BOOST_TEST(explain_request({}, "r1").lines.empty());
     BOOST_TEST(explain_request({}, "r1").cause.find("No instance logged") != std::string::npos);
--- a/libs/proxy/include/proxy/edge_gateway.h
+++ b/libs/proxy/include/proxy/edge_gateway.h
@@ -108,6 +108,8 @@
                                              std::optional<duration> retry_after) const;
     [[nodiscard]] bool may_overlap(const http_request& request) const;
     void record_request(time_point now);
+    void record_connection_end(const connection_end& end);
+    void write_connection_metrics(std::string& text) const;
 
     loop& owner;
     const edge_settings& settings;
@@ -118,6 +120,7 @@
     retry_limiter retries;
     account_rate_limiter accounts;
     edge_metrics metrics;
+    connection_end_counts connection_ends;
     std::map<service_id, std::unique_ptr<balancer>> balancers;
     struct route_split {
         std::vector<weighted_service> services;
--- a/libs/proxy/src/edge_gateway.cpp
+++ b/libs/proxy/src/edge_gateway.cpp
@@ -55,6 +55,17 @@
     return std::min<duration>(max_token_wait, route.latency_target / parts_of_latency_target);
 }
 
+void log_lost_response(const connection_end& end, const std::string& id, std::string_view state) {
+    log_event(log_level::warning, "response_lost",
+              {{"id", id},
+               {"state", std::string(state)},
+               {"reason", std::string(to_string(end.reason))},
+               {"manner", std::string(to_string(end.manner))},
+               {"unsent_bytes", std::to_string(end.unsent_bytes)},
+               {"unacknowledged_bytes", std::to_string(end.unacknowledged_bytes)},
+               {"unread_bytes", std::to_string(end.unread_bytes)}});
+}
+
 /// Formats \p value with two decimal places.
 std::string format_decimal(double value) {
     constexpr std::size_t longest = 32;
@@ -80,6 +91,10 @@
     this->caller_server.may_run_concurrently = [this](const http_request& request) {
         return this->may_overlap(request);
     };
+    this->caller_server.id_header = this->headers.request_id;
+    this->caller_server.on_connection_end = [this](const connection_end& end) {
+        this->record_connection_end(end);
+    };
 }
 
 result<void> edge_gateway::listen() {
@@ -103,6 +118,33 @@
     }
 }
 
+/// Counts the end of a caller's connection, and logs the requests that have no complete response.
+void edge_gateway::record_connection_end(const connection_end& end) {
+    this->connection_ends.record(end);
+    for (const std::string& id : end.unanswered) {
+        log_lost_response(end, id, "unanswered");
+    }
+    for (const std::string& id : end.undelivered) {
+        log_lost_response(end, id, "undelivered");
+    }
+}
+
+void edge_gateway::write_connection_metrics(std::string& text) const {
+    write_metric(text, "caller_connections_total", "",
+                 static_cast<double>(this->caller_server.accepted_connections()));
+    for (const connection_end_reason reason : connection_end_reasons) {
+        for (const connection_end_manner manner : connection_end_manners) {
+            const std::uint64_t count = this->connection_ends.of(reason, manner);
+            if (count > 0) {
+                write_metric(text, "caller_connections_ended_total",
+                             "reason=\"" + std::string(to_string(reason)) + "\",manner=\"" +
+                                 std::string(to_string(manner)) + '"',
+                             static_cast<double>(count));
+            }
+        }
+    }
+}
+
 void edge_gateway::apply_policy() {
     this->caller_server.set_limits(server_limits(this->policy.current()->limits()));
 }
@@ -436,8 +478,7 @@
 
 std::string edge_gateway::metrics_text() const {
     std::string text = to_text(this->metrics);
-    write_metric(text, "caller_connections_total", "",
-                 static_cast<double>(this->caller_server.accepted_connections()));
+    this->write_connection_metrics(text);
     const time_point now = boot_clock::now();
     for (const auto& [service, balanced] : this->balancers) {
         const std::string label = "service=\"" + service.value + '"';
--- a/tests/raw_socket.h
+++ b/tests/raw_socket.h
@@ -28,6 +28,12 @@
         }
         this->fd = -1;
     }
+    /// Closes the connection with a reset.
+    void reset() {
+        const linger at_once{1, 0};
+        setsockopt(this->fd, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+        this->close();
+    }
     void connect(const endpoint& address) const {
         sockaddr_in name{};
         name.sin_family = AF_INET;
