--- a/libs/event/src/server_connection.cpp
+++ b/libs/event/src/server_connection.cpp
@@ -19,9 +19,6 @@
 
 // Maximum bytes buffered from a caller while its requests run.
 constexpr std::size_t max_read_ahead_bytes = std::size_t{64} * 1024;
-// How long to wait for the caller to close after the last response. Closing with unread input makes
-// the kernel reset the connection, which could discard the response before the caller reads it.
-constexpr duration linger_timeout = seconds(2);
 // Written responses that are remembered before the kernel is asked which of them are delivered.
 constexpr std::size_t max_remembered_responses = 16;
 
@@ -256,7 +253,7 @@
     this->closing_reason = reason;
     this->reading_stopped = true;
     this->idle_timer = timer();
-    this->linger_timer = this->server.owner.after(linger_timeout, [this] {
+    this->linger_timer = this->server.owner.after(this->server.limits.linger_timeout, [this] {
         const auto self = this->shared_from_this();
         this->close(*this->closing_reason, connection_end_manner::timed_out);
     });
--- a/libs/event/tests/one_caller_server.h
+++ b/libs/event/tests/one_caller_server.h
@@ -38,7 +38,12 @@
     /// How connections ended, in their order.
     std::vector<connection_end> ends;
 
-    one_caller_server() {
+    /// \param receive_buffer bytes that the caller's kernel receives ahead; zero for the default
+    explicit one_caller_server(const http_server_limits& limits = {}, int receive_buffer = 0) {
+        this->server.set_limits(limits);
+        if (receive_buffer > 0) {
+            this->caller.set_receive_buffer(receive_buffer);
+        }
         BOOST_REQUIRE(this->server.listen(one_caller_server_address).has_value());
         this->server.may_run_concurrently = [](const http_request& request) {
             return request.method == "GET";
@@ -71,6 +76,13 @@
             return this->caller.is_closed_by_peer();
         });
     }
+    /// Reads \p bytes in each \p interval until \p condition holds.
+    template <typename Condition>
+    void read_slowly_until(std::size_t bytes, duration interval, Condition condition) {
+        const timer reader = this->events.every(
+            interval, [this, bytes] { this->received += this->caller.read_available(bytes); });
+        this->run_until(condition);
+    }
     [[nodiscard]] std::size_t count(std::string_view text) const {
         std::size_t found = 0;
         for (auto at = this->received.find(text); at != std::string::npos;
--- a/tests/raw_socket.h
+++ b/tests/raw_socket.h
@@ -7,6 +7,8 @@
 #include <boost/test/unit_test.hpp>
 
 #include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -28,6 +30,12 @@
         }
         this->fd = -1;
     }
+    /// Limits what the kernel receives ahead of read_available. Call before connect.
+    void set_receive_buffer(int bytes) const {
+        setsockopt(this->fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof bytes);
+    }
+    /// Ends the sending side only.
+    void shutdown_sending() const { ::shutdown(this->fd, SHUT_WR); }
     /// Closes the connection with a reset.
     void reset() {
         const linger at_once{1, 0};
@@ -45,8 +53,8 @@
         BOOST_REQUIRE(::send(this->fd, text.data(), text.size(), 0) ==
                       static_cast<ssize_t>(text.size()));
     }
-    [[nodiscard]] std::string read_available() const {
-        std::string text(65536, '\0');
+    [[nodiscard]] std::string read_available(std::size_t most = 65536) const {
+        std::string text(most, '\0');
         const ssize_t size = recv(this->fd, text.data(), text.size(), MSG_DONTWAIT);
         text.resize(size > 0 ? static_cast<std::size_t>(size) : 0);
         return text;
@@ -57,6 +65,13 @@
         const ssize_t size = recv(this->fd, &next, 1, MSG_DONTWAIT | MSG_PEEK);
         return size == 0 || (size < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
     }
+    /// True when the connection was reset.
+    [[nodiscard]] bool is_reset() const {
+        tcp_info info{};
+        socklen_t size = sizeof info;
+        getsockopt(this->fd, IPPROTO_TCP, TCP_INFO, &info, &size);
+        return info.tcpi_state == TCP_CLOSE;
+    }
 };
 
 } // namespace knapweedknot::harness
