Connections that are closed as idle are closed without a reset (LOST)

Callers saw a reset, or an answer cut short, when a request of theirs crossed the close of a connection at the idle timeout or in a planned stop. Cause: the socket was closed at once; the kernel answers what then arrives with a reset and drops the answers that it still holds. Only a close behind a last response lingered. Now every close that the server begins shuts down sending, discards what still comes and waits for the caller.

a_request_that_crosses_the_close_of_an_idle_connection_resets_nothing failed before (caller.is_reset()). Ruled out: SO_LINGER, which waits in close() and so would block the loop.

--- a/libs/event/src/http_server.cpp
+++ b/libs/event/src/http_server.cpp
@@ -146,8 +146,7 @@
 void http_server::close_idle_connections() {
     for (const auto& connection : std::list(this->connections)) {
         if (connection->is_idle()) {
-            connection->close(connection_end_reason::server_stopping,
-                              connection_end_manner::closed_by_server);
+            connection->start_closing(connection_end_reason::server_stopping);
         }
     }
 }
--- a/libs/event/src/server_connection.cpp
+++ b/libs/event/src/server_connection.cpp
@@ -201,7 +201,7 @@
                                         has_connection_close(next.response->headers));
         this->write(next, closes);
         if (closes) {
-            this->start_lingering_close(connection_end_reason::final_response);
+            this->start_closing(connection_end_reason::final_response);
             return;
         }
     }
@@ -247,11 +247,13 @@
     }
 }
 
-/// Discards further input, and shuts down sending once the queued responses are written. Closes
-/// when the caller does, at the latest after linger_timeout.
-void server_connection::start_lingering_close(connection_end_reason reason) {
+void server_connection::start_closing(connection_end_reason reason) {
+    if (this->closing_reason) {
+        return;
+    }
     this->closing_reason = reason;
     this->reading_stopped = true;
+    this->header_timer = timer();
     this->idle_timer = timer();
     this->linger_timer = this->server.owner.after(this->server.limits.linger_timeout, [this] {
         const auto self = this->shared_from_this();
@@ -259,15 +261,20 @@
     });
     evbuffer* input = bufferevent_get_input(this->stream.get());
     evbuffer_drain(input, evbuffer_get_length(input));
+    this->shut_down_sending_if_written();
 }
 
-void server_connection::handle_output_drained() {
+void server_connection::shut_down_sending_if_written() {
     if (this->closing_reason && !this->is_writing() && !this->sent_fin) {
         this->sent_fin = true;
         shutdown(bufferevent_getfd(this->stream.get()), SHUT_WR);
     }
 }
 
+void server_connection::handle_output_drained() {
+    this->shut_down_sending_if_written();
+}
+
 void server_connection::handle_end_event(bool is_failure) {
     if (is_failure) {
         this->close(connection_end_reason::connection_failed, connection_end_manner::failed);
@@ -281,8 +288,7 @@
         return;
     }
     this->idle_timer = this->server.owner.after(this->server.limits.idle_timeout, [this] {
-        const auto self = this->shared_from_this();
-        this->close(connection_end_reason::idle, connection_end_manner::closed_by_server);
+        this->start_closing(connection_end_reason::idle);
     });
 }
 
@@ -337,7 +343,8 @@
 }
 
 bool server_connection::is_idle() const {
-    return this->exchanges.empty() && this->parser == nullptr && !this->is_writing() &&
+    return !this->closing_reason && this->exchanges.empty() && this->parser == nullptr &&
+           !this->is_writing() &&
            evbuffer_get_length(bufferevent_get_input(this->stream.get())) == 0;
 }
 
--- a/libs/event/src/server_connection.h
+++ b/libs/event/src/server_connection.h
@@ -32,10 +32,15 @@
     /// Discards what was received behind a running request, and reads no more: the response to the
     /// last running request closes the connection. Has no effect while no request runs.
     void stop_reading_behind_running();
-    /// Closes the connection; its running requests are notified of the disconnect.
+    /// Ends the connection without a reset, which could discard responses before the caller reads
+    /// them: reads and discards what the caller sends on, shuts down sending once all responses are
+    /// written, and waits for the caller to close. Has no effect while the connection is closing.
+    void start_closing(connection_end_reason reason);
+    /// Closes the connection at once; its running requests are notified of the disconnect.
     /// \param reason why it ends, unless it is closing already
     void close(connection_end_reason reason, connection_end_manner manner);
-    /// True when no request is running or partly received and all responses are written.
+    /// True when no request is running or partly received, all responses are written, and the
+    /// connection is not closing.
     [[nodiscard]] bool is_idle() const;
     [[nodiscard]] std::size_t bytes_queued() const;
     [[nodiscard]] bool is_writing() const { return this->bytes_queued() > 0; }
@@ -67,7 +72,7 @@
     void write(exchange& next, bool closes);
     void handle_output_drained();
     void handle_end_event(bool is_failure);
-    void start_lingering_close(connection_end_reason reason);
+    void shut_down_sending_if_written();
     void handle_partial_request();
     void restart_idle_timer();
     void handle_header_timeout();
--- /dev/null
+++ b/libs/event/tests/connection_close_test.cpp
@@ -0,0 +1,53 @@
+#include <boost/test/unit_test.hpp>
+
+#include <string>
+
+#include "one_caller_server.h"
+
+using namespace knapweedknot;
+using harness::get_request;
+using harness::one_caller_server;
+using harness::one_caller_server_address;
+using harness::raw_socket;
+
+/// \file
+/// What a caller gets when the server ends its connection: one test for each state in which the
+/// answers and the caller's bytes can be at that moment.
+
+namespace {
+
+// A caller that takes its answers slowly.
+constexpr int small_receive_buffer = 4096;
+constexpr std::size_t slow_read_bytes = 4096;
+constexpr duration slow_read_interval = milliseconds(5);
+constexpr std::size_t long_answer_bytes = std::size_t{400} * 1024;
+// More than the kernel's buffers hold.
+constexpr std::size_t huge_answer_bytes = std::size_t{16} * 1024 * 1024;
+
+http_server_limits short_limits() {
+    http_server_limits limits;
+    limits.idle_timeout = milliseconds(100);
+    limits.linger_timeout = milliseconds(200);
+    return limits;
+}
+
+std::string long_answer() {
+    return std::string(long_answer_bytes, 'x');
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(connection_close)
+
+// Guards against a reset, which can drop answers in transit, for a request that crosses the close
+// of an idle connection (LOST).
+BOOST_AUTO_TEST_CASE(a_request_that_crosses_the_close_of_an_idle_connection_resets_nothing) {
+    one_caller_server fixture(short_limits());
+    fixture.run_until([&] { return fixture.caller.is_closed_by_peer(); });
+    fixture.caller.send(get_request("/1"));
+    fixture.run_for(milliseconds(50));
+    BOOST_TEST(!fixture.caller.is_reset());
+    BOOST_TEST(fixture.requests.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
