A closing connection lingers until its caller has taken the last answer (LOST)

Callers that take a long answer slowly got it cut: the time to linger counted from when the answer was queued, so 2 s later the socket was closed, with the rest in the kernel and mostly with unread pipelined requests, which makes the kernel drop the rest. Now the time counts from the last byte that the caller's host acknowledged (SIOCOUTQ).

--- a/libs/event/include/event/http_server.h
+++ b/libs/event/include/event/http_server.h
@@ -34,8 +34,8 @@
     duration idle_timeout{seconds(60)};
     /// Maximum time from the first byte of a request to the end of its header section.
     duration header_timeout{seconds(60)};
-    /// After it has shut down sending on a connection, the server waits for this long for the caller
-    /// to close.
+    /// The server closes a connection that it ends once the caller has closed it, or has taken no
+    /// byte of the responses for this long.
     duration linger_timeout{seconds(2)};
     /// Requests of one connection that may run at once; no further requests are read until one of
     /// them completes.
--- a/libs/event/src/server_connection.cpp
+++ b/libs/event/src/server_connection.cpp
@@ -19,6 +19,8 @@
 
 // Maximum bytes buffered from a caller while its requests run.
 constexpr std::size_t max_read_ahead_bytes = std::size_t{64} * 1024;
+// Checks within the linger timeout whether the caller still takes its responses.
+constexpr int linger_checks = 8;
 // Written responses that are remembered before the kernel is asked which of them are delivered.
 constexpr std::size_t max_remembered_responses = 16;
 
@@ -242,8 +244,7 @@
     }
     this->written_responses.add(std::move(next.id), evbuffer_get_length(output) - bytes_before);
     if (this->written_responses.size() > max_remembered_responses) {
-        this->written_responses.forget_delivered(this->bytes_queued() +
-                                                 this->unacknowledged_response_bytes());
+        this->written_responses.forget_delivered(this->undelivered_bytes());
     }
 }
 
@@ -255,15 +256,23 @@
     this->reading_stopped = true;
     this->header_timer = timer();
     this->idle_timer = timer();
-    this->linger_timer = this->server.owner.after(this->server.limits.linger_timeout, [this] {
-        const auto self = this->shared_from_this();
-        this->close(*this->closing_reason, connection_end_manner::timed_out);
-    });
+    this->delivery.restart(this->undelivered_bytes(), boot_clock::now());
+    this->linger_timer = this->server.owner.every(
+        this->server.limits.linger_timeout / linger_checks, [this] { this->check_linger(); });
     evbuffer* input = bufferevent_get_input(this->stream.get());
     evbuffer_drain(input, evbuffer_get_length(input));
     this->shut_down_sending_if_written();
 }
 
+void server_connection::check_linger() {
+    const auto self = this->shared_from_this();
+    const time_point now = boot_clock::now();
+    this->delivery.note(this->undelivered_bytes(), now);
+    if (this->delivery.unchanged_for(now) >= this->server.limits.linger_timeout) {
+        this->close(*this->closing_reason, connection_end_manner::timed_out);
+    }
+}
+
 void server_connection::shut_down_sending_if_written() {
     if (this->closing_reason && !this->is_writing() && !this->sent_fin) {
         this->sent_fin = true;
@@ -325,6 +334,10 @@
     return this->sent_fin && bytes > 0 ? bytes - 1 : bytes;
 }
 
+std::size_t server_connection::undelivered_bytes() const {
+    return this->bytes_queued() + this->unacknowledged_response_bytes();
+}
+
 connection_end server_connection::describe_end(connection_end_reason reason,
                                                connection_end_manner manner) const {
     connection_end end;
--- a/libs/event/src/server_connection.h
+++ b/libs/event/src/server_connection.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 
+#include "delivery_progress.h"
 #include "event/connection_end.h"
 #include "event/http_server.h"
 #include "http_parser.h"
@@ -73,12 +74,15 @@
     void handle_output_drained();
     void handle_end_event(bool is_failure);
     void shut_down_sending_if_written();
+    void check_linger();
     void handle_partial_request();
     void restart_idle_timer();
     void handle_header_timeout();
     [[nodiscard]] parse_limits parser_limits() const;
     /// Bytes of responses that the kernel holds and the caller's host has not acknowledged.
     [[nodiscard]] std::size_t unacknowledged_response_bytes() const;
+    /// Bytes of responses that the caller's host has not acknowledged.
+    [[nodiscard]] std::size_t undelivered_bytes() const;
     [[nodiscard]] connection_end describe_end(connection_end_reason reason,
                                               connection_end_manner manner) const;
 
@@ -91,6 +95,7 @@
     bool pending_keeps_alive{true};
     std::deque<exchange> exchanges;
     response_ledger written_responses;
+    delivery_progress delivery;
     bool reading_stopped{false};
     /// Why the connection is being closed, while it is.
     std::optional<connection_end_reason> closing_reason;
--- a/libs/event/tests/connection_close_test.cpp
+++ b/libs/event/tests/connection_close_test.cpp
@@ -50,4 +50,23 @@
     BOOST_TEST(fixture.requests.empty());
 }
 
+// Guards against a last answer that is cut while its caller takes it, as the time to linger counted
+// from when the answer was queued (LOST).
+BOOST_AUTO_TEST_CASE(a_closing_connection_lingers_while_its_caller_takes_the_last_answer) {
+    one_caller_server fixture(short_limits(), small_receive_buffer);
+    fixture.caller.send(get_request("/1"));
+    fixture.wait_for_requests(1);
+    fixture.server.close_after_responses();
+    fixture.respond(0, long_answer());
+    fixture.read_slowly_until(slow_read_bytes, slow_read_interval, [&] {
+        return fixture.received.size() > long_answer_bytes * 3 / 4 || fixture.caller.is_reset();
+    });
+    fixture.caller.send(get_request("/2"));
+    fixture.read_slowly_until(slow_read_bytes, slow_read_interval,
+                              [&] { return fixture.caller.is_closed_by_peer(); });
+    BOOST_TEST(fixture.received.size() > long_answer_bytes);
+    BOOST_TEST(!fixture.caller.is_reset());
+    BOOST_TEST(fixture.requests.size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
