The idle timeout runs from when a caller has taken its answer (LOST)

Callers that take answers slowly got them cut when the idle timeout of a policy was shorter than the sending: the timer began when the answer was queued, and closed the socket on what the kernel and the process still held. Now a connection counts as active while its caller takes bytes; one that takes none for 10 s is given up (write_stalled), which the idle timeout did before as a side effect.

the_idle_timeout_does_not_cut_an_answer_that_the_caller_is_taking failed before: 208,896 of 409,600 bytes, reset. a_caller_that_takes_no_byte_of_its_answer_is_given_up keeps the other side.

--- a/libs/event/include/event/connection_end.h
+++ b/libs/event/include/event/connection_end.h
@@ -19,6 +19,8 @@
     connection_failed,
     /// No request was received within the idle timeout.
     idle,
+    /// The caller took no byte of its responses for too long.
+    write_stalled,
     /// A response closed the connection, as the request, the response or the server demanded.
     final_response,
     /// The connection was idle when the server stopped.
@@ -45,6 +47,7 @@
     connection_end_reason::caller_closed,
     connection_end_reason::connection_failed,
     connection_end_reason::idle,
+    connection_end_reason::write_stalled,
     connection_end_reason::final_response,
     connection_end_reason::server_stopping,
     connection_end_reason::request_dropped,
--- a/libs/event/include/event/http_server.h
+++ b/libs/event/include/event/http_server.h
@@ -30,8 +30,12 @@
 struct http_server_limits {
     std::size_t max_header_bytes{std::size_t{64} * 1024};
     std::size_t max_body_bytes{std::size_t{4} * 1024 * 1024};
-    /// Time without received data after which an idle caller connection is closed.
+    /// Time after which an idle caller connection is closed. It runs from when the caller has taken
+    /// the last response.
     duration idle_timeout{seconds(60)};
+    /// Time for which a caller may take no byte of its responses, at least the idle timeout. A host
+    /// that is cut off for some seconds, or resends over a lossy link, is not given up.
+    duration write_stall_timeout{seconds(10)};
     /// Maximum time from the first byte of a request to the end of its header section.
     duration header_timeout{seconds(60)};
     /// The server closes a connection that it ends once the caller has closed it, or has taken no
--- a/libs/event/src/connection_end.cpp
+++ b/libs/event/src/connection_end.cpp
@@ -10,6 +10,8 @@
         return "connection_failed";
     case connection_end_reason::idle:
         return "idle";
+    case connection_end_reason::write_stalled:
+        return "write_stalled";
     case connection_end_reason::final_response:
         return "final_response";
     case connection_end_reason::server_stopping:
--- a/libs/event/src/server_connection.cpp
+++ b/libs/event/src/server_connection.cpp
@@ -21,6 +21,8 @@
 constexpr std::size_t max_read_ahead_bytes = std::size_t{64} * 1024;
 // Checks within the linger timeout whether the caller still takes its responses.
 constexpr int linger_checks = 8;
+// Keeps the checks of many idle connections cheap whatever the idle timeout.
+constexpr duration min_idle_check_interval = milliseconds(20);
 // Written responses that are remembered before the kernel is asked which of them are delivered.
 constexpr std::size_t max_remembered_responses = 16;
 
@@ -281,6 +283,7 @@
 }
 
 void server_connection::handle_output_drained() {
+    this->last_active = boot_clock::now();
     this->shut_down_sending_if_written();
 }
 
@@ -296,9 +299,37 @@
     if (this->closing_reason) {
         return;
     }
-    this->idle_timer = this->server.owner.after(this->server.limits.idle_timeout, [this] {
-        this->start_closing(connection_end_reason::idle);
-    });
+    this->last_active = boot_clock::now();
+    this->delivery = {};
+    this->schedule_idle_check(this->server.limits.idle_timeout);
+}
+
+void server_connection::schedule_idle_check(duration delay) {
+    this->idle_timer = this->server.owner.after(std::max<duration>(delay, min_idle_check_interval),
+                                                [this] { this->check_idle(); });
+}
+
+/// Closes the connection if it was idle for long enough. It counts as active while the caller takes
+/// its responses.
+void server_connection::check_idle() {
+    const auto self = this->shared_from_this();
+    const time_point now = boot_clock::now();
+    const duration idle_timeout = this->server.limits.idle_timeout;
+    const std::size_t undelivered = this->undelivered_bytes();
+    this->delivery.note(undelivered, now);
+    if (undelivered > 0) {
+        if (this->delivery.unchanged_for(now) >=
+            std::max(idle_timeout, this->server.limits.write_stall_timeout)) {
+            this->close(connection_end_reason::write_stalled, connection_end_manner::timed_out);
+            return;
+        }
+        this->last_active = now;
+    }
+    if (const duration idle = now - this->last_active; idle < idle_timeout) {
+        this->schedule_idle_check(idle_timeout - idle);
+        return;
+    }
+    this->start_closing(connection_end_reason::idle);
 }
 
 void server_connection::close(connection_end_reason reason, connection_end_manner manner) {
--- a/libs/event/src/server_connection.h
+++ b/libs/event/src/server_connection.h
@@ -77,6 +77,8 @@
     void check_linger();
     void handle_partial_request();
     void restart_idle_timer();
+    void schedule_idle_check(duration delay);
+    void check_idle();
     void handle_header_timeout();
     [[nodiscard]] parse_limits parser_limits() const;
     /// Bytes of responses that the kernel holds and the caller's host has not acknowledged.
@@ -96,6 +98,8 @@
     std::deque<exchange> exchanges;
     response_ledger written_responses;
     delivery_progress delivery;
+    /// When the connection last was in use, while no request runs.
+    time_point last_active;
     bool reading_stopped{false};
     /// Why the connection is being closed, while it is.
     std::optional<connection_end_reason> closing_reason;
--- a/libs/event/tests/connection_close_test.cpp
+++ b/libs/event/tests/connection_close_test.cpp
@@ -1,6 +1,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <string>
+#include <vector>
 
 #include "one_caller_server.h"
 
@@ -39,6 +40,43 @@
 
 BOOST_AUTO_TEST_SUITE(connection_close)
 
+// Guards against answers that are cut since the idle timeout ran while the caller took them (LOST).
+BOOST_AUTO_TEST_CASE(the_idle_timeout_does_not_cut_an_answer_that_the_caller_is_taking) {
+    one_caller_server fixture(short_limits(), small_receive_buffer);
+    fixture.caller.send(get_request("/1"));
+    fixture.wait_for_requests(1);
+    fixture.respond(0, long_answer());
+    fixture.read_slowly_until(slow_read_bytes, slow_read_interval,
+                              [&] { return fixture.received.size() > long_answer_bytes / 2; });
+    fixture.caller.send(get_request("/2"));
+    fixture.read_slowly_until(slow_read_bytes, slow_read_interval, [&] {
+        return fixture.received.size() > long_answer_bytes || fixture.caller.is_reset();
+    });
+    BOOST_TEST(fixture.received.size() > long_answer_bytes);
+    BOOST_TEST(!fixture.caller.is_reset());
+    fixture.wait_for_requests(2);
+    fixture.respond(1, "two");
+    fixture.run_until([&] {
+        fixture.received += fixture.caller.read_available();
+        return fixture.received.ends_with("two");
+    });
+}
+
+// Guards against callers that never take their answers and keep connections and memory for good.
+BOOST_AUTO_TEST_CASE(a_caller_that_takes_no_byte_of_its_answer_is_given_up) {
+    http_server_limits limits = short_limits();
+    limits.write_stall_timeout = milliseconds(300);
+    one_caller_server fixture(limits, small_receive_buffer);
+    fixture.caller.send(get_request("/1", "a"));
+    fixture.wait_for_requests(1);
+    fixture.respond(0, long_answer());
+    fixture.run_for(limits.idle_timeout * 2);
+    BOOST_TEST(fixture.ends.empty());
+    fixture.run_until([&] { return !fixture.ends.empty(); });
+    BOOST_TEST(to_string(fixture.ends.front().reason) == "write_stalled");
+    BOOST_TEST(fixture.ends.front().undelivered == std::vector<std::string>{"a"});
+}
+
 // Guards against a reset, which can drop answers in transit, for a request that crosses the close
 // of an idle connection (LOST).
 BOOST_AUTO_TEST_CASE(a_request_that_crosses_the_close_of_an_idle_connection_resets_nothing) {
