A connection with a request or an answer in the kernel is not closed as idle (LOST)

A planned stop closes idle connections every 50 ms, and each idle timeout closes one. Both looked at the buffers of the process only: a request that stood in the kernel got a reset instead of an answer, and an answer that the kernel still held could be dropped with it.

a_connection_with_an_unread_request_is_not_closed_as_idle failed before (no request within 5 s).

--- a/libs/event/src/server_connection.cpp
+++ b/libs/event/src/server_connection.cpp
@@ -317,6 +317,9 @@
     const duration idle_timeout = this->server.limits.idle_timeout;
     const std::size_t undelivered = this->undelivered_bytes();
     this->delivery.note(undelivered, now);
+    if (this->unread_input_bytes() > 0) {
+        this->last_active = now;
+    }
     if (undelivered > 0) {
         if (this->delivery.unchanged_for(now) >=
             std::max(idle_timeout, this->server.limits.write_stall_timeout)) {
@@ -381,15 +384,18 @@
     end.unacknowledged_bytes = this->unacknowledged_response_bytes();
     end.undelivered =
         this->written_responses.undelivered(end.unsent_bytes + end.unacknowledged_bytes);
-    end.unread_bytes = evbuffer_get_length(bufferevent_get_input(this->stream.get())) +
-                       unread_bytes(bufferevent_getfd(this->stream.get()));
+    end.unread_bytes = this->unread_input_bytes();
     return end;
 }
 
+std::size_t server_connection::unread_input_bytes() const {
+    return evbuffer_get_length(bufferevent_get_input(this->stream.get())) +
+           unread_bytes(bufferevent_getfd(this->stream.get()));
+}
+
 bool server_connection::is_idle() const {
     return !this->closing_reason && this->exchanges.empty() && this->parser == nullptr &&
-           !this->is_writing() &&
-           evbuffer_get_length(bufferevent_get_input(this->stream.get())) == 0;
+           this->undelivered_bytes() == 0 && this->unread_input_bytes() == 0;
 }
 
 } // namespace knapweedknot::detail
--- a/libs/event/src/server_connection.h
+++ b/libs/event/src/server_connection.h
@@ -40,8 +40,8 @@
     /// Closes the connection at once; its running requests are notified of the disconnect.
     /// \param reason why it ends, unless it is closing already
     void close(connection_end_reason reason, connection_end_manner manner);
-    /// True when no request is running or partly received, all responses are written, and the
-    /// connection is not closing.
+    /// True when no request is running or received in part, the caller's host has acknowledged all
+    /// responses, and the connection is not closing.
     [[nodiscard]] bool is_idle() const;
     [[nodiscard]] std::size_t bytes_queued() const;
     [[nodiscard]] bool is_writing() const { return this->bytes_queued() > 0; }
@@ -85,6 +85,8 @@
     [[nodiscard]] std::size_t unacknowledged_response_bytes() const;
     /// Bytes of responses that the caller's host has not acknowledged.
     [[nodiscard]] std::size_t undelivered_bytes() const;
+    /// Received bytes that were not parsed, those in the kernel included.
+    [[nodiscard]] std::size_t unread_input_bytes() const;
     [[nodiscard]] connection_end describe_end(connection_end_reason reason,
                                               connection_end_manner manner) const;
 
--- a/libs/event/tests/connection_close_test.cpp
+++ b/libs/event/tests/connection_close_test.cpp
@@ -88,6 +88,19 @@
     BOOST_TEST(fixture.requests.empty());
 }
 
+// Guards against a planned stop that closes a connection as idle although a request stands in the
+// kernel's buffer (LOST).
+BOOST_AUTO_TEST_CASE(a_connection_with_an_unread_request_is_not_closed_as_idle) {
+    one_caller_server fixture;
+    fixture.server.close_after_responses();
+    fixture.caller.send(get_request("/1"));
+    fixture.server.close_idle_connections();
+    fixture.wait_for_requests(1);
+    fixture.respond(0, "one");
+    fixture.read_to_end();
+    BOOST_TEST(fixture.received.ends_with("one"));
+}
+
 // Guards against a last answer that is cut while its caller takes it, as the time to linger counted
 // from when the answer was queued (LOST).
 BOOST_AUTO_TEST_CASE(a_closing_connection_lingers_while_its_caller_takes_the_last_answer) {
