--- a/libs/event/include/event/http_server.h
+++ b/libs/event/include/event/http_server.h
@@ -36,7 +36,8 @@
     /// Time for which a caller may take no byte of its responses, at least the idle timeout. A host
     /// that is cut off for some seconds, or resends over a lossy link, is not given up.
     duration write_stall_timeout{seconds(10)};
-    /// Maximum time from the first byte of a request to the end of its header section.
+    /// Maximum time from the first byte of a request to the end of its header section. The parts of
+    /// a body may be this far apart, or idle_timeout if that is longer.
     duration header_timeout{seconds(60)};
     /// The server closes a connection that it ends once the caller has closed it, or has taken no
     /// byte of the responses for this long.
--- a/libs/event/src/server_connection.cpp
+++ b/libs/event/src/server_connection.cpp
@@ -104,31 +104,34 @@
     }
 }
 
-/// Starts the header timeout, or after the header section answers "Expect: 100-continue".
+/// Starts the timeout of the header section, or after the header section that of the next part of
+/// the body, and answers "Expect: 100-continue".
 void server_connection::handle_partial_request() {
+    const http_server_limits& limits = this->server.limits;
     if (this->parser->state() == parse_state::in_body) {
-        this->header_timer = timer();
         if (this->parser->expects_continue() && !this->sent_continue) {
             this->sent_continue = true;
             constexpr std::string_view interim = "HTTP/1.1 100 Continue\r\n\r\n";
             bufferevent_write(this->stream.get(), interim.data(), interim.size());
         }
-        this->restart_idle_timer();
+        this->start_receive_timer(std::max(limits.idle_timeout, limits.header_timeout));
         return;
     }
-    if (!this->header_timer) {
-        this->header_timer = this->server.owner.after(this->server.limits.header_timeout,
-                                                      [this] { this->handle_header_timeout(); });
+    if (!this->receive_timer) {
+        this->start_receive_timer(limits.header_timeout);
     }
 }
 
-void server_connection::handle_header_timeout() {
-    const auto self = this->shared_from_this();
-    this->reject({error_kind::request_timeout, "the head of the request took too long"});
+/// Rejects the partly received request after \p timeout. Requests before it are still answered.
+void server_connection::start_receive_timer(duration timeout) {
+    this->receive_timer = this->server.owner.after(timeout, [this] {
+        const auto self = this->shared_from_this();
+        this->reject({error_kind::request_timeout, "the request took too long to arrive"});
+    });
 }
 
 void server_connection::take_request() {
-    this->header_timer = timer();
+    this->receive_timer = timer();
     this->sent_continue = false;
     const bool keeps_alive = this->parser->keeps_alive();
     http_request message = this->parser->take();
@@ -164,13 +167,13 @@
     this->reading_stopped = true;
     this->pending_request.reset();
     this->parser.reset();
-    this->header_timer = timer();
+    this->receive_timer = timer();
     this->idle_timer = timer();
 }
 
 /// Queues an error response behind the earlier ones, then closes the connection.
 void server_connection::reject(const error& problem) {
-    this->header_timer = timer();
+    this->receive_timer = timer();
     this->parser.reset();
     this->reading_stopped = true;
     exchange rejected;
@@ -256,7 +259,7 @@
     }
     this->closing_reason = reason;
     this->reading_stopped = true;
-    this->header_timer = timer();
+    this->receive_timer = timer();
     this->idle_timer = timer();
     this->delivery.restart(this->undelivered_bytes(), boot_clock::now());
     this->linger_timer = this->server.owner.every(
@@ -344,7 +347,7 @@
             this->describe_end(this->closing_reason.value_or(reason), manner));
     }
     this->stream.reset();
-    this->header_timer = timer();
+    this->receive_timer = timer();
     this->idle_timer = timer();
     this->linger_timer = timer();
     std::deque<exchange> abandoned = std::move(this->exchanges);
--- a/libs/event/src/server_connection.h
+++ b/libs/event/src/server_connection.h
@@ -79,7 +79,7 @@
     void restart_idle_timer();
     void schedule_idle_check(duration delay);
     void check_idle();
-    void handle_header_timeout();
+    void start_receive_timer(duration timeout);
     [[nodiscard]] parse_limits parser_limits() const;
     /// Bytes of responses that the kernel holds and the caller's host has not acknowledged.
     [[nodiscard]] std::size_t unacknowledged_response_bytes() const;
@@ -107,7 +107,7 @@
     std::optional<connection_end_reason> closing_reason;
     bool sent_fin{false};
     bool sent_continue{false};
-    timer header_timer;
+    timer receive_timer;
     timer idle_timer;
     timer linger_timer;
 };
--- a/libs/event/tests/connection_close_test.cpp
+++ b/libs/event/tests/connection_close_test.cpp
@@ -120,4 +120,20 @@
     BOOST_TEST(fixture.requests.size() == 1U);
 }
 
+// Guards against requests that are broken off since the body of another one, sent behind them,
+// stops arriving (LOST).
+BOOST_AUTO_TEST_CASE(a_body_that_stops_arriving_does_not_end_the_requests_before_it) {
+    http_server_limits limits = short_limits();
+    limits.header_timeout = limits.idle_timeout;
+    one_caller_server fixture(limits);
+    fixture.caller.send(get_request("/1") +
+                        "POST /2 HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbo");
+    fixture.wait_for_requests(1);
+    fixture.run_for(limits.idle_timeout * 2);
+    fixture.respond(0, "one");
+    fixture.read_to_end();
+    BOOST_TEST(fixture.count("HTTP/1.1 200") == 1U);
+    BOOST_TEST(fixture.count("HTTP/1.1 408") == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
