Connections that the kernel has established are served when the server stops listening (LOST)

Callers that connected in the last moments of the accepting time of a planned stop, and had sent a request, got a reset: closing the listener resets what stands in its queue. Now the queue is accepted first.

connections_that_wait_to_be_accepted_are_served_when_the_server_stops failed before (no request within 5 s).

--- a/libs/event/include/event/http_server.h
+++ b/libs/event/include/event/http_server.h
@@ -109,7 +109,8 @@
 
     /// Starts listening on \p address. Fails with internal when the address cannot be bound.
     [[nodiscard]] result<void> listen(const endpoint& address);
-    /// Stops accepting connections; open connections are still served.
+    /// Stops accepting connections. Open connections are still served, and so are those that the
+    /// kernel has established by now.
     void stop_listening();
     /// Replaces the limits. Partly received requests and running timers keep the previous ones.
     void set_limits(const http_server_limits& limits) noexcept { this->limits = limits; }
@@ -144,6 +145,7 @@
     friend class detail::server_connection;
     static void accepted(evconnlistener* listener, int socket, sockaddr* address, int size,
                          void* argument);
+    void accept_queued();
     void remove(detail::server_connection& connection);
 
     loop& owner;
--- a/libs/event/src/http_server.cpp
+++ b/libs/event/src/http_server.cpp
@@ -133,9 +133,27 @@
 }
 
 void http_server::stop_listening() {
+    if (this->listener != nullptr) {
+        this->accept_queued();
+    }
     this->listener.reset();
 }
 
+/// Accepts the connections that the kernel has established; closing the listener would reset them.
+void http_server::accept_queued() {
+    const int socket = evconnlistener_get_fd(this->listener.get());
+    for (int count = 0; count < listen_backlog; ++count) {
+        sockaddr_in from{};
+        socklen_t size = sizeof from;
+        auto* address = reinterpret_cast<sockaddr*>(&from);
+        const int connected = accept4(socket, address, &size, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (connected < 0) {
+            return;
+        }
+        accepted(nullptr, connected, address, static_cast<int>(size), this);
+    }
+}
+
 void http_server::close_after_responses() {
     this->draining = true;
     for (const auto& connection : this->connections) {
--- a/libs/event/tests/connection_close_test.cpp
+++ b/libs/event/tests/connection_close_test.cpp
@@ -136,4 +136,21 @@
     BOOST_TEST(fixture.count("HTTP/1.1 408") == 1U);
 }
 
+// Guards against connections that the kernel has accepted and a planned stop resets, with the
+// requests that they carry (LOST).
+BOOST_AUTO_TEST_CASE(connections_that_wait_to_be_accepted_are_served_when_the_server_stops) {
+    one_caller_server fixture;
+    raw_socket second;
+    second.connect(one_caller_server_address);
+    second.send(get_request("/1"));
+    fixture.server.stop_listening();
+    fixture.wait_for_requests(1);
+    fixture.respond(0, "one");
+    std::string received;
+    fixture.run_until([&] {
+        received += second.read_available();
+        return received.ends_with("one");
+    });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
