Written responses are delivered to a caller that has only stopped sending (LOST)

Callers that close their sending side after the last request lost responses that were written but not yet taken: the end of their bytes closed the connection. RFC 9112, 9.6 leaves open what it means. What runs is cancelled as before, since the end of the sending side is also how a caller leaves; what is written is delivered.

--- a/libs/event/src/server_connection.cpp
+++ b/libs/event/src/server_connection.cpp
@@ -148,11 +148,9 @@
 void server_connection::start_request(http_request&& message, bool keeps_alive) {
     this->reading_stopped = this->reading_stopped || !keeps_alive;
     const bool is_head = message.method == "HEAD";
-    const std::string* id = find_header(message.headers, this->server.id_header);
-    std::string known_id = id == nullptr ? std::string() : *id;
+    std::string id = this->id_of(message);
     auto request = std::make_shared<incoming_request>(*this, std::move(message));
-    this->exchanges.push_back(
-        {request.get(), std::move(known_id), is_head, !keeps_alive, std::nullopt});
+    this->exchanges.push_back({request.get(), std::move(id), is_head, !keeps_alive, std::nullopt});
     ++this->server.running;
     if (this->server.draining) {
         this->stop_reading_behind_running();
@@ -160,6 +158,11 @@
     this->server.on_request(std::move(request));
 }
 
+std::string server_connection::id_of(const http_request& message) const {
+    const std::string* id = find_header(message.headers, this->server.id_header);
+    return id == nullptr ? std::string() : *id;
+}
+
 void server_connection::stop_reading_behind_running() {
     if (this->exchanges.empty()) {
         return;
@@ -272,6 +275,15 @@
 void server_connection::check_linger() {
     const auto self = this->shared_from_this();
     const time_point now = boot_clock::now();
+    this->close_if_delivered();
+    if (this->stream == nullptr) {
+        return;
+    }
+    // With nothing to read or to write, no event tells that the connection has failed.
+    if (has_failed(bufferevent_getfd(this->stream.get()))) {
+        this->close(connection_end_reason::connection_failed, connection_end_manner::failed);
+        return;
+    }
     this->delivery.note(this->undelivered_bytes(), now);
     if (this->delivery.unchanged_for(now) >= this->server.limits.linger_timeout) {
         this->close(*this->closing_reason, connection_end_manner::timed_out);
@@ -288,12 +300,38 @@
 void server_connection::handle_output_drained() {
     this->last_active = boot_clock::now();
     this->shut_down_sending_if_written();
+    this->close_if_delivered();
 }
 
+/// The end of what the caller sends, or of the connection. A caller that only stops sending cannot
+/// be told from one that has left: its running requests are cancelled, and the responses that are
+/// written are still delivered.
 void server_connection::handle_end_event(bool is_failure) {
     if (is_failure) {
         this->close(connection_end_reason::connection_failed, connection_end_manner::failed);
-    } else {
+        return;
+    }
+    this->caller_stopped_sending = true;
+    this->start_closing(connection_end_reason::caller_closed);
+    this->cancel_requests();
+    this->close_if_delivered();
+}
+
+/// Notifies the running requests of the disconnect. Responses behind them are not sent.
+void server_connection::cancel_requests() {
+    this->cancelled_requests = this->unanswered_requests();
+    const std::deque<exchange> abandoned = std::exchange(this->exchanges, {});
+    this->pending_request.reset();
+    for (const exchange& item : abandoned) {
+        if (item.request != nullptr) {
+            --this->server.running;
+            item.request->handle_disconnect();
+        }
+    }
+}
+
+void server_connection::close_if_delivered() {
+    if (this->stream != nullptr && this->caller_stopped_sending && this->undelivered_bytes() == 0) {
         this->close(connection_end_reason::caller_closed, connection_end_manner::closed_by_caller);
     }
 }
@@ -350,15 +388,8 @@
     this->receive_timer = timer();
     this->idle_timer = timer();
     this->linger_timer = timer();
-    std::deque<exchange> abandoned = std::move(this->exchanges);
-    this->exchanges.clear();
     this->server.remove(*this);
-    for (const exchange& item : abandoned) {
-        if (item.request != nullptr) {
-            --this->server.running;
-            item.request->handle_disconnect();
-        }
-    }
+    this->cancel_requests();
 }
 
 std::size_t server_connection::bytes_queued() const {
@@ -375,14 +406,23 @@
     return this->bytes_queued() + this->unacknowledged_response_bytes();
 }
 
+std::vector<std::string> server_connection::unanswered_requests() const {
+    std::vector<std::string> ids = this->cancelled_requests;
+    for (const exchange& item : this->exchanges) {
+        ids.push_back(item.id);
+    }
+    if (this->pending_request) {
+        ids.push_back(this->id_of(*this->pending_request));
+    }
+    return ids;
+}
+
 connection_end server_connection::describe_end(connection_end_reason reason,
                                                connection_end_manner manner) const {
     connection_end end;
     end.reason = reason;
     end.manner = manner;
-    for (const exchange& item : this->exchanges) {
-        end.unanswered.push_back(item.id);
-    }
+    end.unanswered = this->unanswered_requests();
     end.unsent_bytes = this->bytes_queued();
     end.unacknowledged_bytes = this->unacknowledged_response_bytes();
     end.undelivered =
--- a/libs/event/src/server_connection.h
+++ b/libs/event/src/server_connection.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "delivery_progress.h"
 #include "event/connection_end.h"
@@ -75,6 +76,8 @@
     void handle_end_event(bool is_failure);
     void shut_down_sending_if_written();
     void check_linger();
+    void cancel_requests();
+    void close_if_delivered();
     void handle_partial_request();
     void restart_idle_timer();
     void schedule_idle_check(duration delay);
@@ -87,6 +90,10 @@
     [[nodiscard]] std::size_t undelivered_bytes() const;
     /// Received bytes that were not parsed, those in the kernel included.
     [[nodiscard]] std::size_t unread_input_bytes() const;
+    /// Value of the server's id_header in \p message.
+    [[nodiscard]] std::string id_of(const http_request& message) const;
+    /// Ids of the requests that were read and have no written response, in their order.
+    [[nodiscard]] std::vector<std::string> unanswered_requests() const;
     [[nodiscard]] connection_end describe_end(connection_end_reason reason,
                                               connection_end_manner manner) const;
 
@@ -106,6 +113,9 @@
     /// Why the connection is being closed, while it is.
     std::optional<connection_end_reason> closing_reason;
     bool sent_fin{false};
+    bool caller_stopped_sending{false};
+    /// Ids of requests that were cancelled since the caller stopped sending.
+    std::vector<std::string> cancelled_requests;
     bool sent_continue{false};
     timer receive_timer;
     timer idle_timer;
--- a/libs/event/src/socket_queues.cpp
+++ b/libs/event/src/socket_queues.cpp
@@ -2,6 +2,7 @@
 
 #include <linux/sockios.h>
 #include <sys/ioctl.h>
+#include <sys/socket.h>
 
 namespace knapweedknot::detail {
 
@@ -23,4 +24,10 @@
     return queue_bytes(socket, FIONREAD);
 }
 
+bool has_failed(int socket) noexcept {
+    int problem = 0;
+    socklen_t size = sizeof problem;
+    return getsockopt(socket, SOL_SOCKET, SO_ERROR, &problem, &size) == 0 && problem != 0;
+}
+
 } // namespace knapweedknot::detail
--- a/libs/event/src/socket_queues.h
+++ b/libs/event/src/socket_queues.h
@@ -3,7 +3,7 @@
 #include <cstddef>
 
 /// \file
-/// What the kernel holds for a TCP socket.
+/// What the kernel knows of a TCP socket.
 
 namespace knapweedknot::detail {
 
@@ -14,4 +14,7 @@
 /// Bytes that \p socket has received and that were not read; zero when the kernel does not tell.
 [[nodiscard]] std::size_t unread_bytes(int socket) noexcept;
 
+/// True when the connection of \p socket was reset or has failed since the last call.
+[[nodiscard]] bool has_failed(int socket) noexcept;
+
 } // namespace knapweedknot::detail
--- a/libs/event/tests/connection_close_test.cpp
+++ b/libs/event/tests/connection_close_test.cpp
@@ -153,4 +153,17 @@
     });
 }
 
+// Guards against ready answers that are dropped when the caller ends its sending side only (LOST).
+BOOST_AUTO_TEST_CASE(a_caller_that_has_only_stopped_sending_gets_its_ready_answers) {
+    one_caller_server fixture(short_limits(), small_receive_buffer);
+    fixture.caller.send(get_request("/1"));
+    fixture.wait_for_requests(1);
+    fixture.respond(0, std::string(huge_answer_bytes, 'x'));
+    fixture.run_for(milliseconds(20));
+    fixture.caller.shutdown_sending();
+    fixture.run_for(milliseconds(20));
+    fixture.read_to_end();
+    BOOST_TEST(fixture.received.size() > huge_answer_bytes);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
