--- a/libs/event/include/event/http_server.h
+++ b/libs/event/include/event/http_server.h
@@ -43,7 +43,7 @@
     /// byte of the responses for this long.
     duration linger_timeout{seconds(2)};
     /// Requests of one connection that may run at once; no further requests are read until one of
-    /// them completes.
+    /// them completes. None are read either while responses wait to be written.
     std::size_t max_concurrent_requests{8};
 };
 
--- a/libs/event/src/http_server.cpp
+++ b/libs/event/src/http_server.cpp
@@ -21,6 +21,10 @@
 // Many callers may connect at once; with a full queue a caller retries its SYN only after 1 s.
 constexpr int listen_backlog = 1024;
 
+// Bytes that the kernel takes ahead of what it can send. A larger part of the responses stays in
+// the process, where it holds back further requests of the connection.
+constexpr int max_unsent_bytes_in_kernel = 64 * 1024;
+
 std::string ip_of(const sockaddr* address) {
     std::array<char, INET_ADDRSTRLEN> text{};
     const auto* name = reinterpret_cast<const sockaddr_in*>(address);
@@ -122,6 +126,8 @@
     auto* self = static_cast<http_server*>(argument);
     const int on = 1;
     setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    setsockopt(socket, IPPROTO_TCP, TCP_NOTSENT_LOWAT, &max_unsent_bytes_in_kernel,
+               sizeof max_unsent_bytes_in_kernel);
     ++self->accepted_count;
     auto connection = std::make_shared<detail::server_connection>(*self, socket, ip_of(address));
     connection->position = self->connections.insert(self->connections.end(), connection);
--- a/libs/event/src/server_connection.cpp
+++ b/libs/event/src/server_connection.cpp
@@ -77,7 +77,8 @@
 }
 
 bool server_connection::may_read_more() const {
-    return !this->reading_stopped && !this->pending_request &&
+    const bool may_begin = this->parser != nullptr || !this->is_writing();
+    return !this->reading_stopped && !this->pending_request && may_begin &&
            this->exchanges.size() < this->server.limits.max_concurrent_requests;
 }
 
@@ -301,6 +302,9 @@
     this->last_active = boot_clock::now();
     this->shut_down_sending_if_written();
     this->close_if_delivered();
+    if (this->stream != nullptr) {
+        this->read_requests();
+    }
 }
 
 /// The end of what the caller sends, or of the connection. A caller that only stops sending cannot
--- a/libs/event/tests/connection_close_test.cpp
+++ b/libs/event/tests/connection_close_test.cpp
@@ -166,4 +166,32 @@
     BOOST_TEST(fixture.received.size() > huge_answer_bytes);
 }
 
+// Guards against requests that run, and whose answers a planned stop then cannot deliver in time,
+// for a caller that sends on without taking its answers (LOST). It also bounds the memory of such a
+// caller.
+BOOST_AUTO_TEST_CASE(further_requests_wait_until_the_caller_takes_its_answers) {
+    constexpr std::size_t requests_sent = 30;
+    constexpr std::size_t answer_bytes = std::size_t{1024} * 1024;
+    constexpr int receive_buffer = 64 * 1024;
+    one_caller_server fixture({}, receive_buffer);
+    std::string requests;
+    for (std::size_t i = 0; i < requests_sent; ++i) {
+        requests += get_request("/1");
+    }
+    fixture.caller.send(requests);
+    std::size_t answered = 0;
+    const timer responder = fixture.events.every(milliseconds(1), [&] {
+        while (answered < fixture.requests.size()) {
+            fixture.respond(answered++, std::string(answer_bytes, 'x'));
+        }
+    });
+    fixture.run_for(milliseconds(100));
+    BOOST_TEST(answered <= http_server_limits{}.max_concurrent_requests);
+    fixture.run_until([&] {
+        fixture.received += fixture.caller.read_available();
+        return fixture.received.size() > requests_sent * answer_bytes;
+    });
+    BOOST_TEST(fixture.count("HTTP/1.1 200") == requests_sent);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
