--- a/libs/event/tests/connection_close_test.cpp
+++ b/libs/event/tests/connection_close_test.cpp
@@ -194,4 +194,15 @@
     BOOST_TEST(fixture.count("HTTP/1.1 200") == requests_sent);
 }
 
+// Guards against connections that are closed by the idle timeout of an earlier policy while callers
+// count on the longer one of the present policy (LOST).
+BOOST_AUTO_TEST_CASE(a_longer_idle_timeout_holds_for_open_connections) {
+    http_server_limits limits = short_limits();
+    one_caller_server fixture(limits);
+    limits.idle_timeout = seconds(2);
+    fixture.server.set_limits(limits);
+    fixture.run_for(milliseconds(300));
+    BOOST_TEST(!fixture.caller.is_closed_by_peer());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
