A process ends only when its callers have their answers (LOST)

Callers that take an answer slowly while an instance stops lost the rest of it: the process ended once nothing ran and its own buffers were empty, whatever the kernel still held. With unread input the kernel then resets the connection and drops it; connections that lingered were cut as well. Now it ends once each caller's host has acknowledged all answers and the caller has closed or has had the time to linger, and at the latest before the platform kills it. The other instance (product settings) goes by the same question.

--- a/libs/event/include/event/http_server.h
+++ b/libs/event/include/event/http_server.h
@@ -130,6 +130,10 @@
     void close_after_responses();
     /// Closes connections without a running or partly received request.
     void close_idle_connections();
+    /// True when no request runs and closing all connections at once loses no response: each one
+    /// is idle or closing, its caller's host has all responses, and the caller has closed the
+    /// connection or had the linger timeout to read them.
+    [[nodiscard]] bool is_settled() const;
     /// Number of requests without a response.
     [[nodiscard]] std::size_t running_requests() const noexcept { return this->running; }
     /// Number of open connections.
@@ -138,8 +142,6 @@
     [[nodiscard]] std::size_t accepted_connections() const noexcept { return this->accepted_count; }
     /// Bytes of responses in the output buffers of all connections, not yet written to a socket.
     [[nodiscard]] std::size_t bytes_queued() const;
-    /// True while bytes_queued() is not zero.
-    [[nodiscard]] bool is_writing() const;
 
 private:
     friend class detail::server_connection;
--- a/libs/event/src/http_server.cpp
+++ b/libs/event/src/http_server.cpp
@@ -1,5 +1,6 @@
 #include "event/http_server.h"
 
+#include <algorithm>
 #include <array>
 #include <numeric>
 #include <utility>
@@ -181,8 +182,10 @@
         [](std::size_t sum, const auto& connection) { return sum + connection->bytes_queued(); });
 }
 
-bool http_server::is_writing() const {
-    return this->bytes_queued() > 0;
+bool http_server::is_settled() const {
+    return this->running == 0 &&
+           std::all_of(this->connections.begin(), this->connections.end(),
+                       [](const auto& connection) { return connection->is_settled(); });
 }
 
 } // namespace knapweedknot
--- a/libs/event/src/server_connection.cpp
+++ b/libs/event/src/server_connection.cpp
@@ -299,7 +299,8 @@
 }
 
 void server_connection::handle_output_drained() {
-    this->last_active = boot_clock::now();
+    this->last_written = boot_clock::now();
+    this->last_active = this->last_written;
     this->shut_down_sending_if_written();
     this->close_if_delivered();
     if (this->stream != nullptr) {
@@ -445,4 +446,10 @@
            this->undelivered_bytes() == 0 && this->unread_input_bytes() == 0;
 }
 
+bool server_connection::is_settled() const {
+    const bool is_ended = this->closing_reason ? this->undelivered_bytes() == 0 : this->is_idle();
+    const duration quiet = boot_clock::now() - this->last_written;
+    return is_ended && quiet >= this->server.limits.linger_timeout;
+}
+
 } // namespace knapweedknot::detail
--- a/libs/event/src/server_connection.h
+++ b/libs/event/src/server_connection.h
@@ -44,6 +44,10 @@
     /// True when no request is running or received in part, the caller's host has acknowledged all
     /// responses, and the connection is not closing.
     [[nodiscard]] bool is_idle() const;
+    /// True when closing the connection at once loses no response: it is idle or closing, the
+    /// caller's host has acknowledged all responses, and the last of them was written longer ago
+    /// than the linger timeout.
+    [[nodiscard]] bool is_settled() const;
     [[nodiscard]] std::size_t bytes_queued() const;
     [[nodiscard]] bool is_writing() const { return this->bytes_queued() > 0; }
 
@@ -109,6 +113,8 @@
     delivery_progress delivery;
     /// When the connection last was in use, while no request runs.
     time_point last_active;
+    /// When the last response was handed to the kernel in full.
+    time_point last_written;
     bool reading_stopped{false};
     /// Why the connection is being closed, while it is.
     std::optional<connection_end_reason> closing_reason;
--- a/programs/knapweedknotd/edge_instance.cpp
+++ b/programs/knapweedknotd/edge_instance.cpp
@@ -306,7 +306,7 @@
                      drain_check_interval) {
         this->gateway.fail_all();
     }
-    const bool finished = callers.running_requests() == 0 && !callers.is_writing();
+    const bool finished = callers.is_settled();
     if (finished || passed > this->settings.bounds.stop_grace - exit_margin) {
         log_event(log_level::info, "drain_finished",
                   {{"running", std::to_string(callers.running_requests())}});
--- a/programs/knapweedknotd/instance.cpp
+++ b/programs/knapweedknotd/instance.cpp
@@ -144,8 +144,8 @@
         this->caller_gateway.server().stop_listening();
         this->caller_gateway.server().close_idle_connections();
     }
-    const bool finished = grace_expired && this->caller_gateway.server().running_requests() == 0 &&
-                          !this->caller_gateway.server().is_writing() && this->seats_released;
+    const bool finished =
+        grace_expired && this->caller_gateway.server().is_settled() && this->seats_released;
     if (finished || passed > drain_timeout) {
         log_event(log_level::info, "drain_finished",
                   {{"running", std::to_string(this->caller_gateway.server().running_requests())}});
