--- a/libs/proxy/src/edge_gateway.cpp
+++ b/libs/proxy/src/edge_gateway.cpp
@@ -56,7 +56,8 @@
 }
 
 void log_lost_response(const connection_end& end, const std::string& id, std::string_view state) {
-    log_event(log_level::warning, "response_lost",
+    const bool caller_has_left = end.reason == connection_end_reason::caller_closed;
+    log_event(caller_has_left ? log_level::info : log_level::warning, "response_lost",
               {{"id", id},
                {"state", std::string(state)},
                {"reason", std::string(to_string(end.reason))},
