A hangup while an edge starts or ends no longer ends its process

Operators saw an instance end by a signal instead of with status 0: SIGHUP came after a planned stop had removed its handler, or would come before it is installed, and its default action ends the process.

a_hangup_does_not_end_a_process_that_is_starting failed before; hangups_during_a_planned_stop_do_not_end_it was not seen failing: the time between the handler's end and the process's is short.

--- a/programs/knapweedknotd/main.cpp
+++ b/programs/knapweedknotd/main.cpp
@@ -102,6 +102,11 @@
 }
 
 int start(const arguments& given) {
+    if (given.is_edge) {
+        // A hangup that comes while no handler is installed, at the start and the end of the
+        // process, would end it. The settings file is polled, so the notice is not lost.
+        std::signal(SIGHUP, SIG_IGN);
+    }
     const auto text = read_file(given.settings_path);
     if (!text) {
         return report_failure(text.error().detail, exit_usage);
