--- a/libs/fleet/include/fleet/target_directory.h
+++ b/libs/fleet/include/fleet/target_directory.h
@@ -150,6 +150,8 @@
     void mark_vanished(const target_id& id, time_point since);
     void remove(const service_id& service, const target_id& id);
     void remove_expired();
+    [[nodiscard]] bool is_expired(const known_target& target, time_point now) const;
+    void expire_at(time_point at);
     void notify_changed(const service_id& service);
 
     loop& owner;
@@ -188,6 +190,9 @@
     timer watch_check_timer;
     timer step_timer;
     timer sweep_timer;
+    /// When the next target expires that is known to; empty while there is none.
+    std::optional<time_point> next_expiry;
+    timer expiry_timer;
 };
 
 } // namespace knapweedknot
--- a/libs/fleet/src/target_directory.cpp
+++ b/libs/fleet/src/target_directory.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr duration retry_delay = milliseconds(250);
+// Also finds targets that expired during a suspension, or by a change of the options.
 constexpr duration sweep_interval = milliseconds(250);
 // A watch that has not delivered a change this long after a peer has reported it is lost.
 constexpr duration missed_change_delay = milliseconds(1000);
@@ -383,10 +384,33 @@
     } else if (!target.vanished_at) {
         target.vanished_at = since;
         log_target("target_vanished", target);
+        if (this->is_expired(target, boot_clock::now())) {
+            this->remove(service, id);
+            return;
+        }
+        this->expire_at(since + this->options.vanished_grace);
         this->notify_changed(service);
     }
 }
 
+bool target_directory::is_expired(const known_target& target, time_point now) const {
+    return target.vanished_at && now - *target.vanished_at >= this->options.vanished_grace;
+}
+
+/// Looks for expired targets at \p at, if not before.
+void target_directory::expire_at(time_point at) {
+    if (this->next_expiry && *this->next_expiry <= at) {
+        return;
+    }
+    this->next_expiry = at;
+    this->expiry_timer = this->owner.after(at - boot_clock::now(), [this] {
+        // The timer owns this function.
+        const timer expired = std::move(this->expiry_timer);
+        this->next_expiry.reset();
+        this->remove_expired();
+    });
+}
+
 void target_directory::remove(const service_id& service, const target_id& id) {
     auto& targets = this->by_service.at(service);
     if (const auto found = targets.find(id); found != targets.end()) {
@@ -403,8 +427,10 @@
     std::vector<std::pair<service_id, target_id>> expired;
     for (const auto& [service, targets] : this->by_service) {
         for (const auto& [id, target] : targets) {
-            if (target.vanished_at && now - *target.vanished_at > this->options.vanished_grace) {
+            if (this->is_expired(target, now)) {
                 expired.emplace_back(service, id);
+            } else if (target.vanished_at) {
+                this->expire_at(*target.vanished_at + this->options.vanished_grace);
             }
         }
     }
--- a/libs/fleet/tests/follower_test.cpp
+++ b/libs/fleet/tests/follower_test.cpp
@@ -265,6 +265,39 @@
     BOOST_TEST((store.await_vanished() <= removed_by));
 }
 
+// Guards against a removed target that stays listed for longer than its grace period: ended periods
+// were looked for at an interval only.
+BOOST_AUTO_TEST_CASE(a_vanished_target_goes_when_its_grace_period_ends) {
+    waiting_directory_fixture store;
+    target_directory_options options = waiting_directory_fixture::long_wait();
+    options.vanished_grace = seconds(1);
+    store.directory.set_options(options);
+    store.remove("servers/i-1");
+    const time_point ends_at = store.await_vanished() + options.vanished_grace;
+    bool is_used = true;
+    bool is_checked = false;
+    // Timers of a loop fire in the order of their times, however late.
+    const timer check = store.events.after(
+        ends_at + milliseconds(20) - boot_clock::now(), [&is_used, &is_checked, &store] {
+            is_used = !store.directory.targets_of(service).empty();
+            is_checked = true;
+        });
+    BOOST_REQUIRE(store.run_until([&] { return is_checked; }));
+    BOOST_TEST(!is_used);
+}
+
+// The same failure, where an instance hears of the removal only after that period.
+BOOST_AUTO_TEST_CASE(a_target_removed_longer_ago_than_its_grace_period_goes_at_once) {
+    waiting_directory_fixture store;
+    relayed_registrations known = store.directory.changes_since(store.directory.known_revision());
+    known.revision += 1;
+    const time_point removed_at =
+        boot_clock::now() - waiting_directory_fixture::long_wait().vanished_grace;
+    known.changes = {{{"servers/i-1", {}, known.revision}, removed_at}};
+    store.directory.apply_relayed(known);
+    BOOST_TEST(store.directory.targets_of(service).empty());
+}
+
 // Guards against sound targets that all drop out after a short outage of the store (FLOOR): their
 // registrations lapsed meanwhile and return within two seconds.
 BOOST_AUTO_TEST_CASE(a_registration_that_lapsed_in_an_outage_keeps_its_grace_period) {
