A registration with a field missing or of another type names no target (ROUTE)

Cause: decode_target asked for five of the nine fields, and took a missing or unreadable warm-up time or start time for zero. An entry of another writer was thus used, and moved the target to the service that it names.

An entry that replaces a usable one and cannot be used counts as its removal, as before: no further request, what is known of the target is kept for the grace period. Each revision that cannot be used is logged and counted once, with the count in the line.

--- a/libs/fleet/include/fleet/target_directory.h
+++ b/libs/fleet/include/fleet/target_directory.h
@@ -116,6 +116,8 @@
     /// Notes that a peer knows a change at \p revision. If the watch in progress does not deliver
     /// it soon, it is replaced: its answer has been lost.
     void note_peer_change(std::uint64_t revision);
+    /// Entries that were read and could not be used, each revision of a key once.
+    [[nodiscard]] std::uint64_t unusable_entries() const noexcept { return this->unusable; }
     /// Whether a peer knows of a change that this instance does not, and the registrations have not
     /// been confirmed since \p since: a target that they list may be leaving.
     [[nodiscard]] bool is_superseded(time_point since) const noexcept;
@@ -176,6 +178,7 @@
     /// Revision of the newest change that a peer knows.
     std::uint64_t newest_change_of_peers{0};
     std::uint64_t last_generation{0};
+    std::uint64_t unusable{0};
     /// Sequence number of the newest watch call; results of earlier ones are ignored.
     std::uint64_t last_watch{0};
     /// Longest wait of the watch call in progress; empty while there is none.
--- a/libs/fleet/src/target_directory.cpp
+++ b/libs/fleet/src/target_directory.cpp
@@ -335,8 +335,14 @@
     }
     auto registration = this->decode(id.value, item.value.data);
     if (!registration) {
+        ++this->unusable;
         log_event(log_level::warning, "registration_unreadable",
-                  {{"target", id.value}, {"problem", registration.error().detail}});
+                  {{"target", id.value},
+                   {"revision", std::to_string(item.value.revision)},
+                   {"problem", registration.error().detail},
+                   {"count", std::to_string(this->unusable)}});
+        // It names no target to use, so what an earlier entry named is gone until it is written
+        // again.
         this->mark_vanished(id, changed_after);
         return;
     }
--- a/libs/fleet/tests/follower_test.cpp
+++ b/libs/fleet/tests/follower_test.cpp
@@ -365,3 +365,26 @@
     BOOST_REQUIRE(store.run_until([&] { return directory.is_loaded(); }));
     BOOST_TEST(directory.targets_of(service).size() == 1U);
 }
+
+// Guards against requests to a target by an entry of another writer (ROUTE), and against an entry
+// that costs other targets their requests: the target that it replaces gets no request until it
+// writes its own entry again, and the others hold.
+BOOST_AUTO_TEST_CASE(an_entry_that_becomes_unusable_names_no_target_and_is_counted_once) {
+    waiting_directory_fixture store;
+    store.write("servers/i-2", target_text("127.0.0.1:9001", "ready"));
+    const auto& targets = store.directory.targets_of(service);
+    BOOST_REQUIRE(store.run_until([&] { return targets.contains(target_id{"i-2"}); }));
+    const std::uint64_t generation = targets.at(target_id{"i-1"}).generation;
+    store.write("servers/i-1", R"({"service":"other","address":"127.0.0.1:9000","zone":"z",
+                                   "slots":4,"state":"ready"})");
+    store.await_vanished();
+    store.confirm();
+    store.confirm();
+    BOOST_TEST(store.directory.unusable_entries() == 1U);
+    BOOST_TEST(store.directory.targets_of(service_id{"other"}).empty());
+    BOOST_TEST(!targets.at(target_id{"i-2"}).vanished_at.has_value());
+    store.write("servers/i-1", target_text("127.0.0.1:9000", "ready"));
+    BOOST_TEST(store.run_until([&] { return !targets.at(target_id{"i-1"}).vanished_at; }));
+    BOOST_TEST(targets.at(target_id{"i-1"}).generation == generation);
+    BOOST_TEST(store.directory.unusable_entries() == 1U);
+}
