--- a/libs/fleet/include/fleet/target_directory.h
+++ b/libs/fleet/include/fleet/target_directory.h
@@ -116,6 +116,8 @@
     /// Notes that a peer knows a change at \p revision. If the watch in progress does not deliver
     /// it soon, it is replaced: its answer has been lost.
     void note_peer_change(std::uint64_t revision);
+    /// Entries that were read and could not be used, each revision of a key once.
+    [[nodiscard]] std::uint64_t unusable_entries() const noexcept { return this->unusable; }
     /// Whether a peer knows of a change that this instance does not, and the registrations have not
     /// been confirmed since \p since: a target that they list may be leaving.
     [[nodiscard]] bool is_superseded(time_point since) const noexcept;
@@ -150,6 +152,8 @@
     void mark_vanished(const target_id& id, time_point since);
     void remove(const service_id& service, const target_id& id);
     void remove_expired();
+    [[nodiscard]] bool is_expired(const known_target& target, time_point now) const;
+    void expire_at(time_point at);
     void notify_changed(const service_id& service);
 
     loop& owner;
@@ -174,6 +178,7 @@
     /// Revision of the newest change that a peer knows.
     std::uint64_t newest_change_of_peers{0};
     std::uint64_t last_generation{0};
+    std::uint64_t unusable{0};
     /// Sequence number of the newest watch call; results of earlier ones are ignored.
     std::uint64_t last_watch{0};
     /// Longest wait of the watch call in progress; empty while there is none.
@@ -188,6 +193,9 @@
     timer watch_check_timer;
     timer step_timer;
     timer sweep_timer;
+    /// When the next target expires that is known to; empty while there is none.
+    std::optional<time_point> next_expiry;
+    timer expiry_timer;
 };
 
 } // namespace knapweedknot
