Heads and chunks are scanned byte by byte, and trailers are dropped

Callers and targets could send lines that two readers end at different bytes: a continued line was joined to the one before, a bare LF was allowed in a chunk extension, and a trailer became a header of the request passed on (a "Connection: close" among them closed the connection). What came of a message also depended on the pieces that it came in: a head whose pieces ended with its lines had no limit, and the empty line before a request was an error when its CR and LF came apart.

Cause: Beast reads lines as far as they have come and counts its limit anew for each call; it joins folded lines, allows LF in quoted chunk extensions, and stores trailers with the fields.

Now a scanner with one state a byte finds the end of a head, Beast gets the head whole, and a decoder of our own reads chunks and drops trailers. Bodies are copied once instead of twice. The limit counts the whole head, its start line included.

Ruled out: Beast's callbacks, which do not tell a folded line from a plain one.

--- a/libs/event/src/http_parser.cpp
+++ b/libs/event/src/http_parser.cpp
@@ -1,14 +1,22 @@
 #include "http_parser.h"
 
-#include <array>
+#include <algorithm>
 #include <cassert>
+#include <limits>
+#include <optional>
 #include <string_view>
+#include <utility>
 
+#include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 #include <event2/buffer.h>
 
+#include "buffer_bytes.h"
+#include "chunk_decoder.h"
+#include "framing.h"
+#include "section_scanner.h"
+
 namespace knapweedknot::detail {
 
 namespace {
@@ -17,86 +25,43 @@
 namespace http = boost::beast::http;
 
 constexpr int min_final_status = 200;
+constexpr std::string_view line_end = "\r\n";
 // Interim responses, and responses to other requests, before the final one.
 constexpr std::size_t max_skipped_responses = 16;
-// Maximum body bytes passed to a parser in one call.
-constexpr ev_ssize_t max_chunk_bytes = ev_ssize_t{64} * 1024;
-
-enum class parse_failure { none, malformed, header_limit, body_limit };
 
-parse_failure to_parse_failure(const beast::error_code& code) {
-    if (!code || code == http::error::need_more) {
-        return parse_failure::none;
-    }
-    if (code == http::error::header_limit) {
-        return parse_failure::header_limit;
-    }
-    if (code == http::error::body_limit) {
-        return parse_failure::body_limit;
-    }
-    return parse_failure::malformed;
+/// The bytes at the start of \p input that may be a head within \p limits.
+std::string_view head_bytes(evbuffer* input, const parse_limits& limits) {
+    // One byte more than the limit shows that a head is over it.
+    const std::size_t size = std::min(evbuffer_get_length(input), limits.max_header_bytes + 1);
+    const unsigned char* bytes = evbuffer_pullup(input, static_cast<ev_ssize_t>(size));
+    return {reinterpret_cast<const char*>(bytes), size};
 }
 
-/// Counts the bytes after the header section that add nothing to the body: chunk headers and
-/// trailers. Beast does not limit them.
-class framing_meter {
-public:
-    /// Counts \p used bytes, after which the body has \p body_bytes.
-    void count(std::size_t used, std::size_t body_bytes) noexcept {
-        this->bytes = body_bytes > this->last_body_bytes ? 0 : this->bytes + used;
-        this->last_body_bytes = body_bytes;
-    }
-    /// Bytes since the body last grew.
-    [[nodiscard]] std::size_t since_body_grew() const noexcept { return this->bytes; }
-
-private:
-    std::size_t bytes{0};
-    std::size_t last_body_bytes{0};
-};
-
-/// Parses \p input until the message is complete or the input is consumed.
-template <typename Parser>
-parse_failure feed_parser(Parser& parser, evbuffer* input, framing_meter& framing,
-                          std::size_t max_framing_bytes) {
-    while (!parser.is_done()) {
-        const std::size_t available = evbuffer_get_length(input);
-        if (available == 0) {
-            return parse_failure::none;
-        }
-        // Beast needs the header section in contiguous memory; the body may be split.
-        const auto wanted =
-            parser.is_header_done()
-                ? std::min<ev_ssize_t>(static_cast<ev_ssize_t>(available), max_chunk_bytes)
-                : static_cast<ev_ssize_t>(available);
-        const bool was_header_done = parser.is_header_done();
-        const unsigned char* bytes = evbuffer_pullup(input, wanted);
-        beast::error_code code;
-        const std::size_t used =
-            parser.put(boost::asio::const_buffer(bytes, static_cast<std::size_t>(wanted)), code);
-        evbuffer_drain(input, used);
-        if (const parse_failure problem = to_parse_failure(code); problem != parse_failure::none) {
-            return problem;
-        }
-        if (was_header_done) {
-            framing.count(used, parser.get().body().size());
-            const std::size_t incomplete = used == 0 ? available : 0;
-            if (framing.since_body_grew() + incomplete > max_framing_bytes) {
-                return parse_failure::header_limit;
-            }
+/// RFC 9112, 2.2: removes empty lines before a request. Returns false while the bytes may be the
+/// start of an empty line.
+bool skip_empty_lines(evbuffer* input) {
+    while (evbuffer_get_length(input) > 0) {
+        const std::string_view bytes = head_bytes(input, {line_end.size(), 0});
+        if (bytes == line_end.substr(0, 1)) {
+            return false;
         }
-        if (used == 0) {
-            return parse_failure::none;
+        if (!bytes.starts_with(line_end)) {
+            return true;
         }
+        evbuffer_drain(input, line_end.size());
     }
-    return parse_failure::none;
+    return false;
 }
 
+/// The fields of a scanned head as Beast reads them.
 template <typename Parser>
-parse_state state_of(const Parser& parser) {
-    if (parser.is_done()) {
-        return parse_state::done;
-    }
-    return parser.is_header_done() ? parse_state::in_body : parse_state::in_head;
+bool parse_head(Parser& parser, std::string_view head) {
+    // The scanner has applied the limit, and bodies are not read by Beast.
+    parser.header_limit(static_cast<std::uint32_t>(head.size() + 1));
+    parser.body_limit(std::numeric_limits<std::uint64_t>::max());
+    beast::error_code code;
+    parser.put(boost::asio::const_buffer(head.data(), head.size()), code);
+    return !code && parser.is_header_done();
 }
 
 template <typename Fields>
@@ -108,73 +73,157 @@
     return headers;
 }
 
+template <typename Parser>
+body_framing framing_of(const Parser& parser, body_end without) {
+    if (parser.chunked()) {
+        return {body_end::chunked, 0};
+    }
+    const auto length = parser.content_length();
+    return length ? body_framing{body_end::length, *length} : body_framing{without, 0};
+}
+
+/// Reads one body by its framing.
+class body_reader {
+public:
+    body_reader(const body_framing& body, const parse_limits& limits)
+        : framing(body), chunks(limits.max_header_bytes, limits.max_body_bytes),
+          max_bytes(limits.max_body_bytes) {}
+
+    /// Moves the bytes of the body from \p input to \p body.
+    chunk_decoder::state consume(evbuffer* input, evbuffer* body) {
+        switch (this->framing.end) {
+        case body_end::none:
+            return chunk_decoder::state::complete;
+        case body_end::chunked:
+            return this->chunks.consume(input, body);
+        case body_end::length:
+            if (this->framing.bytes > this->max_bytes) {
+                return chunk_decoder::state::body_too_large;
+            }
+            this->moved += move_bytes(input, body, this->framing.bytes - this->moved);
+            return this->moved == this->framing.bytes ? chunk_decoder::state::complete
+                                                      : chunk_decoder::state::incomplete;
+        case body_end::connection_end:
+            this->moved += move_bytes(input, body, this->max_bytes - this->moved);
+            return evbuffer_get_length(input) > 0 ? chunk_decoder::state::body_too_large
+                                                  : chunk_decoder::state::incomplete;
+        }
+        return chunk_decoder::state::malformed;
+    }
+    [[nodiscard]] bool needs_eof() const { return this->framing.end == body_end::connection_end; }
+
+private:
+    body_framing framing;
+    chunk_decoder chunks;
+    std::uint64_t max_bytes;
+    std::uint64_t moved{0};
+};
+
 } // namespace
 
 struct request_parser::implementation {
-    http::request_parser<http::string_body> parser;
-    framing_meter framing;
+    explicit implementation(const parse_limits& limits)
+        : scanner(section::head, limits.max_header_bytes) {}
+
+    section_scanner scanner;
+    std::optional<body_reader> body;
+    http_request message;
+    bool keeps_alive{false};
 };
 
 request_parser::request_parser(const parse_limits& size_limits)
-    : limits(size_limits), inner(std::make_unique<implementation>()) {
-    this->inner->parser.eager(true);
-    this->inner->parser.header_limit(static_cast<std::uint32_t>(limits.max_header_bytes));
-    this->inner->parser.body_limit(limits.max_body_bytes);
-}
+    : limits(size_limits), inner(std::make_unique<implementation>(size_limits)) {}
 
 request_parser::~request_parser() = default;
 
 result<void> request_parser::consume(evbuffer* input) {
-    if (this->progress == parse_state::empty) {
-        // RFC 9112, 2.2: empty lines before a request are ignored.
-        std::array<char, 2> start{};
-        while (evbuffer_copyout(input, start.data(), start.size()) == 2 && start[0] == '\r' &&
-               start[1] == '\n') {
-            evbuffer_drain(input, start.size());
+    if (this->progress == parse_state::empty && !skip_empty_lines(input)) {
+        return {};
+    }
+    if (this->progress != parse_state::in_body) {
+        if (auto parsed = this->consume_head(input); !parsed) {
+            return parsed;
         }
     }
-    if (evbuffer_get_length(input) == 0) {
+    return this->progress == parse_state::in_body ? this->consume_body(input) : result<void>();
+}
+
+result<void> request_parser::consume_head(evbuffer* input) {
+    this->progress = parse_state::in_head;
+    section_scanner& scanner = this->inner->scanner;
+    const std::string_view bytes = head_bytes(input, this->limits);
+    scanner.scan(bytes.substr(scanner.size()));
+    switch (scanner.state()) {
+    case scan_state::incomplete:
         return {};
+    case scan_state::too_large:
+        return fail(error_kind::header_too_large, "the head of the request is over the limit");
+    case scan_state::malformed:
+        return fail(error_kind::bad_request, "malformed request");
+    case scan_state::complete:
+        break;
+    }
+    auto parsed = this->read_head(bytes.substr(0, scanner.size()));
+    evbuffer_drain(input, scanner.size());
+    return parsed;
+}
+
+result<void> request_parser::read_head(std::string_view head) {
+    http::request_parser<http::empty_body> parser;
+    if (!parse_head(parser, head)) {
+        return fail(error_kind::bad_request, "malformed request");
     }
-    const parse_failure problem = feed_parser(this->inner->parser, input, this->inner->framing,
-                                              this->limits.max_header_bytes);
-    this->progress = state_of(this->inner->parser);
-    switch (problem) {
-    case parse_failure::none:
+    const auto& message = parser.get();
+    http_request& request = this->inner->message;
+    request.method = std::string(message.method_string());
+    request.uri = std::string(message.target());
+    request.headers = copy_headers(message);
+    this->inner->keeps_alive = parser.keep_alive();
+    this->inner->body.emplace(framing_of(parser, body_end::none), this->limits);
+    this->progress = parse_state::in_body;
+    return {};
+}
+
+result<void> request_parser::consume_body(evbuffer* input) {
+    switch (this->inner->body->consume(input, this->inner->message.body.get())) {
+    case chunk_decoder::state::incomplete:
         return {};
-    case parse_failure::header_limit:
+    case chunk_decoder::state::complete:
+        this->progress = parse_state::done;
+        return {};
+    case chunk_decoder::state::framing_too_large:
         return fail(error_kind::header_too_large, "the head of the request is over the limit");
-    case parse_failure::body_limit:
+    case chunk_decoder::state::body_too_large:
         return fail(error_kind::request_too_large, "the body of the request is over the limit");
-    case parse_failure::malformed:
+    case chunk_decoder::state::malformed:
         break;
     }
-    return fail(error_kind::bad_request, "malformed request");
+    return fail(error_kind::bad_request, "malformed chunks");
 }
 
 bool request_parser::keeps_alive() const {
-    return this->inner->parser.keep_alive();
+    return this->inner->keeps_alive;
 }
 
 bool request_parser::expects_continue() const {
-    return this->progress == parse_state::in_body &&
-           beast::iequals(this->inner->parser.get()[http::field::expect], "100-continue");
+    const std::string* expected = find_header(this->inner->message.headers, "Expect");
+    return this->progress == parse_state::in_body && expected != nullptr &&
+           equal_ignoring_case(*expected, "100-continue");
 }
 
 http_request request_parser::take() {
     assert(this->progress == parse_state::done);
-    auto message = this->inner->parser.release();
-    http_request request;
-    request.method = std::string(message.method_string());
-    request.uri = std::string(message.target());
-    request.headers = copy_headers(message);
-    request.body = make_body(message.body());
-    return request;
+    return std::move(this->inner->message);
 }
 
 struct response_parser::implementation {
-    http::response_parser<http::string_body> parser;
-    framing_meter framing;
+    explicit implementation(const parse_limits& limits)
+        : scanner(section::head, limits.max_header_bytes) {}
+
+    section_scanner scanner;
+    std::optional<body_reader> body;
+    http_response message;
+    bool keeps_alive{false};
 };
 
 response_parser::response_parser(const parse_limits& size_limits, bool head)
@@ -190,11 +239,7 @@
 }
 
 void response_parser::reset() {
-    this->inner = std::make_unique<implementation>();
-    this->inner->parser.eager(true);
-    this->inner->parser.skip(this->is_head);
-    this->inner->parser.header_limit(static_cast<std::uint32_t>(this->limits.max_header_bytes));
-    this->inner->parser.body_limit(this->limits.max_body_bytes);
+    this->inner = std::make_unique<implementation>(this->limits);
     this->progress = parse_state::empty;
 }
 
@@ -203,18 +248,10 @@
         if (this->skipped > max_skipped_responses) {
             return fail(error_kind::target_failed, "too many answers that are not the final one");
         }
-        const parse_failure problem = feed_parser(this->inner->parser, input, this->inner->framing,
-                                                  this->limits.max_header_bytes);
-        this->progress = state_of(this->inner->parser);
-        if (problem == parse_failure::malformed) {
-            return fail(error_kind::target_failed, "malformed answer");
+        if (auto parsed = this->consume_one(input); !parsed) {
+            return parsed;
         }
-        if (problem != parse_failure::none) {
-            return fail(error_kind::answer_too_large, "answer over the size limit");
-        }
-        const bool is_interim =
-            this->inner->parser.is_header_done() &&
-            this->inner->parser.get().result_int() < static_cast<unsigned>(min_final_status);
+        const bool is_interim = this->inner->message.status < min_final_status;
         if (this->progress != parse_state::done || !is_interim) {
             return {};
         }
@@ -223,32 +260,91 @@
     return {};
 }
 
+result<void> response_parser::consume_one(evbuffer* input) {
+    if (this->progress != parse_state::in_body) {
+        if (auto parsed = this->consume_head(input); !parsed) {
+            return parsed;
+        }
+    }
+    return this->progress == parse_state::in_body ? this->consume_body(input) : result<void>();
+}
+
+result<void> response_parser::consume_head(evbuffer* input) {
+    this->progress = parse_state::in_head;
+    section_scanner& scanner = this->inner->scanner;
+    const std::string_view bytes = head_bytes(input, this->limits);
+    scanner.scan(bytes.substr(scanner.size()));
+    if (!may_start_response(bytes) || scanner.state() == scan_state::malformed) {
+        return fail(error_kind::target_failed, "malformed answer");
+    }
+    if (scanner.state() == scan_state::too_large) {
+        return fail(error_kind::answer_too_large, "answer over the size limit");
+    }
+    if (scanner.state() != scan_state::complete) {
+        return {};
+    }
+    auto parsed = this->read_head(bytes.substr(0, scanner.size()));
+    evbuffer_drain(input, scanner.size());
+    return parsed;
+}
+
+result<void> response_parser::read_head(std::string_view head) {
+    http::response_parser<http::empty_body> parser;
+    parser.skip(this->is_head);
+    if (!parse_head(parser, head)) {
+        return fail(error_kind::target_failed, "malformed answer");
+    }
+    const auto& message = parser.get();
+    http_response& response = this->inner->message;
+    response.status = static_cast<int>(message.result_int());
+    response.headers = copy_headers(message);
+    constexpr int no_content = 204;
+    constexpr int not_modified = 304;
+    const bool has_body = !this->is_head && response.status >= min_final_status &&
+                          response.status != no_content && response.status != not_modified;
+    const body_framing framing =
+        has_body ? framing_of(parser, body_end::connection_end) : body_framing{};
+    this->inner->keeps_alive = parser.keep_alive();
+    this->inner->body.emplace(framing, this->limits);
+    this->progress = parse_state::in_body;
+    return {};
+}
+
+result<void> response_parser::consume_body(evbuffer* input) {
+    switch (this->inner->body->consume(input, this->inner->message.body.get())) {
+    case chunk_decoder::state::incomplete:
+        return {};
+    case chunk_decoder::state::complete:
+        this->progress = parse_state::done;
+        return {};
+    case chunk_decoder::state::framing_too_large:
+    case chunk_decoder::state::body_too_large:
+        return fail(error_kind::answer_too_large, "answer over the size limit");
+    case chunk_decoder::state::malformed:
+        break;
+    }
+    return fail(error_kind::target_failed, "malformed answer");
+}
+
 bool response_parser::needs_eof() const {
-    return this->inner->parser.is_header_done() && this->inner->parser.need_eof();
+    return this->inner->body && this->inner->body->needs_eof();
 }
 
 bool response_parser::finish_at_eof() {
     if (!this->needs_eof()) {
         return false;
     }
-    beast::error_code code;
-    this->inner->parser.put_eof(code);
-    this->progress = state_of(this->inner->parser);
-    return !code && this->progress == parse_state::done;
+    this->progress = parse_state::done;
+    return true;
 }
 
 bool response_parser::keeps_alive() const {
-    return this->inner->parser.keep_alive();
+    return this->inner->keeps_alive;
 }
 
 http_response response_parser::take() {
     assert(this->progress == parse_state::done);
-    auto message = this->inner->parser.release();
-    http_response response;
-    response.status = static_cast<int>(message.result_int());
-    response.headers = copy_headers(message);
-    response.body = make_body(message.body());
-    return response;
+    return std::move(this->inner->message);
 }
 
 std::string reason_phrase(int status) {
--- a/libs/event/src/http_parser.h
+++ b/libs/event/src/http_parser.h
@@ -3,6 +3,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "base/error.h"
 #include "event/http_message.h"
@@ -10,8 +11,9 @@
 struct evbuffer;
 
 /// \file
-/// HTTP/1.1 parsing with Boost.Beast's parsers, without its I/O. Beast is included in one source
-/// file only, to keep compile times short.
+/// HTTP/1.1 parsing. A head is scanned, read by Boost.Beast's parsers once it is complete, and
+/// checked for a second reading; what comes of a message depends on its bytes only, not on how they
+/// arrive. Beast is included in one source file only, to keep compile times short.
 
 namespace knapweedknot::detail {
 
@@ -57,6 +59,10 @@
 private:
     struct implementation;
 
+    [[nodiscard]] result<void> consume_head(evbuffer* input);
+    [[nodiscard]] result<void> read_head(std::string_view head);
+    [[nodiscard]] result<void> consume_body(evbuffer* input);
+
     parse_limits limits;
     std::unique_ptr<implementation> inner;
     parse_state progress{parse_state::empty};
@@ -88,7 +94,12 @@
 
 private:
     struct implementation;
+
     void reset();
+    [[nodiscard]] result<void> consume_one(evbuffer* input);
+    [[nodiscard]] result<void> consume_head(evbuffer* input);
+    [[nodiscard]] result<void> read_head(std::string_view head);
+    [[nodiscard]] result<void> consume_body(evbuffer* input);
 
     parse_limits limits;
     bool is_head;
--- /dev/null
+++ b/libs/event/src/section_scanner.cpp
@@ -0,0 +1,106 @@
+#include "section_scanner.h"
+
+#include <array>
+#include <climits>
+
+namespace knapweedknot::detail {
+
+namespace {
+
+constexpr std::size_t byte_values = std::size_t{1} << CHAR_BIT;
+using byte_set = std::array<bool, byte_values>;
+
+constexpr byte_set make_token_characters() {
+    constexpr std::string_view all = "!#$%&'*+-.^_`|~0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZ"
+                                     "abcdefghijklmnopqrstuvwxyz";
+    byte_set set{};
+    for (const char byte : all) {
+        set.at(static_cast<unsigned char>(byte)) = true;
+    }
+    return set;
+}
+
+constexpr byte_set make_text_characters() {
+    byte_set set{};
+    for (std::size_t byte = 0; byte < byte_values; ++byte) {
+        set.at(byte) = byte == '\t' || (byte >= ' ' && byte != '\x7f');
+    }
+    return set;
+}
+
+constexpr byte_set token_characters = make_token_characters();
+constexpr byte_set text_characters = make_text_characters();
+
+} // namespace
+
+bool is_token_character(char byte) noexcept {
+    return token_characters[static_cast<unsigned char>(byte)];
+}
+
+bool is_text_character(char byte) noexcept {
+    return text_characters[static_cast<unsigned char>(byte)];
+}
+
+section_scanner::section_scanner(section kind, std::size_t limit) noexcept
+    : max_size(limit), expects_start_line(kind == section::head) {}
+
+std::size_t section_scanner::scan(std::string_view bytes) noexcept {
+    std::size_t used = 0;
+    while (this->progress == scan_state::incomplete && used < bytes.size()) {
+        if (this->scanned == this->max_size) {
+            this->progress = scan_state::too_large;
+            break;
+        }
+        this->scan_byte(bytes[used]);
+        ++used;
+        ++this->scanned;
+        if (this->where == position::line_start && this->first_line_size == 0) {
+            this->first_line_size = this->scanned;
+        }
+    }
+    return used;
+}
+
+void section_scanner::scan_byte(char byte) noexcept {
+    bool is_valid = true;
+    switch (this->where) {
+    case position::text:
+    case position::start_line:
+        is_valid = is_text_character(byte) || byte == '\r';
+        this->where = byte == '\r' ? position::line_feed : this->where;
+        break;
+    case position::name:
+        is_valid = is_token_character(byte) || byte == ':';
+        this->where = byte == ':' ? position::text : this->where;
+        break;
+    case position::line_start:
+        this->where = this->after_line_start(byte);
+        is_valid = this->where != position::line_start;
+        break;
+    case position::line_feed:
+        is_valid = byte == '\n';
+        this->where = position::line_start;
+        break;
+    case position::last_line_feed:
+        is_valid = byte == '\n';
+        this->progress = scan_state::complete;
+        break;
+    }
+    if (!is_valid) {
+        this->progress = scan_state::malformed;
+    }
+}
+
+/// Where a line with the first byte \p byte continues; line_start when no line starts with it.
+section_scanner::position section_scanner::after_line_start(char byte) noexcept {
+    if (this->expects_start_line) {
+        this->expects_start_line = false;
+        return is_token_character(byte) ? position::start_line : position::line_start;
+    }
+    if (byte == '\r') {
+        return position::last_line_feed;
+    }
+    return is_token_character(byte) ? position::name : position::line_start;
+}
+
+} // namespace knapweedknot::detail
