A request whose end has two readings is refused, and nothing behind it runs

Cause: Beast takes a request with other codings, or with chunked twice or not last, for one without a body, and nothing else looked at the field. It also accepts a length that is repeated, and "gzip, chunked" without decoding it.

Now a pure function finds the framing from the parsed fields (RFC 9112, 6.1 and 6.3). 400: codings that do not end with chunked once, several fields, a field beside Content-Length, any coding in HTTP/1.0, a length that is not one plain number. 501, the new kind coding_unknown (not run): another coding before chunked. Of 6.1 (501) and 6.3 (400) for "gzip" alone the second is a MUST.

--- a/libs/base/include/base/error.h
+++ b/libs/base/include/base/error.h
@@ -14,6 +14,7 @@
 /// Every way in which a request or an operation can fail.
 enum class error_kind : std::uint8_t {
     bad_request,
+    coding_unknown,
     invalid_value,
     key_missing,
     key_unknown,
--- a/libs/base/src/error.cpp
+++ b/libs/base/src/error.cpp
@@ -12,6 +12,7 @@
 
 constexpr std::array error_table{
     error_answer{bad_request, "bad_request", 400, execution::not_run},
+    error_answer{coding_unknown, "coding_unknown", 501, execution::not_run},
     error_answer{invalid_value, "invalid_value", 422, execution::not_run},
     error_answer{key_missing, "key_missing", 401, execution::not_run},
     error_answer{key_unknown, "key_unknown", 401, execution::not_run},
--- a/libs/event/src/framing.cpp
+++ b/libs/event/src/framing.cpp
@@ -1,9 +1,117 @@
 #include "framing.h"
 
 #include <algorithm>
+#include <charconv>
+#include <optional>
+#include <string>
+
+#include "section_scanner.h"
 
 namespace knapweedknot::detail {
 
+namespace {
+
+/// The values of a field that frames the message.
+struct framing_fields {
+    const std::string* length{nullptr};
+    const std::string* codings{nullptr};
+    bool is_repeated{false};
+};
+
+framing_fields find_framing_fields(const http_headers& headers) {
+    framing_fields found;
+    const auto note = [&found](const std::string*& slot, const std::string& value) {
+        found.is_repeated = found.is_repeated || slot != nullptr;
+        slot = &value;
+    };
+    for (const auto& [name, value] : headers) {
+        if (equal_ignoring_case(name, "Content-Length")) {
+            note(found.length, value);
+        } else if (equal_ignoring_case(name, "Transfer-Encoding")) {
+            note(found.codings, value);
+        }
+    }
+    return found;
+}
+
+/// The number that \p text consists of; none when it is anything else than decimal digits or does
+/// not fit.
+std::optional<std::uint64_t> parse_length(std::string_view text) {
+    std::uint64_t value = 0;
+    const char* const end = text.data() + text.size();
+    // from_chars takes no blank, no plus sign and, for an unsigned number, no minus sign.
+    const auto [stop, code] = std::from_chars(text.data(), end, value);
+    if (code != std::errc() || stop != end) {
+        return std::nullopt;
+    }
+    return value;
+}
+
+bool is_token(std::string_view text) {
+    return !text.empty() && std::all_of(text.begin(), text.end(), &is_token_character);
+}
+
+enum class coding_reading { chunked, unknown_before_chunked, ambiguous };
+
+/// Reads a list of transfer codings, which must be names without parameters.
+coding_reading read_codings(std::string_view list) {
+    bool knows_all = true;
+    while (true) {
+        const std::size_t comma = list.find(',');
+        const std::string_view coding = trim_blanks(list.substr(0, comma));
+        const bool is_last = comma == std::string_view::npos;
+        const bool is_chunked = equal_ignoring_case(coding, "chunked");
+        if (!is_token(coding) || is_chunked != is_last) {
+            return coding_reading::ambiguous;
+        }
+        if (is_last) {
+            return knows_all ? coding_reading::chunked : coding_reading::unknown_before_chunked;
+        }
+        knows_all = false;
+        list.remove_prefix(comma + 1);
+    }
+}
+
+/// The framing that the fields state; \p without when they state none.
+result<body_framing> frame_by_fields(const http_headers& headers, http_version version,
+                                     body_end without) {
+    const framing_fields fields = find_framing_fields(headers);
+    if (fields.is_repeated) {
+        return fail(error_kind::bad_request, "a repeated Content-Length or Transfer-Encoding");
+    }
+    if (fields.codings != nullptr) {
+        if (fields.length != nullptr) {
+            return fail(error_kind::bad_request, "Transfer-Encoding beside Content-Length");
+        }
+        if (version == http_version::http_1_0) {
+            return fail(error_kind::bad_request, "Transfer-Encoding in HTTP/1.0");
+        }
+        switch (read_codings(*fields.codings)) {
+        case coding_reading::chunked:
+            return body_framing{body_end::chunked, 0};
+        case coding_reading::unknown_before_chunked:
+            return fail(error_kind::coding_unknown, "a transfer coding other than chunked");
+        case coding_reading::ambiguous:
+            break;
+        }
+        return fail(error_kind::bad_request, "Transfer-Encoding does not end with chunked, once");
+    }
+    if (fields.length == nullptr) {
+        return body_framing{without, 0};
+    }
+    const std::optional<std::uint64_t> length = parse_length(*fields.length);
+    if (!length) {
+        return fail(error_kind::bad_request, "Content-Length is not one number");
+    }
+    return body_framing{body_end::length, *length};
+}
+
+} // namespace
+
+result<body_framing> frame_request(const http_headers& headers, http_version version) {
+    return frame_by_fields(headers, version, body_end::none);
+}
+
 bool may_start_response(std::string_view start) noexcept {
     constexpr std::string_view version = "HTTP/1.";
     const std::size_t size = std::min(start.size(), version.size());
--- a/libs/event/src/framing.h
+++ b/libs/event/src/framing.h
@@ -3,8 +3,11 @@
 #include <cstdint>
 #include <string_view>
 
+#include "base/error.h"
+#include "event/http_message.h"
+
 /// \file
-/// Where a message ends (RFC 9112, 6.3). Pure functions;
+/// Where a message ends (RFC 9112, 6.3), and whether its head has one reading only. Pure functions;
 /// all are thread safe.
 
 namespace knapweedknot::detail {
@@ -25,6 +28,13 @@
     std::uint64_t bytes{0};
 };
 
+/// Version of a message.
+enum class http_version { http_1_0, http_1_1 };
+
+/// The framing of the body of a request with \p headers. Fails with bad_request when there is more
+/// than one reading, and with coding_unknown for a transfer coding other than chunked.
+[[nodiscard]] result<body_framing> frame_request(const http_headers& headers, http_version version);
+
 /// True when a response may start with \p start, of any size.
 [[nodiscard]] bool may_start_response(std::string_view start) noexcept;
 
--- a/libs/event/src/http_parser.cpp
+++ b/libs/event/src/http_parser.cpp
@@ -25,6 +25,7 @@
 namespace http = boost::beast::http;
 
 constexpr int min_final_status = 200;
+constexpr int http_1_1_number = 11;
 constexpr std::string_view line_end = "\r\n";
 // Interim responses, and responses to other requests, before the final one.
 constexpr std::size_t max_skipped_responses = 16;
@@ -73,6 +74,11 @@
     return headers;
 }
 
+template <typename Message>
+http_version version_of(const Message& message) {
+    return message.version() == http_1_1_number ? http_version::http_1_1 : http_version::http_1_0;
+}
+
 template <typename Parser>
 body_framing framing_of(const Parser& parser, body_end without) {
     if (parser.chunked()) {
@@ -179,7 +185,11 @@
     request.uri = std::string(message.target());
     request.headers = copy_headers(message);
     this->inner->keeps_alive = parser.keep_alive();
-    this->inner->body.emplace(framing_of(parser, body_end::none), this->limits);
+    const auto framing = frame_request(request.headers, version_of(message));
+    if (!framing) {
+        return tl::unexpected(framing.error());
+    }
+    this->inner->body.emplace(*framing, this->limits);
     this->progress = parse_state::in_body;
     return {};
 }
--- a/libs/event/src/http_parser.h
+++ b/libs/event/src/http_parser.h
@@ -45,7 +45,7 @@
     request_parser& operator=(const request_parser&) = delete;
 
     /// Parses and removes the bytes of the message from \p input; bytes after its end stay there.
-    /// Fails with bad_request, header_too_large or request_too_large.
+    /// Fails with bad_request, coding_unknown, header_too_large or request_too_large.
     [[nodiscard]] result<void> consume(evbuffer* input);
     [[nodiscard]] parse_state state() const noexcept { return this->progress; }
     /// Whether the caller keeps the connection open for further requests.
--- a/libs/event/src/section_scanner.cpp
+++ b/libs/event/src/section_scanner.cpp
@@ -41,6 +41,15 @@
     return text_characters[static_cast<unsigned char>(byte)];
 }
 
+std::string_view trim_blanks(std::string_view text) noexcept {
+    constexpr std::string_view blanks = " \t";
+    const std::size_t first = text.find_first_not_of(blanks);
+    if (first == std::string_view::npos) {
+        return {};
+    }
+    return text.substr(first, text.find_last_not_of(blanks) - first + 1);
+}
+
 section_scanner::section_scanner(section kind, std::size_t limit) noexcept
     : max_size(limit), expects_start_line(kind == section::head) {}
 
--- a/libs/event/src/section_scanner.h
+++ b/libs/event/src/section_scanner.h
@@ -59,4 +59,7 @@
 /// safe.
 [[nodiscard]] bool is_text_character(char byte) noexcept;
 
+/// \p text without the blanks (SP, HTAB) at its ends. Thread safe.
+[[nodiscard]] std::string_view trim_blanks(std::string_view text) noexcept;
+
 } // namespace knapweedknot::detail
--- a/libs/event/tests/framing_test.cpp
+++ b/libs/event/tests/framing_test.cpp
@@ -116,6 +116,36 @@
 
 } // namespace
 
+// A body whose codings do not end with chunked ran as a request of its own.
+BOOST_AUTO_TEST_CASE(a_transfer_encoding_that_leaves_the_end_open_is_rejected) {
+    const std::string body = "5\r\nhello\r\n0\r\n\r\n" + std::string(smuggled);
+    for (const char* fields :
+         {"Transfer-Encoding: gzip\r\n", "Transfer-Encoding: identity\r\n",
+          "Transfer-Encoding: \r\n", "Transfer-Encoding: ,\r\n", "Transfer-Encoding: chunked,\r\n",
+          "Transfer-Encoding: chunked, gzip\r\n", "Transfer-Encoding: chunked, chunked\r\n",
+          "Transfer-Encoding: chunked, identity\r\n", "Transfer-Encoding: chunked;q=1\r\n",
+          "Transfer-Encoding: xchunked\r\n", "Transfer-Encoding: \"chunked\"\r\n",
+          "Transfer-Encoding: chunked chunked\r\n",
+          "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+          "Transfer-Encoding: chunked\r\ntransfer-encoding: gzip\r\n",
+          "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n",
+          "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n",
+          "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
+          "Content-Length: 0\r\nTransfer-Encoding: gzip\r\n",
+          "Transfer-Encoding: gzip\r\nContent-Length: 5\r\n"}) {
+        expect_rejected(post_with(fields, body));
+    }
+    expect_rejected("POST /x HTTP/1.0\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n" + body);
+}
+
+// A body in a coding that nobody here decodes went to a target as if it were plain.
+BOOST_AUTO_TEST_CASE(an_unknown_transfer_coding_is_not_implemented) {
+    for (const char* value : {"gzip, chunked", "br,Chunked", "x-own\t,\tchunked"}) {
+        expect_rejected(post_with("Transfer-Encoding: " + std::string(value) + "\r\n", "0\r\n\r\n"),
+                        error_kind::coding_unknown);
+    }
+}
+
 // Names and codings are compared without regard to case, so that no spelling hides a body.
 BOOST_AUTO_TEST_CASE(a_chunked_body_is_found_in_every_letter_case) {
     for (const char* field : {"Transfer-Encoding: chunked", "tRANSFER-eNCODING:\tCHUNKED \t",
@@ -128,6 +158,19 @@
     }
 }
 
+// A length that two readers take for different numbers lets a body run as a request.
+BOOST_AUTO_TEST_CASE(a_length_that_is_not_one_plain_number_is_rejected) {
+    for (const char* fields :
+         {"Content-Length: 3\r\nContent-Length: 7\r\n", "Content-Length: 3, 7\r\n",
+          "Content-Length: 5\r\nContent-Length: 5\r\n", "Content-Length: 5, 5\r\n",
+          "Content-Length: +5\r\n", "Content-Length: -5\r\n", "Content-Length: 5 5\r\n",
+          "Content-Length: \r\n", "Content-Length: 0x5\r\n", "Content-Length: 5;\r\n",
+          "Content-Length: 5.0\r\n", "Content-Length: 18446744073709551621\r\n",
+          "Content-Length: ,5\r\n", "Content-Length: 5,\r\n", "Content-Length: \"5\"\r\n"}) {
+        expect_rejected(post_with(fields, "hello" + std::string(smuggled)));
+    }
+}
+
 // A field of the trailers became a header of the request, unseen by who checked the head.
 BOOST_AUTO_TEST_CASE(trailers_do_not_become_headers) {
     const std::string chunks = "5\r\nhello\r\n0\r\nX-Key: other\r\nConnection: close\r\n\r\n";
