--- a/libs/event/src/section_scanner.cpp
+++ b/libs/event/src/section_scanner.cpp
@@ -54,22 +54,40 @@
     : max_size(limit), expects_start_line(kind == section::head) {}
 
 std::size_t section_scanner::scan(std::string_view bytes) noexcept {
+    const std::string_view usable = bytes.substr(0, this->max_size - this->scanned);
     std::size_t used = 0;
-    while (this->progress == scan_state::incomplete && used < bytes.size()) {
-        if (this->scanned == this->max_size) {
-            this->progress = scan_state::too_large;
+    while (this->progress == scan_state::incomplete && used < usable.size()) {
+        used += this->run_length(usable.substr(used));
+        if (used == usable.size()) {
             break;
         }
-        this->scan_byte(bytes[used]);
+        this->scan_byte(usable[used]);
         ++used;
-        ++this->scanned;
         if (this->where == position::line_start && this->first_line_size == 0) {
-            this->first_line_size = this->scanned;
+            this->first_line_size = this->scanned + used;
         }
     }
+    this->scanned += used;
+    if (this->progress == scan_state::incomplete && used < bytes.size()) {
+        this->progress = scan_state::too_large;
+    }
     return used;
 }
 
+/// Number of bytes at the start of \p bytes that continue a name or a text.
+std::size_t section_scanner::run_length(std::string_view bytes) const noexcept {
+    const bool is_in_text = this->where == position::text || this->where == position::start_line;
+    if (!is_in_text && this->where != position::name) {
+        return 0;
+    }
+    const byte_set& continues = is_in_text ? text_characters : token_characters;
+    std::size_t length = 0;
+    while (length < bytes.size() && continues[static_cast<unsigned char>(bytes[length])]) {
+        ++length;
+    }
+    return length;
+}
+
 void section_scanner::scan_byte(char byte) noexcept {
     bool is_valid = true;
     switch (this->where) {
--- a/libs/event/src/section_scanner.h
+++ b/libs/event/src/section_scanner.h
@@ -41,6 +41,7 @@
 private:
     enum class position { line_start, start_line, name, text, line_feed, last_line_feed };
 
+    [[nodiscard]] std::size_t run_length(std::string_view bytes) const noexcept;
     void scan_byte(char byte) noexcept;
     [[nodiscard]] position after_line_start(char byte) noexcept;
 
