A request names one host and one path, or is refused

Requests with two Host fields, none, or a list in one were routed by the first field while the target got all of them; so were an absolute target (a host beside Host), a fragment and "*" with GET. Each leaves the target another reading than the instance has. Callers saw 404 at best, on a connection that stayed open.

Cause: Beast checks the letters of the target and the version only, and no Host.

Now the request line is checked as soon as it is complete, and Host when the head is: 400 and the connection closes. HTTP/1.0 may come without Host. "*" is left for OPTIONS. Absolute targets are refused although RFC 9112 (3.2.2) lets servers accept them: no caller of ours sends one, and it names a second host.

The fields of a head are counted before they are copied, which saves the growth of the list.

--- a/libs/event/src/framing.cpp
+++ b/libs/event/src/framing.cpp
@@ -106,12 +106,84 @@
     return body_framing{body_end::length, *length};
 }
 
+bool is_version(std::string_view text) {
+    return text == "HTTP/1.0" || text == "HTTP/1.1";
+}
+
+bool is_target(std::string_view method, std::string_view target) {
+    if (target == "*") {
+        return method == "OPTIONS";
+    }
+    const auto is_allowed = [](char byte) {
+        return is_text_character(byte) && byte != '\t' && byte != '#';
+    };
+    return target.starts_with('/') && std::all_of(target.begin(), target.end(), is_allowed);
+}
+
+bool is_port(std::string_view text) {
+    return std::all_of(text.begin(), text.end(),
+                       [](char byte) { return byte >= '0' && byte <= '9'; });
+}
+
+/// True for uri-host [ ":" port ] (RFC 3986, 3.2.2).
+bool is_host(std::string_view text) {
+    const std::size_t name_end = text.starts_with('[') ? text.find(']') : 0;
+    if (name_end == std::string_view::npos) {
+        return false;
+    }
+    const std::size_t colon = text.find(':', name_end);
+    const std::string_view port =
+        colon == std::string_view::npos ? std::string_view() : text.substr(colon + 1);
+    const std::string_view name = text.substr(0, colon);
+    constexpr std::string_view forbidden = " \t,/?#@\\\"<>";
+    const bool is_bracketed = name_end == 0 || name.size() == name_end + 1;
+    return !name.empty() && is_bracketed && is_port(port) &&
+           name.find_first_of(forbidden) == std::string_view::npos;
+}
+
 } // namespace
 
 result<body_framing> frame_request(const http_headers& headers, http_version version) {
     return frame_by_fields(headers, version, body_end::none);
 }
 
+result<void> check_request_line(std::string_view line) {
+    const std::size_t method_end = line.find(' ');
+    const std::size_t target_end = line.rfind(' ');
+    if (method_end == std::string_view::npos || target_end == method_end) {
+        return fail(error_kind::bad_request, "malformed request line");
+    }
+    const std::string_view method = line.substr(0, method_end);
+    const std::string_view target = line.substr(method_end + 1, target_end - method_end - 1);
+    if (!is_token(method) || target.find(' ') != std::string_view::npos) {
+        return fail(error_kind::bad_request, "malformed request line");
+    }
+    if (!is_version(line.substr(target_end + 1))) {
+        return fail(error_kind::bad_request, "the version is neither HTTP/1.0 nor HTTP/1.1");
+    }
+    if (!is_target(method, target)) {
+        return fail(error_kind::bad_request, "the request target is not a path");
+    }
+    return {};
+}
+
+result<void> check_host(const http_headers& headers, http_version version) {
+    const std::string* host = nullptr;
+    for (const auto& [name, value] : headers) {
+        if (equal_ignoring_case(name, "Host")) {
+            if (host != nullptr) {
+                return fail(error_kind::bad_request, "more than one Host");
+            }
+            host = &value;
+        }
+    }
+    if (host == nullptr) {
+        return version == http_version::http_1_0 ? result<void>()
+                                                 : fail(error_kind::bad_request, "no Host");
+    }
+    return is_host(*host) ? result<void>() : fail(error_kind::bad_request, "malformed Host");
+}
+
 bool may_start_response(std::string_view start) noexcept {
     constexpr std::string_view version = "HTTP/1.";
     const std::size_t size = std::min(start.size(), version.size());
--- a/libs/event/src/framing.h
+++ b/libs/event/src/framing.h
@@ -35,6 +35,15 @@
 /// than one reading, and with coding_unknown for a transfer coding other than chunked.
 [[nodiscard]] result<body_framing> frame_request(const http_headers& headers, http_version version);
 
+/// Fails with bad_request unless \p line is METHOD SP TARGET SP VERSION, TARGET is a path or, for
+/// OPTIONS, "*", and VERSION is HTTP/1.0 or HTTP/1.1. Absolute targets are not accepted: they name
+/// a host beside the Host field.
+/// \param line without its line end
+[[nodiscard]] result<void> check_request_line(std::string_view line);
+
+/// Fails with bad_request unless \p headers name one valid host; HTTP/1.0 may name none.
+[[nodiscard]] result<void> check_host(const http_headers& headers, http_version version);
+
 /// True when a response may start with \p start, of any size.
 [[nodiscard]] bool may_start_response(std::string_view start) noexcept;
 
--- a/libs/event/src/http_parser.cpp
+++ b/libs/event/src/http_parser.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <iterator>
 #include <limits>
 #include <optional>
 #include <string_view>
@@ -68,6 +69,7 @@
 template <typename Fields>
 http_headers copy_headers(const Fields& fields) {
     http_headers headers;
+    headers.reserve(static_cast<std::size_t>(std::distance(fields.begin(), fields.end())));
     for (const auto& field : fields) {
         headers.push_back({std::string(field.name_string()), std::string(field.value())});
     }
@@ -134,6 +136,7 @@
     section_scanner scanner;
     std::optional<body_reader> body;
     http_request message;
+    bool checked_line{false};
     bool keeps_alive{false};
 };
 
@@ -159,6 +162,13 @@
     section_scanner& scanner = this->inner->scanner;
     const std::string_view bytes = head_bytes(input, this->limits);
     scanner.scan(bytes.substr(scanner.size()));
+    if (!this->inner->checked_line && scanner.start_line_size() > 0) {
+        this->inner->checked_line = true;
+        const std::string_view line = bytes.substr(0, scanner.start_line_size() - line_end.size());
+        if (auto checked = check_request_line(line); !checked) {
+            return checked;
+        }
+    }
     switch (scanner.state()) {
     case scan_state::incomplete:
         return {};
@@ -185,6 +195,9 @@
     request.uri = std::string(message.target());
     request.headers = copy_headers(message);
     this->inner->keeps_alive = parser.keep_alive();
+    if (auto checked = check_host(request.headers, version_of(message)); !checked) {
+        return checked;
+    }
     const auto framing = frame_request(request.headers, version_of(message));
     if (!framing) {
         return tl::unexpected(framing.error());
--- a/libs/event/tests/framing_test.cpp
+++ b/libs/event/tests/framing_test.cpp
@@ -235,6 +235,62 @@
     expect_rejected("POST /x HTTP/1.1\nHost: h\n\n");
 }
 
+// A request line that is split at other blanks names another target.
+BOOST_AUTO_TEST_CASE(a_malformed_request_line_is_rejected) {
+    using namespace std::string_literals;
+    for (const std::string& line : {"GET  /x HTTP/1.1"s,
+                                    "GET /x  HTTP/1.1"s,
+                                    "GET /x HTTP/1.1 "s,
+                                    " GET /x HTTP/1.1"s,
+                                    "GET\t/x HTTP/1.1"s,
+                                    "GET /x\tHTTP/1.1"s,
+                                    "GET /x y HTTP/1.1"s,
+                                    "GET /x"s,
+                                    "GET"s,
+                                    "GET /x HTTP/1.2"s,
+                                    "GET /x HTTP/2.0"s,
+                                    "GET /x HTTP/0.9"s,
+                                    "GET /x http/1.1"s,
+                                    "GET /x HTTP/1.1x"s,
+                                    "GET /x HTTP/11"s,
+                                    "GET /x HTTP/1.10"s,
+                                    "GET /x HTTP/01.1"s,
+                                    "G(T /x HTTP/1.1"s,
+                                    "GET /\0 HTTP/1.1"s,
+                                    "GET /\x01 HTTP/1.1"s,
+                                    "GET /\x7f HTTP/1.1"s,
+                                    "GET /x#y HTTP/1.1"s,
+                                    "GET # HTTP/1.1"s,
+                                    "GET x HTTP/1.1"s,
+                                    "GET ?x HTTP/1.1"s,
+                                    "GET http://h/x HTTP/1.1"s,
+                                    "GET HTTP://h/x HTTP/1.1"s,
+                                    "GET * HTTP/1.1"s,
+                                    "CONNECT h:80 HTTP/1.1"s,
+                                    "GET /x\rHTTP/1.1"s,
+                                    "GET /x\nHTTP/1.1"s}) {
+        expect_rejected(line + "\r\nHost: h\r\n\r\n");
+    }
+    BOOST_TEST(read_request("OPTIONS * HTTP/1.1\r\nHost: h\r\n\r\n").is_complete);
+    BOOST_TEST(read_request("GET /x?a=b:/?@ HTTP/1.1\r\nHost: h\r\n\r\n").is_complete);
+}
+
+// Two hosts are two routes; the target and the instance may each take another one.
+BOOST_AUTO_TEST_CASE(a_request_that_does_not_name_one_host_is_rejected) {
+    for (const char* fields :
+         {"", "Host: h\r\nHost: h\r\n", "Host: h\r\nhost: other\r\n", "Host: h, other\r\n",
+          "Host: h other\r\n", "Host: u@h\r\n", "Host: h/x\r\n", "Host: h?\r\n", "Host: h#\r\n",
+          "Host: h:80x\r\n", "Host: h:80:90\r\n", "Host: [::1\r\n", "Host: :80\r\n"}) {
+        expect_rejected("GET /x HTTP/1.1\r\n" + std::string(fields) + "\r\n");
+    }
+    BOOST_TEST(read_request("GET /x HTTP/1.0\r\n\r\n").is_complete);
+    expect_rejected("GET /x HTTP/1.0\r\nHost: h\r\nHost: h\r\n\r\n");
+    for (const char* host : {"h", "h:", "h.example:8080", "127.0.0.1:80", "[::1]:80", "[::1]"}) {
+        const std::string request = "GET /x HTTP/1.1\r\nHost: " + std::string(host) + "\r\n\r\n";
+        BOOST_TEST(read_request(request).is_complete, host);
+    }
+}
+
 // A head that came in pieces could be longer than the limit, and an empty line in two pieces was
 // an error.
 BOOST_AUTO_TEST_CASE(limits_and_empty_lines_do_not_depend_on_the_pieces) {
--- a/tests/edge_framing_test.cpp
+++ b/tests/edge_framing_test.cpp
@@ -87,6 +87,7 @@
     expect_rejected(fleet, outer("Content-Length: 0\r\nContent-Length: 5\r\n", hidden), "400");
     expect_rejected(fleet, outer(chunked, "0x\r\n\r\n" + hidden), "400");
     expect_rejected(fleet, outer(chunked, "0;a=\"\n\"\r\n\r\n" + hidden), "400");
+    expect_rejected(fleet, outer("Host: h.example\r\n", hidden), "400");
     expect_rejected(fleet, outer("X: a\r\n Content-Length: 5\r\n", hidden), "400");
 
     target.answer(*target.unanswered.front(), 200, "slow");
