An answer whose end has two readings is the fault of its target

The body of a 204 with Content-Length or chunks stayed on the connection, which was used again, and the second caller got it as its own answer. A body in another transfer coding, or with chunked not last, was passed on with the rest of the connection; a 101 was skipped although other bytes than HTTP follow it.

Cause: Beast ends a 204 at its head whatever it states, and reads codings that do not end with chunked until the connection ends.

Now frame_response finds the framing by the same rules as for requests. More than one reading, any coding but chunked, a body in 1xx or 204, status 101 or one below 100 is target_failed, and http_connection closes the connection as for every failure.

A body of a 304 or to HEAD cannot be told from bytes behind the answer; such bytes end the connection when they come before the next request.

--- a/libs/event/src/framing.cpp
+++ b/libs/event/src/framing.cpp
@@ -11,6 +11,12 @@
 
 namespace {
 
+constexpr int switching_protocols = 101;
+constexpr int no_content = 204;
+constexpr int not_modified = 304;
+constexpr int first_status = 100;
+constexpr int first_final_status = 200;
+
 /// The values of a field that frames the message.
 struct framing_fields {
     const std::string* length{nullptr};
@@ -147,6 +153,25 @@
     return frame_by_fields(headers, version, body_end::none);
 }
 
+result<body_framing> frame_response(const http_headers& headers, http_version version, int status,
+                                    bool is_head) {
+    if (status < first_status || status == switching_protocols) {
+        return fail(error_kind::target_failed, "an answer with an impossible status");
+    }
+    result<body_framing> framing = frame_by_fields(headers, version, body_end::connection_end);
+    if (!framing) {
+        return fail(error_kind::target_failed, std::move(framing.error().detail));
+    }
+    if (status < first_final_status || status == no_content) {
+        const bool states_body = framing->end == body_end::chunked || framing->bytes > 0;
+        if (states_body) {
+            return fail(error_kind::target_failed, "a body in an answer that has none");
+        }
+        return body_framing{};
+    }
+    return is_head || status == not_modified ? body_framing{} : framing;
+}
+
 result<void> check_request_line(std::string_view line) {
     const std::size_t method_end = line.find(' ');
     const std::size_t target_end = line.rfind(' ');
--- a/libs/event/src/framing.h
+++ b/libs/event/src/framing.h
@@ -35,6 +35,12 @@
 /// than one reading, and with coding_unknown for a transfer coding other than chunked.
 [[nodiscard]] result<body_framing> frame_request(const http_headers& headers, http_version version);
 
+/// The framing of the body of a response. Fails with target_failed when there is more than one
+/// reading or when the body has a transfer coding other than chunked.
+/// \param is_head whether the response is to a HEAD request and so has no body
+[[nodiscard]] result<body_framing> frame_response(const http_headers& headers, http_version version,
+                                                  int status, bool is_head);
+
 /// Fails with bad_request unless \p line is METHOD SP TARGET SP VERSION, TARGET is a path or, for
 /// OPTIONS, "*", and VERSION is HTTP/1.0 or HTTP/1.1. Absolute targets are not accepted: they name
 /// a host beside the Host field.
--- a/libs/event/src/http_parser.cpp
+++ b/libs/event/src/http_parser.cpp
@@ -81,15 +81,6 @@
     return message.version() == http_1_1_number ? http_version::http_1_1 : http_version::http_1_0;
 }
 
-template <typename Parser>
-body_framing framing_of(const Parser& parser, body_end without) {
-    if (parser.chunked()) {
-        return {body_end::chunked, 0};
-    }
-    const auto length = parser.content_length();
-    return length ? body_framing{body_end::length, *length} : body_framing{without, 0};
-}
-
 /// Reads one body by its framing.
 class body_reader {
 public:
@@ -321,14 +312,13 @@
     http_response& response = this->inner->message;
     response.status = static_cast<int>(message.result_int());
     response.headers = copy_headers(message);
-    constexpr int no_content = 204;
-    constexpr int not_modified = 304;
-    const bool has_body = !this->is_head && response.status >= min_final_status &&
-                          response.status != no_content && response.status != not_modified;
-    const body_framing framing =
-        has_body ? framing_of(parser, body_end::connection_end) : body_framing{};
+    const auto framing =
+        frame_response(response.headers, version_of(message), response.status, this->is_head);
+    if (!framing) {
+        return tl::unexpected(framing.error());
+    }
     this->inner->keeps_alive = parser.keep_alive();
-    this->inner->body.emplace(framing, this->limits);
+    this->inner->body.emplace(*framing, this->limits);
     this->progress = parse_state::in_body;
     return {};
 }
--- a/libs/event/tests/framing_test.cpp
+++ b/libs/event/tests/framing_test.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <functional>
 #include <optional>
 #include <random>
 #include <string>
@@ -11,7 +12,14 @@
 
 #include <event2/buffer.h>
 
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include "../src/http_parser.h"
+#include "event/http_pool.h"
+#include "run_loop.h"
 
 using namespace knapweedknot;
 using detail::parse_state;
@@ -87,6 +95,11 @@
     return read_with(parser, bytes, cuts);
 }
 
+reading read_answer_to_head(std::string_view bytes) {
+    detail::response_parser parser(usual_limits, true);
+    return read_with(parser, bytes, {});
+}
+
 /// Expects that the request is rejected with \p kind however its bytes arrive.
 void expect_rejected(const std::string& bytes, error_kind kind = error_kind::bad_request) {
     const reading seen = read_request(bytes);
@@ -114,6 +127,55 @@
     return "HTTP/1.1 200 OK\r\n" + fields + "\r\n" + body;
 }
 
+/// A target that answers by raw bytes; the answers depend on the number of the connection. Not
+/// thread safe.
+class raw_target {
+public:
+    using responder = std::function<std::string(std::size_t connection, std::size_t request)>;
+
+    raw_target(loop& events, const endpoint& address, responder respond)
+        : answer(std::move(respond)) {
+        const int on = 1;
+        setsockopt(this->listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+        sockaddr_in name{};
+        name.sin_family = AF_INET;
+        name.sin_port = htons(address.port);
+        inet_pton(AF_INET, address.ip.c_str(), &name.sin_addr);
+        BOOST_REQUIRE(bind(this->listener, reinterpret_cast<sockaddr*>(&name), sizeof name) == 0);
+        ::listen(this->listener, 1);
+        this->step = events.every(milliseconds(1), [this] { this->serve(); });
+    }
+    ~raw_target() {
+        for (const auto& [connection, requests] : this->connections) {
+            close(connection);
+        }
+        close(this->listener);
+    }
+    raw_target(const raw_target&) = delete;
+    raw_target& operator=(const raw_target&) = delete;
+
+private:
+    void serve() {
+        if (const int accepted = accept4(this->listener, nullptr, nullptr, SOCK_NONBLOCK);
+            accepted >= 0) {
+            this->connections.emplace_back(accepted, 0);
+        }
+        for (std::size_t i = 0; i < this->connections.size(); ++i) {
+            auto& [connection, requests] = this->connections[i];
+            std::array<char, 4096> buffer{};
+            if (recv(connection, buffer.data(), buffer.size(), 0) > 0) {
+                const std::string bytes = this->answer(i, requests++);
+                send(connection, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+            }
+        }
+    }
+
+    responder answer;
+    int listener{socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0)};
+    std::vector<std::pair<int, std::size_t>> connections;
+    timer step;
+};
+
 } // namespace
 
 // A body whose codings do not end with chunked ran as a request of its own.
@@ -308,6 +370,71 @@
     BOOST_TEST(read_request(request, {1, 2, 3}).is_complete);
 }
 
+// The faulty answer of a target must not be taken for a good one, nor reach a second caller.
+BOOST_AUTO_TEST_CASE(an_answer_with_two_readings_is_the_fault_of_the_target) {
+    for (const char* fields :
+         {"Transfer-Encoding: gzip\r\n", "Transfer-Encoding: chunked, gzip\r\n",
+          "Transfer-Encoding: gzip, chunked\r\n", "Transfer-Encoding: chunked, chunked\r\n",
+          "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+          "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n",
+          "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
+          "Content-Length: 5\r\nTransfer-Encoding: gzip\r\n",
+          "Content-Length: 5\r\nContent-Length: 6\r\n", "Content-Length: 5, 6\r\n",
+          "Content-Length: +5\r\n", "Content-Length: 5 5\r\n", "Content-Length: \r\n"}) {
+        expect_faulty_answer(answer_with(fields, "5\r\nhello\r\n0\r\n\r\n"));
+    }
+    expect_faulty_answer("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
+    expect_faulty_answer("HTTP/1.1 204 No Content\r\nContent-Length: 5\r\n\r\nhello");
+    expect_faulty_answer("HTTP/1.1 204 No Content\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
+    expect_faulty_answer("HTTP/1.1 100 Continue\r\nContent-Length: 5\r\n\r\nhello");
+    expect_faulty_answer("HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n");
+    for (const char* line : {"HTTP/1.2 200 OK", "HTTP/2.0 200 OK", "http/1.1 200 OK",
+                             "HTTP/1.1  200 OK", "HTTP/1.1 2000 OK", "HTTP/1.1 20 OK",
+                             "HTTP/1.1 099 OK", "HTTP/1.1 +20 OK", " HTTP/1.1 200 OK", "200 OK"}) {
+        expect_faulty_answer(std::string(line) + "\r\nContent-Length: 0\r\n\r\n");
+    }
+    // Nothing more is waited for once the bytes cannot become an answer.
+    expect_faulty_answer("<html");
+    const std::string length = "Content-Length: 5\r\n";
+    BOOST_TEST(read_answer_to_head(answer_with(length, "")).is_complete);
+    BOOST_TEST(read_answer("HTTP/1.1 304 Not Modified\r\n" + length + "\r\n").is_complete);
+    BOOST_TEST(read_answer("HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n\r\n").is_complete);
+}
+
+// The body of an answer that has none was read as the answer to the next request on the connection.
+BOOST_AUTO_TEST_CASE(bytes_of_an_ambiguous_answer_do_not_reach_a_second_caller) {
+    const endpoint address{"127.0.0.1", 18950};
+    const std::string stolen = "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nstolen";
+    for (const char* head : {"HTTP/1.1 204 No Content\r\nContent-Length: 44\r\n\r\n",
+                             "HTTP/1.1 204 No Content\r\nTransfer-Encoding: chunked\r\n\r\n",
+                             "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nTransfer-Encoding: x\r\n\r\n",
+                             "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0;\n\r\n\r\n"}) {
+        loop events;
+        raw_target target(events, address, [&](std::size_t connection, std::size_t request) {
+            if (connection > 0) {
+                return std::string("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown");
+            }
+            return request == 0 ? std::string(head) : stolen;
+        });
+        http_pool pool(events, address, {});
+        const auto ask = [&] {
+            std::optional<http_outcome> outcome;
+            pool.send({}, seconds(2), [&](http_outcome result) { outcome = std::move(result); });
+            BOOST_REQUIRE(harness::run_until(
+                events, [&] { return outcome.has_value(); }, seconds(3)));
+            return std::move(*outcome);
+        };
+        const http_outcome first = ask();
+        BOOST_TEST(!first.has_value(), head);
+        if (!first) {
+            BOOST_TEST((first.error().problem.kind == error_kind::target_failed), head);
+        }
+        const http_outcome second = ask();
+        BOOST_REQUIRE(second.has_value());
+        BOOST_TEST(body_text(second->body.get()) == "own", head);
+    }
+}
+
 // What a message means must not depend on the packets that it came in.
 BOOST_AUTO_TEST_CASE(readings_do_not_depend_on_how_the_bytes_arrive) {
     using namespace std::string_literals;
