The options of every Connection field are kept to one connection

A field that a second Connection field named, or one behind a tab, was passed on to the target, and from targets to callers.

Cause: only the first Connection field was read, and only spaces were trimmed.

--- a/libs/event/src/hop_by_hop.cpp
+++ b/libs/event/src/hop_by_hop.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <array>
 
+#include "section_scanner.h"
+
 namespace knapweedknot {
 
 namespace {
@@ -19,14 +21,16 @@
                                                               "Expect",
                                                               "Content-Length"};
 
-std::string_view trim(std::string_view text) {
-    while (!text.empty() && text.front() == ' ') {
-        text.remove_prefix(1);
-    }
-    while (!text.empty() && text.back() == ' ') {
-        text.remove_suffix(1);
+bool lists_option(std::string_view list, std::string_view name) {
+    while (!list.empty()) {
+        const std::size_t comma = std::min(list.find(','), list.size());
+        const std::string_view option = detail::trim_blanks(list.substr(0, comma));
+        if (!option.empty() && equal_ignoring_case(option, name)) {
+            return true;
+        }
+        list = list.substr(std::min(comma + 1, list.size()));
     }
-    return text;
+    return false;
 }
 
 } // namespace
@@ -37,16 +41,9 @@
 }
 
 bool is_connection_option(const http_headers& headers, std::string_view name) {
-    const std::string* value = find_header(headers, "Connection");
-    std::string_view rest = value == nullptr ? std::string_view() : std::string_view(*value);
-    while (!rest.empty()) {
-        const std::size_t comma = std::min(rest.find(','), rest.size());
-        if (equal_ignoring_case(trim(rest.substr(0, comma)), name)) {
-            return true;
-        }
-        rest = rest.substr(std::min(comma + 1, rest.size()));
-    }
-    return false;
+    return std::any_of(headers.begin(), headers.end(), [name](const http_header& header) {
+        return equal_ignoring_case(header.name, "Connection") && lists_option(header.value, name);
+    });
 }
 
 } // namespace knapweedknot
--- a/libs/event/tests/framing_test.cpp
+++ b/libs/event/tests/framing_test.cpp
@@ -18,6 +18,7 @@
 #include <unistd.h>
 
 #include "../src/http_parser.h"
+#include "event/hop_by_hop.h"
 #include "event/http_pool.h"
 #include "run_loop.h"
 
@@ -435,6 +436,16 @@
     }
 }
 
+// Options of a second Connection field, or behind a tab, were passed on.
+BOOST_AUTO_TEST_CASE(all_connection_options_are_found) {
+    const http_headers headers{{"Connection", "A,\tB"}, {"X", "y"}, {"connection", " c , D\t"}};
+    for (const char* name : {"a", "b", "C", "d"}) {
+        BOOST_TEST(is_connection_option(headers, name), name);
+    }
+    BOOST_TEST(!is_connection_option(headers, "X"));
+    BOOST_TEST(!is_connection_option({{"Connection", "A,,"}}, ""));
+}
+
 // What a message means must not depend on the packets that it came in.
 BOOST_AUTO_TEST_CASE(readings_do_not_depend_on_how_the_bytes_arrive) {
     using namespace std::string_literals;
--- a/tests/edge_framing_test.cpp
+++ b/tests/edge_framing_test.cpp
@@ -107,7 +107,8 @@
     fleet.start();
     raw_socket caller;
     caller.connect(fleet.callers_address(0));
-    caller.send(outer("Transfer-Encoding: chunked\r\nConnection: close\r\n",
+    caller.send(outer("Transfer-Encoding: chunked\r\nConnection: X-One\r\n"
+                      "Connection: close,\tX-Two\r\nX-One: 1\r\nX-Two: 2\r\n",
                       "5\r\nhello\r\n0\r\nX-Trailer: t\r\nX-Tenant: other\r\n\r\n"));
     BOOST_REQUIRE(fleet.run_until([&] { return target.last_request != nullptr; }));
     const incoming_request& seen = *target.last_request;
@@ -116,4 +117,6 @@
     BOOST_TEST(seen.header("Transfer-Encoding").empty());
     BOOST_TEST(seen.header("Content-Length") == "5");
     BOOST_TEST(body_text(seen.body()) == "hello");
+    BOOST_TEST(seen.header("X-One").empty());
+    BOOST_TEST(seen.header("X-Two").empty());
 }
