A late answer that ends with its connection ends the waiting request (LOST)

Callers saw: a request that waited for its deadline (504) though its target's connection had ended, without the retry that an idempotent one is due. Cause: where the connection's end completed the body of an answer to another request, the answer was discarded and the request went on waiting on a connection on which nothing more can arrive. A late answer with a length followed by a close was ruled out: its end reached the parser again (a_response_to_another_request_is_discarded). Fix: accept_response tells whether it completed the request; if not, the end of the connection ends it.

--- a/libs/event/include/event/http_client.h
+++ b/libs/event/include/event/http_client.h
@@ -92,7 +92,7 @@
     void read_response();
     void handle_event(short what);
     void handle_connection_end(bool closed_cleanly);
-    void accept_response();
+    [[nodiscard]] bool accept_response();
     void time_out();
     void fail_exchange(error_kind kind, std::string detail);
     void finish(http_outcome outcome);
--- a/libs/event/src/http_client.cpp
+++ b/libs/event/src/http_client.cpp
@@ -190,8 +190,7 @@
     }
     const bool body_needs_eof = this->running->parser.needs_eof();
     if (closed_cleanly && this->limits.accept_close_delimited && body_needs_eof &&
-        this->running->parser.finish_at_eof()) {
-        this->accept_response();
+        this->running->parser.finish_at_eof() && this->accept_response()) {
         return;
     }
     if (this->running->parser.state() == detail::parse_state::empty) {
@@ -211,13 +210,17 @@
         return;
     }
     evbuffer* input = bufferevent_get_input(this->stream.get());
-    if (const auto parsed = this->running->parser.consume(input); !parsed) {
-        this->fail_exchange(parsed.error().kind, parsed.error().detail);
-        return;
-    }
-    if (this->running->parser.state() == detail::parse_state::done) {
-        this->accept_response();
-    }
+    bool is_accepted = false;
+    do {
+        if (const auto parsed = this->running->parser.consume(input); !parsed) {
+            this->fail_exchange(parsed.error().kind, parsed.error().detail);
+            return;
+        }
+        if (this->running->parser.state() != detail::parse_state::done) {
+            return;
+        }
+        is_accepted = this->accept_response();
+    } while (!is_accepted);
 }
 
 bool http_connection::matches_request(const http_response& response) const {
@@ -229,16 +232,16 @@
 }
 
 /// Completes the request with the parsed response, or discards the response when it belongs to
-/// another request.
-void http_connection::accept_response() {
+/// another request. Returns whether it completed the request; its handler may then have destroyed
+/// the connection.
+bool http_connection::accept_response() {
     const bool keeps_alive =
         this->running->parser.keeps_alive() && !this->running->parser.needs_eof();
     http_response response = this->running->parser.take();
     if (!this->matches_request(response)) {
         this->running->skipped_response = true;
         this->running->parser.skip();
-        this->read_response();
-        return;
+        return false;
     }
     const bool request_is_flushed =
         evbuffer_get_length(bufferevent_get_output(this->stream.get())) == 0;
@@ -248,6 +251,7 @@
     this->reusable_until =
         boot_clock::now() + peer_idle_timeout(response.headers) - idle_timeout_margin;
     this->finish(std::move(response));
+    return true;
 }
 
 void http_connection::time_out() {
--- /dev/null
+++ b/libs/event/tests/target_connection_test.cpp
@@ -0,0 +1,120 @@
+#include <boost/test/unit_test.hpp>
+
+#include <optional>
+
+#include "event/http_client.h"
+#include "event/http_pool.h"
+#include "raw_target.h"
+#include "run_loop.h"
+
+using namespace knapweedknot;
+
+// The ends of connections to targets; docs/design/target-connections.md lists them all.
+
+namespace {
+
+const endpoint target_address{"127.0.0.1", 18940};
+constexpr duration long_timeout = seconds(5);
+constexpr duration soon = milliseconds(1000);
+const std::string ok_head = "HTTP/1.1 200 OK\r\n";
+const std::string whole_answer = ok_head + "Content-Length: 2\r\n\r\nok";
+
+http_request make_post(std::size_t body_bytes = 4) {
+    http_request request;
+    request.method = "POST";
+    request.uri = "/x";
+    request.body = make_body(std::string(body_bytes, 'b'));
+    return request;
+}
+
+// More than the buffers of two sockets hold.
+constexpr std::size_t long_body = std::size_t{24} * 1024 * 1024;
+
+/// A target of raw bytes and a pool of connections to it.
+struct target_fixture {
+    loop events;
+    harness::raw_target target{target_address};
+    http_client_limits limits;
+    std::optional<http_pool> pool;
+    std::optional<http_outcome> outcome;
+
+    target_fixture() {
+        this->limits.accept_close_delimited = true;
+        this->limits.echoed_header = "X-Request-Id";
+        this->pool.emplace(this->events, target_address, this->limits);
+    }
+    void send(const http_request& request, duration timeout = long_timeout) {
+        this->outcome.reset();
+        this->pool->send(request, timeout,
+                         [this](auto result) { this->outcome = std::move(result); });
+    }
+    template <typename Condition>
+    [[nodiscard]] bool run_until(Condition condition, duration limit = long_timeout) {
+        return harness::run_until(this->events, condition, limit);
+    }
+    void accept() {
+        const int wanted = this->target.accepted_connections + 1;
+        BOOST_REQUIRE(this->run_until(
+            [&] { return this->target.accept() || this->target.accepted_connections == wanted; }));
+    }
+    /// Runs until the target has bytes of the request; returns them.
+    std::string read_request() {
+        std::string received;
+        BOOST_REQUIRE(this->run_until([&] {
+            received += this->target.connection.read_available();
+            return !received.empty();
+        }));
+        return received;
+    }
+    void await_outcome(duration limit = soon) {
+        BOOST_REQUIRE(this->run_until([this] { return this->outcome.has_value(); }, limit));
+    }
+    /// Leaves a kept connection that has carried one request.
+    void make_kept_connection(const std::string& answer = whole_answer) {
+        this->send(make_post());
+        this->accept();
+        this->read_request();
+        this->target.connection.send(answer);
+        this->await_outcome();
+        BOOST_REQUIRE(this->outcome->has_value());
+    }
+    /// Expects that the next request is answered on a connection of its own.
+    void expect_new_connection() {
+        const int before = this->target.accepted_connections;
+        this->send(make_post());
+        this->accept();
+        this->read_request();
+        this->target.connection.send(whole_answer);
+        this->await_outcome();
+        BOOST_TEST(this->outcome->has_value());
+        BOOST_TEST(this->target.accepted_connections == before + 1);
+    }
+    void expect_failure(error_kind kind, send_progress progress) {
+        this->await_outcome();
+        BOOST_REQUIRE(!this->outcome->has_value());
+        BOOST_TEST((this->outcome->error().problem.kind == kind),
+                   this->outcome->error().problem.detail);
+        BOOST_TEST((this->outcome->error().progress == progress));
+    }
+    void expect_answer(std::string_view text) {
+        this->await_outcome();
+        BOOST_REQUIRE(this->outcome->has_value());
+        BOOST_TEST(body_text((*this->outcome)->body.get()) == text);
+    }
+};
+
+} // namespace
+
+// Guards against LOST: an answer to an earlier request that ends with its connection left the
+// request waiting for its deadline, though no answer could come any more.
+BOOST_FIXTURE_TEST_CASE(a_late_answer_that_ends_with_its_connection_ends_the_request,
+                        target_fixture) {
+    http_request request = make_post();
+    request.headers.push_back({"X-Request-Id", "own"});
+    this->send(request);
+    this->accept();
+    this->read_request();
+    this->target.connection.send(ok_head + "X-Request-Id: other\r\n\r\nlate");
+    this->target.connection.close();
+    this->expect_failure(error_kind::answer_truncated, send_progress::may_be_sent);
+}
