An early answer is read though writing the request failed (LOST)

Callers saw: 502 (and a needless retry of an idempotent request) for a request whose target had answered before it had read the whole body, and closed the connection. Cause: the close resets the connection, as bytes of the request stand unread at the target. The loop handles the failed write before the read, and the failure ended the exchange with the answer unread in the kernel. Without `closed_cleanly && !write_failed` the second test fails too: a part of an answer without a length was taken for the whole, since the failed write takes the socket's error away and the read then ends like a proper close. Ruled out: that the kernel drops what it had received before the reset; the answer is readable after it. Fix: after a failed write, reading goes on while anything is unread; the answer counts if it is complete, and one that would be delimited by the close isn't. With nothing unread the exchange ends at once, as before.

--- a/libs/event/src/http_client.cpp
+++ b/libs/event/src/http_client.cpp
@@ -2,12 +2,14 @@
 
 #include <algorithm>
 #include <cassert>
+#include <cerrno>
 #include <charconv>
 #include <utility>
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
+#include <sys/socket.h>
 
 #include "event/socket_address.h"
 #include "http_parser.h"
@@ -39,6 +41,13 @@
     return body_bytes > 0 || method == "POST" || method == "PUT" || method == "PATCH";
 }
 
+/// True when bytes, the peer's close or an error of \p socket were not read yet.
+bool has_unread_input(int socket) {
+    char next{};
+    const ssize_t size = recv(socket, &next, sizeof next, MSG_PEEK | MSG_DONTWAIT);
+    return size >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 } // namespace
 
 /// State of the running request.
@@ -50,6 +59,8 @@
     /// Size of the request in the output buffer when it was queued.
     std::size_t request_bytes{0};
     bool skipped_response{false};
+    /// True once a write has failed; the rest of the request is not written.
+    bool write_failed{false};
     timer deadline;
     timer connect_deadline;
 };
@@ -90,6 +101,7 @@
                                      {},
                                      0,
                                      false,
+                                     false,
                                      timer(),
                                      timer()});
     if (!this->limits.echoed_header.empty()) {
@@ -175,6 +187,13 @@
     if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) == 0) {
         return;
     }
+    const bool is_writing = (what & BEV_EVENT_WRITING) != 0;
+    if (is_writing && this->connected && this->running != nullptr &&
+        has_unread_input(bufferevent_getfd(this->stream.get()))) {
+        // The target may have answered before it ended the connection: reading goes on to the end.
+        this->running->write_failed = true;
+        return;
+    }
     this->handle_connection_end((what & BEV_EVENT_EOF) != 0);
 }
 
@@ -188,6 +207,8 @@
         this->fail_exchange(error_kind::connect_failed, "cannot connect");
         return;
     }
+    // A failed write takes the socket's error away: a reset then reads like a proper close.
+    closed_cleanly = closed_cleanly && !this->running->write_failed;
     const bool body_needs_eof = this->running->parser.needs_eof();
     if (closed_cleanly && this->limits.accept_close_delimited && body_needs_eof &&
         this->running->parser.finish_at_eof() && this->accept_response()) {
--- a/libs/event/tests/target_connection_test.cpp
+++ b/libs/event/tests/target_connection_test.cpp
@@ -118,3 +118,29 @@
     this->target.connection.close();
     this->expect_failure(error_kind::answer_truncated, send_progress::may_be_sent);
 }
+
+// Guards against LOST: a target may answer before it has read the whole body and close. Its answer
+// stood unread in the kernel when writing the rest failed, and was dropped.
+BOOST_FIXTURE_TEST_CASE(an_early_answer_is_read_though_writing_the_request_failed, target_fixture) {
+    this->send(make_post(long_body));
+    this->accept();
+    this->read_request();
+    harness::run_for(this->events, milliseconds(50));
+    this->target.connection.send(whole_answer);
+    // With unread bytes of the request in its kernel, this resets the connection.
+    this->target.connection.close();
+    this->expect_answer("ok");
+}
+
+// Guards against MIXED: the failed write takes the socket's error away, so that reading ends as if
+// the target had closed the connection properly.
+BOOST_FIXTURE_TEST_CASE(an_early_answer_without_a_length_is_not_complete_after_a_reset,
+                        target_fixture) {
+    this->send(make_post(long_body));
+    this->accept();
+    this->read_request();
+    harness::run_for(this->events, milliseconds(50));
+    this->target.connection.send(ok_head + "\r\npart");
+    this->target.connection.close();
+    this->expect_failure(error_kind::answer_truncated, send_progress::may_be_sent);
+}
