A kept connection whose close or data is unread carries no request (LOST, MIXED)

Callers saw: 502 for a request that isn't idempotent, on a connection that its target had closed before the request was written; a retry from the budget for an idempotent one; and, where the target had sent bytes after its answer, these as the answer to the next request unless they named another id. Cause: reuse went by what the loop had handled. The loop writes before it reads, so a close that stood in the kernel was seen only after the request was written, and then it can't be told from a target that has run it. Ruled out: the idle limits, which are longer than the time at which a target may close. Fix: http_connection::accepts_request also asks the kernel (a peek without waiting). The pools choose by it, and send opens a new connection where it doesn't hold.

--- a/libs/event/include/event/http_client.h
+++ b/libs/event/include/event/http_client.h
@@ -75,6 +75,10 @@
     /// True while the connection is open and can carry another request: the last response left it
     /// reusable, no data has arrived since, and the peer's idle timeout is not about to expire.
     [[nodiscard]] bool is_reusable() const noexcept;
+    /// True when it is reusable and the kernel holds no data, close or error of the peer that the
+    /// loop has not handled yet. To be asked right before send(): a request on a connection that
+    /// the peer has ended cannot be told from one that it has run.
+    [[nodiscard]] bool accepts_request() const noexcept;
     /// Time since the last request ended.
     [[nodiscard]] duration idle_time() const noexcept {
         return boot_clock::now() - this->last_exchange_end;
--- a/libs/event/src/http_client.cpp
+++ b/libs/event/src/http_client.cpp
@@ -42,7 +42,7 @@
 }
 
 /// True when bytes, the peer's close or an error of \p socket were not read yet.
-bool has_unread_input(int socket) {
+bool has_unread_input(int socket) noexcept {
     char next{};
     const ssize_t size = recv(socket, &next, sizeof next, MSG_PEEK | MSG_DONTWAIT);
     return size >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
@@ -80,9 +80,13 @@
            boot_clock::now() < this->reusable_until;
 }
 
+bool http_connection::accepts_request() const noexcept {
+    return this->is_reusable() && !has_unread_input(bufferevent_getfd(this->stream.get()));
+}
+
 void http_connection::send(const http_request& request, duration timeout, handler done) {
     assert(this->running == nullptr);
-    const bool reuse = this->is_reusable();
+    const bool reuse = this->accepts_request();
     this->start_exchange(request, timeout, std::move(done));
     if (!reuse && !this->open()) {
         this->running->deadline = this->owner.after(duration::zero(), [this] {
--- a/libs/event/src/http_pool.cpp
+++ b/libs/event/src/http_pool.cpp
@@ -25,10 +25,11 @@
 
 http_connection& http_pool::acquire_connection() {
     std::erase_if(this->connections, [this](const auto& connection) {
-        return !connection->is_busy() && connection->idle_time() > this->idle_limit;
+        return !connection->is_busy() &&
+               (!connection->is_reusable() || connection->idle_time() > this->idle_limit);
     });
     for (const auto& connection : this->connections) {
-        if (!connection->is_busy()) {
+        if (connection->accepts_request()) {
             return *connection;
         }
     }
--- a/libs/event/tests/target_connection_test.cpp
+++ b/libs/event/tests/target_connection_test.cpp
@@ -144,3 +144,27 @@
     this->target.connection.close();
     this->expect_failure(error_kind::answer_truncated, send_progress::may_be_sent);
 }
+
+// Guards against LOST and a needless 502: a target closed the kept connection before the request
+// was written, and that stood unread in the kernel.
+BOOST_FIXTURE_TEST_CASE(a_kept_connection_whose_close_is_unread_carries_no_request,
+                        target_fixture) {
+    this->make_kept_connection();
+    this->target.connection.close();
+    this->expect_new_connection();
+}
+
+// The same, where the target resets the connection.
+BOOST_FIXTURE_TEST_CASE(a_kept_connection_whose_reset_is_unread_carries_no_request,
+                        target_fixture) {
+    this->make_kept_connection();
+    this->target.reset();
+    this->expect_new_connection();
+}
+
+// Guards against MIXED: bytes that came before the request are no answer to it.
+BOOST_FIXTURE_TEST_CASE(a_kept_connection_with_unread_bytes_carries_no_request, target_fixture) {
+    this->make_kept_connection();
+    this->target.connection.send(whole_answer);
+    this->expect_new_connection();
+}
--- a/libs/proxy/include/proxy/target_pool.h
+++ b/libs/proxy/include/proxy/target_pool.h
@@ -110,8 +110,8 @@
     /// Calls check_target for each target with running attempts of this instance.
     void check_running_targets(time_point now);
 
-    /// Takes the most recently used idle connection that was idle for less than \p limit; null if
-    /// there is none.
+    /// Takes the most recently used idle connection that was idle for less than \p limit and that
+    /// the target has not ended; null if there is none.
     [[nodiscard]] static std::unique_ptr<http_connection> take_connection(pooled_target& target,
                                                                           duration limit);
     /// Returns a connection to the idle ones, or closes it if it is not reusable or there are
--- a/libs/proxy/src/target_pool.cpp
+++ b/libs/proxy/src/target_pool.cpp
@@ -245,7 +245,7 @@
     while (!target.idle.empty()) {
         std::unique_ptr<http_connection> newest = std::move(target.idle.back());
         target.idle.pop_back();
-        if (newest->is_reusable() && newest->idle_time() < limit) {
+        if (newest->accepts_request() && newest->idle_time() < limit) {
             return newest;
         }
     }
