--- a/libs/event/include/event/http_client.h
+++ b/libs/event/include/event/http_client.h
@@ -93,6 +93,7 @@
     void start_exchange(const http_request& request, duration timeout, handler done);
     [[nodiscard]] bool open();
     void write_request(const http_request& request);
+    void write_at_once();
     void read_response();
     void handle_event(short what);
     void handle_connection_end(bool closed_cleanly);
--- a/libs/event/src/http_client.cpp
+++ b/libs/event/src/http_client.cpp
@@ -164,6 +164,20 @@
     evbuffer_add(output, head.data(), head.size());
     append_copy(output, request.body.get());
     this->running->request_bytes = head.size() + body_bytes;
+    if (this->connected) {
+        this->write_at_once();
+    }
+}
+
+/// Hands what the kernel takes of the request to it now: on a kept connection the time between the
+/// check for the peer's close and the write is as short as possible. The loop writes the rest and
+/// reports errors.
+void http_connection::write_at_once() {
+    evbuffer* output = bufferevent_get_output(this->stream.get());
+    // The stream locks the front of its output for all but its own writes.
+    evbuffer_unfreeze(output, 1);
+    evbuffer_write(output, bufferevent_getfd(this->stream.get()));
+    evbuffer_freeze(output, 1);
 }
 
 void http_connection::cancel() {
--- a/libs/event/tests/target_connection_test.cpp
+++ b/libs/event/tests/target_connection_test.cpp
@@ -168,3 +168,14 @@
     this->target.connection.send(whole_answer);
     this->expect_new_connection();
 }
+
+// Guards against a request that crosses the target's close needlessly: between the check of a kept
+// connection and the write the loop handled other events.
+BOOST_FIXTURE_TEST_CASE(a_request_on_a_kept_connection_is_written_at_once, target_fixture) {
+    this->make_kept_connection();
+    this->send(make_post());
+    BOOST_TEST(this->target.connection.read_available().starts_with("POST /x "));
+    this->target.connection.send(whole_answer);
+    this->expect_answer("ok");
+    BOOST_TEST(this->target.accepted_connections == 1);
+}
