A new connection that the target has ended carries no request (LOST, MIXED)

Callers saw: 502 for a request that isn't idempotent where the target closed the new connection before the request was written; where it sent bytes first, these could be taken for the answer to the request. Cause: the loop reports that a connection is made, then writes, and only then reads the close or the bytes. With the check alone the second test still failed: the stream wrote the request after it was released in its callback, so that it ran though it was reported as not sent. Ruled out: the same in the other callbacks, where no write follows the release. Fix: the kernel is asked when the connection is made; if it holds anything, writing is disabled and the request fails as not sent.

--- a/libs/event/include/event/http_client.h
+++ b/libs/event/include/event/http_client.h
@@ -96,6 +96,7 @@
     void write_at_once();
     void read_response();
     void handle_event(short what);
+    void handle_connected();
     void handle_connection_end(bool closed_cleanly);
     [[nodiscard]] bool accept_response();
     void time_out();
--- a/libs/event/src/http_client.cpp
+++ b/libs/event/src/http_client.cpp
@@ -199,7 +199,7 @@
 
 void http_connection::handle_event(short what) {
     if ((what & BEV_EVENT_CONNECTED) != 0) {
-        this->connected = true;
+        this->handle_connected();
         return;
     }
     if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) == 0) {
@@ -215,6 +215,18 @@
     this->handle_connection_end((what & BEV_EVENT_EOF) != 0);
 }
 
+/// Lets the request be written unless the target has already ended the connection or sent bytes,
+/// which answer nothing.
+void http_connection::handle_connected() {
+    if (has_unread_input(bufferevent_getfd(this->stream.get()))) {
+        // Without this the stream writes the request after this callback, though it is released.
+        bufferevent_disable(this->stream.get(), EV_WRITE);
+        this->fail_exchange(error_kind::connect_failed, "connection ended before the request");
+        return;
+    }
+    this->connected = true;
+}
+
 void http_connection::handle_connection_end(bool closed_cleanly) {
     if (this->running == nullptr) {
         this->stream.reset();
--- a/libs/event/tests/target_connection_test.cpp
+++ b/libs/event/tests/target_connection_test.cpp
@@ -179,3 +179,21 @@
     this->expect_answer("ok");
     BOOST_TEST(this->target.accepted_connections == 1);
 }
+
+// Guards against a needless 502: the target ended a new connection before the request was written.
+BOOST_FIXTURE_TEST_CASE(a_new_connection_that_the_target_has_closed_carries_no_request,
+                        target_fixture) {
+    this->send(make_post());
+    BOOST_REQUIRE(this->target.accept());
+    this->target.connection.close();
+    this->expect_failure(error_kind::connect_failed, send_progress::not_sent);
+}
+
+// Guards against MIXED: what a target sends before it has a byte of the request is no answer to it.
+BOOST_FIXTURE_TEST_CASE(a_new_connection_with_unread_bytes_carries_no_request, target_fixture) {
+    this->send(make_post());
+    BOOST_REQUIRE(this->target.accept());
+    this->target.connection.send(whole_answer);
+    this->expect_failure(error_kind::connect_failed, send_progress::not_sent);
+    BOOST_TEST(this->target.connection.read_available().empty());
+}
