--- a/libs/event/include/event/http_client.h
+++ b/libs/event/include/event/http_client.h
@@ -4,11 +4,13 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "base/endpoint.h"
 #include "base/error.h"
 #include "event/http_message.h"
 #include "event/loop.h"
+#include "event/target_connection_end.h"
 
 struct bufferevent;
 
@@ -32,6 +34,8 @@
     /// Request header that the peer echoes in its responses. A response that echoes a different
     /// value belongs to another request and is discarded. Empty disables the check.
     std::string echoed_header;
+    /// Where the ends of connections are counted; null: nowhere.
+    std::shared_ptr<target_connection_end_counts> end_counts;
 };
 
 /// Whether a failed request may have reached the target.
@@ -44,9 +48,11 @@
 
 /// A failed request.
 struct http_failure {
-    /// connect_failed, deadline_exceeded, target_failed, answer_truncated or answer_too_large.
+    /// connect_failed, deadline_exceeded, target_failed, answer_truncated or answer_too_large. The
+    /// detail begins with the name of how the connection ended.
     error problem;
     send_progress progress{send_progress::may_be_sent};
+    target_connection_end end{};
 };
 
 using http_outcome = tl::expected<http_response, http_failure>;
@@ -100,7 +106,10 @@
     void handle_connection_end(bool closed_cleanly);
     [[nodiscard]] bool accept_response();
     void time_out();
-    void fail_exchange(error_kind kind, std::string detail);
+    void fail_exchange(target_connection_end end, error_kind kind, std::string_view detail);
+    void end_stream(target_connection_end end);
+    void end_idle_stream();
+    [[nodiscard]] std::optional<target_connection_end> end_after_answer() const;
     void finish(http_outcome outcome);
     [[nodiscard]] bool is_unsent() const;
     [[nodiscard]] bool matches_request(const http_response& response) const;
--- a/libs/event/src/http_client.cpp
+++ b/libs/event/src/http_client.cpp
@@ -73,7 +73,10 @@
                                  const http_client_limits& size_limits, const std::string& local_ip)
     : owner(event_loop), address(target_address), limits(size_limits), source_ip(local_ip) {}
 
-http_connection::~http_connection() = default;
+http_connection::~http_connection() {
+    this->cancel();
+    this->end_idle_stream();
+}
 
 bool http_connection::is_reusable() const noexcept {
     return this->stream != nullptr && this->connected && this->reusable && !this->is_busy() &&
@@ -90,7 +93,8 @@
     this->start_exchange(request, timeout, std::move(done));
     if (!reuse && !this->open()) {
         this->running->deadline = this->owner.after(duration::zero(), [this] {
-            this->fail_exchange(error_kind::connect_failed, "cannot start a connection");
+            this->fail_exchange(target_connection_end::connect_failed, error_kind::connect_failed,
+                                "cannot start a connection");
         });
         return;
     }
@@ -124,8 +128,7 @@
 }
 
 bool http_connection::open() {
-    this->connected = false;
-    this->stream.reset();
+    this->end_idle_stream();
     const int socket = make_tcp_socket(this->source_ip);
     if (socket < 0) {
         return false;
@@ -183,8 +186,25 @@
 void http_connection::cancel() {
     if (this->running != nullptr) {
         this->running.reset();
-        this->stream.reset();
-        this->connected = false;
+        this->end_stream(target_connection_end::cancelled);
+    }
+}
+
+/// Closes the connection and counts its end.
+void http_connection::end_stream(target_connection_end end) {
+    this->stream.reset();
+    this->connected = false;
+    if (this->limits.end_counts != nullptr) {
+        this->limits.end_counts->record(end);
+    }
+}
+
+/// Closes the connection on which no request runs, if there is one.
+void http_connection::end_idle_stream() {
+    if (this->stream != nullptr) {
+        this->end_stream(has_unread_input(bufferevent_getfd(this->stream.get()))
+                             ? target_connection_end::idle_closed
+                             : target_connection_end::idle_dropped);
     }
 }
 
@@ -221,7 +241,8 @@
     if (has_unread_input(bufferevent_getfd(this->stream.get()))) {
         // Without this the stream writes the request after this callback, though it is released.
         bufferevent_disable(this->stream.get(), EV_WRITE);
-        this->fail_exchange(error_kind::connect_failed, "connection ended before the request");
+        this->fail_exchange(target_connection_end::ended_before_request, error_kind::connect_failed,
+                            "connection ended before the request");
         return;
     }
     this->connected = true;
@@ -229,12 +250,12 @@
 
 void http_connection::handle_connection_end(bool closed_cleanly) {
     if (this->running == nullptr) {
-        this->stream.reset();
-        this->connected = false;
+        this->end_stream(target_connection_end::idle_closed);
         return;
     }
     if (!this->connected) {
-        this->fail_exchange(error_kind::connect_failed, "cannot connect");
+        this->fail_exchange(target_connection_end::connect_failed, error_kind::connect_failed,
+                            "cannot connect");
         return;
     }
     // A failed write takes the socket's error away: a reset then reads like a proper close.
@@ -245,26 +266,35 @@
         return;
     }
     if (this->running->parser.state() == detail::parse_state::empty) {
-        this->fail_exchange(closed_cleanly ? error_kind::answer_truncated
-                                           : error_kind::target_failed,
-                            "connection ended without an answer");
+        const target_connection_end end =
+            this->is_unsent() ? target_connection_end::ended_before_request
+            : closed_cleanly  ? target_connection_end::closed_without_answer
+                              : target_connection_end::reset_without_answer;
+        this->fail_exchange(
+            end, closed_cleanly ? error_kind::answer_truncated : error_kind::target_failed,
+            "connection ended without an answer");
         return;
     }
-    this->fail_exchange(error_kind::answer_truncated, "connection ended within the answer");
+    this->fail_exchange(closed_cleanly ? target_connection_end::closed_within_answer
+                                       : target_connection_end::reset_within_answer,
+                        error_kind::answer_truncated, "connection ended within the answer");
 }
 
 void http_connection::read_response() {
     if (this->running == nullptr) {
         // Data without a request: later responses could no longer be matched to their requests.
-        this->stream.reset();
-        this->connected = false;
+        this->end_stream(target_connection_end::idle_closed);
         return;
     }
     evbuffer* input = bufferevent_get_input(this->stream.get());
     bool is_accepted = false;
     do {
         if (const auto parsed = this->running->parser.consume(input); !parsed) {
-            this->fail_exchange(parsed.error().kind, parsed.error().detail);
+            const error& problem = parsed.error();
+            this->fail_exchange(problem.kind == error_kind::answer_too_large
+                                    ? target_connection_end::answer_too_large
+                                    : target_connection_end::malformed_answer,
+                                problem.kind, problem.detail);
             return;
         }
         if (this->running->parser.state() != detail::parse_state::done) {
@@ -282,52 +312,69 @@
     return echoed == nullptr || *echoed == this->running->expected_echo;
 }
 
+/// Why the connection cannot carry another request after the parsed response; empty if it can.
+std::optional<target_connection_end> http_connection::end_after_answer() const {
+    if (this->running->skipped_response) {
+        return target_connection_end::late_answer;
+    }
+    if (this->running->parser.needs_eof()) {
+        return target_connection_end::close_delimited;
+    }
+    if (evbuffer_get_length(bufferevent_get_output(this->stream.get())) > 0) {
+        return target_connection_end::request_unfinished;
+    }
+    if (evbuffer_get_length(bufferevent_get_input(this->stream.get())) > 0) {
+        return target_connection_end::surplus_bytes;
+    }
+    if (!this->running->parser.keeps_alive()) {
+        return target_connection_end::close_announced;
+    }
+    return std::nullopt;
+}
+
 /// Completes the request with the parsed response, or discards the response when it belongs to
 /// another request. Returns whether it completed the request; its handler may then have destroyed
 /// the connection.
 bool http_connection::accept_response() {
-    const bool keeps_alive =
-        this->running->parser.keeps_alive() && !this->running->parser.needs_eof();
+    const std::optional<target_connection_end> end = this->end_after_answer();
     http_response response = this->running->parser.take();
     if (!this->matches_request(response)) {
         this->running->skipped_response = true;
         this->running->parser.skip();
         return false;
     }
-    const bool request_is_flushed =
-        evbuffer_get_length(bufferevent_get_output(this->stream.get())) == 0;
-    const bool input_is_empty = evbuffer_get_length(bufferevent_get_input(this->stream.get())) == 0;
-    this->reusable =
-        keeps_alive && request_is_flushed && input_is_empty && !this->running->skipped_response;
+    this->reusable = !end;
     this->reusable_until =
         boot_clock::now() + peer_idle_timeout(response.headers) - idle_timeout_margin;
+    if (end) {
+        this->end_stream(*end);
+    }
     this->finish(std::move(response));
     return true;
 }
 
 void http_connection::time_out() {
     if (this->connected) {
-        this->fail_exchange(error_kind::deadline_exceeded, "no answer in time");
+        this->fail_exchange(target_connection_end::timed_out, error_kind::deadline_exceeded,
+                            "no answer in time");
     } else {
-        this->fail_exchange(error_kind::connect_failed, "no connection in time");
+        this->fail_exchange(target_connection_end::connect_timed_out, error_kind::connect_failed,
+                            "no connection in time");
     }
 }
 
-void http_connection::fail_exchange(error_kind kind, std::string detail) {
+void http_connection::fail_exchange(target_connection_end end, error_kind kind,
+                                    std::string_view detail) {
     const send_progress progress =
         this->is_unsent() ? send_progress::not_sent : send_progress::may_be_sent;
-    this->stream.reset();
-    this->connected = false;
-    this->finish(tl::unexpected(http_failure{error{kind, std::move(detail)}, progress}));
+    error problem{kind, std::string(to_string(end)).append(": ").append(detail)};
+    this->end_stream(end);
+    this->finish(tl::unexpected(http_failure{std::move(problem), progress, end}));
 }
 
 void http_connection::finish(http_outcome outcome) {
     const std::unique_ptr<exchange> finished = std::move(this->running);
     this->last_exchange_end = boot_clock::now();
-    if (!this->reusable) {
-        this->stream.reset();
-        this->connected = false;
-    }
     finished->done(std::move(outcome));
 }
 
--- a/libs/proxy/include/proxy/edge_gateway.h
+++ b/libs/proxy/include/proxy/edge_gateway.h
@@ -118,6 +118,8 @@
     retry_limiter retries;
     account_rate_limiter accounts;
     edge_metrics metrics;
+    std::shared_ptr<target_connection_end_counts> target_ends{
+        std::make_shared<target_connection_end_counts>()};
     std::map<service_id, std::unique_ptr<balancer>> balancers;
     struct route_split {
         std::vector<weighted_service> services;
--- a/libs/proxy/include/proxy/edge_metrics.h
+++ b/libs/proxy/include/proxy/edge_metrics.h
@@ -8,6 +8,7 @@
 #include <boost/histogram.hpp>
 
 #include "base/clock.h"
+#include "event/target_connection_end.h"
 
 /// \file
 /// Request counters and latency histograms of an edge in the Prometheus text exposition format.
@@ -45,6 +46,9 @@
 void write_metric(std::string& text, const std::string& name, const std::string& label,
                   double value);
 
+/// Appends the ends of connections to targets by their reason.
+void write_target_connection_ends(std::string& text, const target_connection_end_counts& counts);
+
 /// Formats the counters of \p metrics as text.
 [[nodiscard]] std::string to_text(const edge_metrics& metrics);
 /// Formats the histograms of \p metrics as text.
--- a/libs/proxy/src/edge_gateway.cpp
+++ b/libs/proxy/src/edge_gateway.cpp
@@ -292,6 +292,7 @@
         options.limits.connect_timeout = milliseconds(400);
         options.limits.accept_close_delimited = true;
         options.limits.echoed_header = this->headers.request_id;
+        options.limits.end_counts = this->target_ends;
         const balancer_dependencies shared{this->owner, this->directory, this->reports,
                                            this->retries};
         place->second = std::make_unique<balancer>(service, shared, options);
@@ -438,6 +439,7 @@
     std::string text = to_text(this->metrics);
     write_metric(text, "caller_connections_total", "",
                  static_cast<double>(this->caller_server.accepted_connections()));
+    write_target_connection_ends(text, *this->target_ends);
     const time_point now = boot_clock::now();
     for (const auto& [service, balanced] : this->balancers) {
         const std::string label = "service=\"" + service.value + '"';
--- a/libs/proxy/src/edge_metrics.cpp
+++ b/libs/proxy/src/edge_metrics.cpp
@@ -49,6 +49,14 @@
     text += line.str();
 }
 
+void write_target_connection_ends(std::string& text, const target_connection_end_counts& counts) {
+    for (const target_connection_end end : target_connection_ends) {
+        write_metric(text, "target_connections_ended_total",
+                     "reason=\"" + std::string(to_string(end)) + '"',
+                     static_cast<double>(counts.of(end)));
+    }
+}
+
 std::string to_text(const edge_metrics& metrics) {
     std::string text;
     for (const auto& [outcome, count] : metrics.requests) {
