Any announced idle timeout of a target is understood

Seen: with `Keep-Alive: timeout=` and a number of seconds beyond the range of a duration each request opened a new connection; with `Timeout=` the announcement was not found, so that a request could cross the target's close. Cause: the seconds overflowed into a time that has passed; the parameter was compared by case. Ruled out: that the number is refused when parsed, which it is only beyond 64 bits. Fix: the seconds are held between 0 and the time that stands for no timeout; letters are compared in lower case.

--- a/libs/event/src/http_client.cpp
+++ b/libs/event/src/http_client.cpp
@@ -2,8 +2,10 @@
 
 #include <algorithm>
 #include <cassert>
+#include <cctype>
 #include <cerrno>
 #include <charconv>
+#include <chrono>
 #include <utility>
 
 #include <event2/buffer.h>
@@ -27,14 +29,23 @@
 duration peer_idle_timeout(const http_headers& headers) {
     constexpr std::string_view parameter = "timeout=";
     const std::string* value = find_header(headers, "Keep-Alive");
-    const std::size_t position = value == nullptr ? std::string::npos : value->find(parameter);
-    if (position == std::string::npos) {
+    if (value == nullptr) {
         return no_idle_timeout;
     }
+    const auto found = std::search(
+        value->begin(), value->end(), parameter.begin(), parameter.end(),
+        [](unsigned char left, unsigned char right) { return std::tolower(left) == right; });
+    if (found == value->end()) {
+        return no_idle_timeout;
+    }
+    // Longer ones, also those that no integer holds, are as good as none.
+    constexpr long long max_timeout_s =
+        std::chrono::duration_cast<seconds>(no_idle_timeout).count();
     long long timeout_s = 0;
-    const char* first = value->data() + position + parameter.size();
+    const char* first = value->data() + (found - value->begin()) + parameter.size();
     const auto parsed = std::from_chars(first, value->data() + value->size(), timeout_s);
-    return parsed.ec == std::errc() ? duration(seconds(timeout_s)) : no_idle_timeout;
+    return parsed.ec == std::errc() ? duration(seconds(std::clamp(timeout_s, 0LL, max_timeout_s)))
+                                    : no_idle_timeout;
 }
 
 bool needs_content_length(std::string_view method, std::size_t body_bytes) {
--- a/libs/event/tests/target_connection_test.cpp
+++ b/libs/event/tests/target_connection_test.cpp
@@ -480,3 +480,23 @@
     BOOST_TEST(!names.contains(""));
     BOOST_TEST(to_string(target_connection_ends.back()) == "late_answer");
 }
+
+// Guards against a new connection for each request: an announced timeout beyond the range of a
+// duration counted as one that has passed. Names of parameters are case-insensitive.
+BOOST_FIXTURE_TEST_CASE(any_announced_idle_timeout_is_understood, target_fixture) {
+    for (const char* announced :
+         {"timeout=9223372036854775807", "timeout=99999999999999999999", "max=5, TimeOut=100"}) {
+        this->pool.emplace(this->events, target_address, this->limits);
+        this->make_kept_connection(ok_head + "Keep-Alive: " + announced +
+                                   "\r\nContent-Length: 0\r\n\r\n");
+        const int before = this->target.accepted_connections;
+        this->send(make_post());
+        this->read_request();
+        this->target.connection.send(whole_answer);
+        this->expect_answer("ok");
+        BOOST_TEST(this->target.accepted_connections == before, announced);
+    }
+    this->pool.emplace(this->events, target_address, this->limits);
+    this->make_kept_connection(ok_head + "Keep-Alive: Timeout=0\r\nContent-Length: 0\r\n\r\n");
+    this->expect_new_connection();
+}
