Tests: a target that closes its sending side while the request is written

The table had no row for these two. One holds that an early answer is passed on, the other that the request may have run.

--- a/libs/event/tests/target_connection_test.cpp
+++ b/libs/event/tests/target_connection_test.cpp
@@ -329,6 +329,15 @@
                          target_connection_end::reset_without_answer);
 }
 
+BOOST_FIXTURE_TEST_CASE(a_close_while_the_request_is_written_may_have_run_it, target_fixture) {
+    this->send(make_post(long_body));
+    this->accept();
+    this->read_request();
+    BOOST_REQUIRE(shutdown(this->target.connection.fd, SHUT_WR) == 0);
+    this->expect_failure(error_kind::answer_truncated, send_progress::may_be_sent,
+                         target_connection_end::closed_without_answer);
+}
+
 BOOST_FIXTURE_TEST_CASE(a_close_after_an_interim_answer_may_have_run_the_request, target_fixture) {
     this->send(make_post());
     this->accept();
@@ -401,6 +410,17 @@
     BOOST_TEST(later < long_body);
 }
 
+// Guards against LOST: the target ends its sending side with the answer and reads no further.
+BOOST_FIXTURE_TEST_CASE(an_early_answer_followed_by_a_close_is_passed_on, target_fixture) {
+    this->send(make_post(long_body));
+    this->accept();
+    this->read_request();
+    this->target.connection.send(whole_answer);
+    BOOST_REQUIRE(shutdown(this->target.connection.fd, SHUT_WR) == 0);
+    this->expect_answer("ok");
+    this->expect_end(target_connection_end::request_unfinished);
+}
+
 BOOST_FIXTURE_TEST_CASE(bytes_behind_an_answer_end_the_connection, target_fixture) {
     this->make_kept_connection(whole_answer + "more");
     this->expect_end(target_connection_end::surplus_bytes);
