--- a/libs/event/include/event/http_client.h
+++ b/libs/event/include/event/http_client.h
@@ -4,11 +4,13 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "base/endpoint.h"
 #include "base/error.h"
 #include "event/http_message.h"
 #include "event/loop.h"
+#include "event/target_connection_end.h"
 
 struct bufferevent;
 
@@ -32,6 +34,8 @@
     /// Request header that the peer echoes in its responses. A response that echoes a different
     /// value belongs to another request and is discarded. Empty disables the check.
     std::string echoed_header;
+    /// Where the ends of connections are counted; null: nowhere.
+    std::shared_ptr<target_connection_end_counts> end_counts;
 };
 
 /// Whether a failed request may have reached the target.
@@ -44,9 +48,11 @@
 
 /// A failed request.
 struct http_failure {
-    /// connect_failed, deadline_exceeded, target_failed, answer_truncated or answer_too_large.
+    /// connect_failed, deadline_exceeded, target_failed, answer_truncated or answer_too_large. The
+    /// detail begins with the name of how the connection ended.
     error problem;
     send_progress progress{send_progress::may_be_sent};
+    target_connection_end end{};
 };
 
 using http_outcome = tl::expected<http_response, http_failure>;
@@ -75,6 +81,10 @@
     /// True while the connection is open and can carry another request: the last response left it
     /// reusable, no data has arrived since, and the peer's idle timeout is not about to expire.
     [[nodiscard]] bool is_reusable() const noexcept;
+    /// True when it is reusable and the kernel holds no data, close or error of the peer that the
+    /// loop has not handled yet. To be asked right before send(): a request on a connection that
+    /// the peer has ended cannot be told from one that it has run.
+    [[nodiscard]] bool accepts_request() const noexcept;
     /// Time since the last request ended.
     [[nodiscard]] duration idle_time() const noexcept {
         return boot_clock::now() - this->last_exchange_end;
@@ -89,12 +99,17 @@
     void start_exchange(const http_request& request, duration timeout, handler done);
     [[nodiscard]] bool open();
     void write_request(const http_request& request);
+    void write_at_once();
     void read_response();
     void handle_event(short what);
+    void handle_connected();
     void handle_connection_end(bool closed_cleanly);
-    void accept_response();
+    [[nodiscard]] bool accept_response();
     void time_out();
-    void fail_exchange(error_kind kind, std::string detail);
+    void fail_exchange(target_connection_end end, error_kind kind, std::string_view detail);
+    void end_stream(target_connection_end end);
+    void end_idle_stream();
+    [[nodiscard]] std::optional<target_connection_end> end_after_answer() const;
     void finish(http_outcome outcome);
     [[nodiscard]] bool is_unsent() const;
     [[nodiscard]] bool matches_request(const http_response& response) const;
--- a/libs/proxy/include/proxy/edge_gateway.h
+++ b/libs/proxy/include/proxy/edge_gateway.h
@@ -121,6 +121,8 @@
     account_rate_limiter accounts;
     edge_metrics metrics;
     connection_end_counts connection_ends;
+    std::shared_ptr<target_connection_end_counts> target_ends{
+        std::make_shared<target_connection_end_counts>()};
     std::map<service_id, std::unique_ptr<balancer>> balancers;
     struct route_split {
         std::vector<weighted_service> services;
