--- a/tools/soak/judge.cpp
+++ b/tools/soak/judge.cpp
@@ -65,21 +65,29 @@
     });
 }
 
+/// A SIGHUP after which \p made counts; null when there is none.
+const time_point* hangup_at(const records& seen, const attempt& made) {
+    const auto& all = seen.edges[static_cast<std::size_t>(made.edge)].hangups;
+    const auto found = std::find_if(all.begin(), all.end(), [&made](time_point at) {
+        return made.ended >= at && made.sent <= at + policy_apply;
+    });
+    return found == all.end() ? nullptr : &*found;
+}
+
 std::optional<planned_work> work_at(const records& seen, const attempt& made) {
-    if (const stop_record* stop = stop_at(seen, made)) {
-        return planned_work{"stop", stop->terminated, stop};
-    }
-    for (const time_point at : seen.edges[static_cast<std::size_t>(made.edge)].hangups) {
-        if (made.ended >= at && made.sent <= at + policy_apply) {
-            return planned_work{"hangup", at};
-        }
-    }
+    planned_work found;
     if (is_policy_change(seen, made.ended)) {
         const auto later = std::find_if(seen.policies.begin(), seen.policies.end(),
                                         [&](const auto& item) { return item.sent > made.ended; });
-        return planned_work{"policy", (later - 1)->sent};
+        found = {"policy", (later - 1)->sent};
+    }
+    if (const time_point* at = hangup_at(seen, made)) {
+        found = {found.name.empty() ? "hangup" : "hangup+" + found.name, *at};
+    }
+    if (const stop_record* stop = stop_at(seen, made)) {
+        found = {found.name.empty() ? "stop" : "stop+" + found.name, stop->terminated, stop};
     }
-    return std::nullopt;
+    return found.name.empty() ? std::nullopt : std::optional(found);
 }
 
 /// The shortest time after which the route of \p made may have timed out.
