--- a/tools/soak/caller.cpp
+++ b/tools/soak/caller.cpp
@@ -137,13 +137,14 @@
 }
 
 duration caller::usable_idle_time() const {
-    duration shortest = this->seen.policies.back().idle_timeout;
-    for (const policy_record& item : this->seen.policies) {
-        const bool may_apply =
-            &item + 1 == this->seen.policies.data() + this->seen.policies.size() ||
-            (&item)[1].confirmed == time_point::max() ||
-            boot_clock::now() - (&item)[1].confirmed < policy_apply;
-        shortest = may_apply ? std::min(shortest, item.idle_timeout) : shortest;
+    const auto& policies = this->seen.policies;
+    duration shortest = policies.back().idle_timeout;
+    // A policy may apply until its successor does.
+    for (std::size_t index = 0; index + 1 < policies.size(); ++index) {
+        const time_point replaced = policies[index + 1].confirmed;
+        if (replaced == time_point::max() || boot_clock::now() - replaced < policy_apply) {
+            shortest = std::min(shortest, policies[index].idle_timeout);
+        }
     }
     return from_seconds(to_seconds(shortest) * usable_idle_share);
 }
--- a/tools/soak/judge.cpp
+++ b/tools/soak/judge.cpp
@@ -109,22 +109,24 @@
            (made.end == attempt_end::behind_closing_response && ran != nullptr);
 }
 
-/// Requests that the rules don't count.
-bool is_excused(const records& seen, const attempt& made, const run* ran) {
+/// Why the rules don't count a request; null if they do.
+const char* excuse_of(const records& seen, const attempt& made, const run* ran) {
     const duration age = made.ended - made.sent;
     if (age >= std::min(made.deadline, route_timeout(seen, made)) ||
         (ran != nullptr && ran->end == run_end::deadline)) {
-        return true;
+        return "not_counted reason=timeout";
     }
     if (ran == nullptr) {
-        return made.behind > 0 || age <= loss_slack;
+        const bool is_excused = made.behind > 0 || age <= loss_slack;
+        return is_excused ? "not_counted reason=not_passed_on" : nullptr;
     }
     const stop_record* stop = stop_at(seen, made);
     if (stop == nullptr || made.sent > stop->terminated + excused_after_stop) {
-        return false;
+        return nullptr;
     }
     const time_point last_sixth = stop->terminated + stop_grace - stop_grace / 6;
-    return ran->end == run_end::running || ran->ended >= last_sixth;
+    const bool was_at_work = ran->end == run_end::running || ran->ended >= last_sixth;
+    return was_at_work ? "not_counted reason=work_at_end_of_grace" : nullptr;
 }
 
 /// The earliest moment at which the caller of \p made could have its response, reading without a
@@ -226,11 +228,13 @@
         if (!lacks_response(seen, made, ran)) {
             continue;
         }
-        if (is_excused(seen, made, ran)) {
+        const suspect examined{&made, ran, work_at(seen, made)};
+        if (const char* excuse = excuse_of(seen, made, ran)) {
             ++found.excused;
-            continue;
+            write_line(seen, examined, excuse, report);
+        } else {
+            suspects.push_back(examined);
         }
-        suspects.push_back({&made, ran, work_at(seen, made)});
     }
     const bool counts_policies = !suspects.empty() && are_policies_to_blame(seen, suspects);
     for (const suspect& item : suspects) {
--- a/tools/soak/judge.h
+++ b/tools/soak/judge.h
@@ -23,7 +23,7 @@
     std::size_t excused{0};
 };
 
-/// Judges all attempts of \p seen and writes a line to \p report for each that was lost.
+/// Judges all attempts of \p seen and writes a line to \p report for each without a response.
 [[nodiscard]] verdict judge(const records& seen, std::ostream& report);
 
 } // namespace knapweedknot::soak
--- a/tools/soak/stream.cpp
+++ b/tools/soak/stream.cpp
@@ -134,8 +134,9 @@
     const ssize_t size = recv(this->fd, buffer.data(), std::min(limit, buffer.size()), 0);
     if (size > 0) {
         this->input.append(buffer.data(), static_cast<std::size_t>(size));
-        if (this->on_data) {
-            this->on_data();
+        // A copy, because the callback may close this connection.
+        if (const auto tell = this->on_data) {
+            tell();
         }
         return static_cast<std::size_t>(size);
     }
