--- a/tools/soak/caller.cpp
+++ b/tools/soak/caller.cpp
@@ -276,7 +276,8 @@
     made.edge = over->edge;
     made.connection = over->number;
     made.behind = over->unanswered.size();
-    made.deadline = sent->deadline - now;
+    // As the header tells it.
+    made.deadline = std::chrono::floor<milliseconds>(sent->deadline - now);
     made.timeout = sent->kind->timeout;
     made.sent = now;
     made.bytes_per_s = this->shape.connection.bytes_per_s;
