Crashes are counted on kept connections, once each, and not for idle closes

Cause: balancer::handle_failure counted a crash only when the connection was opened for the request, and most requests run on kept ones.

What is evidence now is decided in decide/crash_suspects.h. Ends at one target within half a second are one crash. A request is responsible for a crash unless another one that ended with it has ended with more. The end of a connection counts when the target was in service; when the connection had been idle for a second or more and ended within a round trip, only if another request ended there as well or the target refuses connections. An answer ends the suspicion as before. attempt_failed tells the idle time and the age.

limiter_test: its calls name a target and a way to end now; what it asks is unchanged.

--- a/libs/proxy/include/proxy/balancer.h
+++ b/libs/proxy/include/proxy/balancer.h
@@ -84,6 +84,7 @@
 
 private:
     struct attempt;
+    struct ended_attempt;
     struct pending_request;
     using pending_request_ptr = std::shared_ptr<pending_request>;
 
@@ -93,8 +94,10 @@
     void handle_outcome(const pending_request_ptr& pending, attempt& ended, http_outcome outcome);
     void handle_response(const pending_request_ptr& pending, const target_ptr& target,
                          duration response_time, http_response answer);
-    void handle_failure(const pending_request_ptr& pending, const target_ptr& target,
-                        const http_failure& failure, bool reused);
+    void handle_failure(const pending_request_ptr& pending, const ended_attempt& ended,
+                        const http_failure& failure);
+    void record_end(const pending_request& pending, const ended_attempt& ended,
+                    const http_failure& failure, time_point now);
     void handle_not_executed(const pending_request_ptr& pending, const target_ptr& target,
                              const http_response& answer);
     void retry_or_fail(const pending_request_ptr& pending, const error& problem);
--- a/libs/proxy/include/proxy/retry_limiter.h
+++ b/libs/proxy/include/proxy/retry_limiter.h
@@ -5,6 +5,7 @@
 
 #include "base/clock.h"
 #include "base/ids.h"
+#include "decide/crash_suspects.h"
 #include "decide/shared_bucket.h"
 #include "fleet/report_exchange.h"
 
@@ -20,14 +21,14 @@
     /// Retries allowed in addition to that in any window.
     double allowance{20};
     duration window{seconds(10)};
-    /// Number of broken connections after which a request is quarantined.
+    /// Number of crashes after which a request that is responsible for them is quarantined.
     std::uint32_t crashes_to_quarantine{3};
-    /// Broken connections are forgotten this long after the latest one.
-    duration crash_window{seconds(20)};
+    crash_policy crashes;
 };
 
-/// Enforces the retry budget of each service over all instances, and records requests that break
-/// the connections of targets. Hedged sends also count as retries. Not thread safe.
+/// Enforces the retry budget of each service over all instances, and quarantines requests that
+/// crash targets (see decide/crash_suspects.h). Hedged sends also count as retries. Not thread
+/// safe.
 class retry_limiter {
 public:
     explicit retry_limiter(const retry_policy& policy) : policy(policy) {}
@@ -37,11 +38,14 @@
     /// Takes one retry from the budget of \p service. Returns false when the budget is exhausted.
     [[nodiscard]] bool take_retry(const service_id& service, time_point now);
 
-    /// Records that a target's connection broke while it ran the request \p fingerprint.
-    void record_crash(std::uint64_t fingerprint, time_point now);
-    /// Clears the local crash record of \p fingerprint after a target has run it without a crash.
+    /// Records how the connection to \p target ended on which the request \p fingerprint was sent.
+    void record_end(std::uint64_t fingerprint, const target_id& target, const connection_end& end,
+                    time_point now);
+    /// Records that \p target accepts no connections although it is in service.
+    void record_unreachable(const target_id& target, time_point now);
+    /// Ends the suspicion against \p fingerprint after a target has run it without a crash.
     void clear_crashes(std::uint64_t fingerprint);
-    /// True when the request has broken too many connections, counted over all instances.
+    /// True when the request is responsible for too many crashes, counted over all instances.
     [[nodiscard]] bool is_quarantined(std::uint64_t fingerprint, time_point now) const;
 
     /// Adds the local counts to the report of this instance.
@@ -63,20 +67,15 @@
         service_usage usage;
     };
 
-    struct crash_record {
-        std::uint32_t crashes{0};
-        time_point last;
-    };
-
     service_state& state_of(std::uint64_t service, time_point now);
     void add_to_request_rate(service_state& state, double count, time_point now) const;
+    [[nodiscard]] crash_counts sum_peer_crashes() const;
 
     retry_policy policy;
     shared_bucket_times times;
     std::unordered_map<std::uint64_t, service_state> states;
-    std::unordered_map<std::uint64_t, crash_record> local_crashes;
-    std::unordered_map<incarnation_id, std::unordered_map<std::uint64_t, std::uint32_t>>
-        peer_crashes;
+    crash_log local_crashes;
+    std::unordered_map<incarnation_id, crash_counts> peer_crashes;
 };
 
 } // namespace knapweedknot
--- a/libs/proxy/src/balancer.cpp
+++ b/libs/proxy/src/balancer.cpp
@@ -37,6 +37,16 @@
     target_ptr target;
     std::unique_ptr<http_connection> connection;
     bool reused{false};
+    /// Time for which a reused connection was idle before the attempt.
+    duration idle_before{duration::zero()};
+};
+
+/// What remains of an attempt after its end.
+struct balancer::ended_attempt {
+    target_ptr target;
+    time_point started;
+    bool reused{false};
+    duration idle_before{duration::zero()};
 };
 
 /// A request without a final outcome, and its running attempts.
@@ -197,7 +207,9 @@
         *target, pending->request.route->idempotent ? this->options.idle_limit
                                                     : this->options.idle_limit_non_idempotent);
     current.reused = current.connection != nullptr;
-    if (current.connection == nullptr) {
+    if (current.reused) {
+        current.idle_before = current.connection->idle_time();
+    } else {
         const registered_target& where = target->known.registration;
         current.connection = std::make_unique<http_connection>(
             this->shared.owner, endpoint{where.ip, where.port}, this->options.limits);
@@ -238,9 +250,9 @@
 
 void balancer::handle_outcome(const pending_request_ptr& pending, attempt& ended,
                               http_outcome outcome) {
+    const ended_attempt kept{ended.target, ended.started, ended.reused, ended.idle_before};
     const target_ptr target = ended.target;
     const duration response_time = boot_clock::now() - ended.started;
-    const bool reused = ended.reused;
     std::unique_ptr<http_connection> connection = std::move(ended.connection);
     std::erase(target->running, &ended);
     pending->attempts.remove_if([&ended](const attempt& item) { return &item == &ended; });
@@ -248,7 +260,7 @@
         this->targets.keep_connection(*target, std::move(connection));
         this->handle_response(pending, target, response_time, std::move(*outcome));
     } else {
-        this->handle_failure(pending, target, outcome.error(), reused);
+        this->handle_failure(pending, kept, outcome.error());
     }
     this->dispatch_queued();
 }
@@ -323,9 +335,28 @@
                             min_retry_after);
 }
 
-void balancer::handle_failure(const pending_request_ptr& pending, const target_ptr& target,
-                              const http_failure& failure, bool reused) {
+/// Records the end of a connection as evidence of a crash. Ends of kept connections count as well,
+/// unless the target may have closed them as idle.
+void balancer::record_end(const pending_request& pending, const ended_attempt& ended,
+                          const http_failure& failure, time_point now) {
+    const bool in_service = ended.target->accepts_requests(now);
+    if (failure.progress == send_progress::not_sent) {
+        if (in_service && !ended.reused) {
+            this->shared.retries.record_unreachable(ended.target->id(), now);
+        }
+        return;
+    }
+    if (failure.problem.kind != error_kind::deadline_exceeded) {
+        this->shared.retries.record_end(pending.request.fingerprint, ended.target->id(),
+                                        {in_service, ended.idle_before, now - ended.started}, now);
+    }
+}
+
+void balancer::handle_failure(const pending_request_ptr& pending, const ended_attempt& ended,
+                              const http_failure& failure) {
     const time_point now = boot_clock::now();
+    const auto& [target, started, reused, idle_before] = ended;
+    this->record_end(*pending, ended, failure, now);
     ++this->counters.failed_attempts;
     const bool is_unsent = failure.progress == send_progress::not_sent;
     // The other idle connections to this target may be broken too.
@@ -336,7 +367,9 @@
                {"problem", std::string(answer_for(failure.problem.kind).name)},
                {"detail", failure.problem.detail},
                {"sent", is_unsent ? "no" : "yes"},
-               {"reused", reused ? "yes" : "no"}});
+               {"reused", reused ? "yes" : "no"},
+               {"idle_ms", format_ms(idle_before)},
+               {"age_ms", format_ms(now - started)}});
     if (is_unsent) {
         if (!reused) {
             this->targets.record_failure(*target, connect_failure_suspicion, now);
@@ -345,9 +378,6 @@
     } else {
         pending->may_have_run = true;
         this->targets.record_failure(*target, exchange_failure_suspicion, now);
-        if (!reused && failure.problem.kind != error_kind::deadline_exceeded) {
-            this->shared.retries.record_crash(pending->request.fingerprint, now);
-        }
     }
     this->targets.check_target(*target, now);
     if (!pending->attempts.empty()) {
--- a/libs/proxy/src/retry_limiter.cpp
+++ b/libs/proxy/src/retry_limiter.cpp
@@ -10,7 +10,7 @@
 
 // Usable share of the allowance; the rest covers retries that peers have not reported yet.
 constexpr double usable_allowance_share = 0.6;
-// Number of fingerprints at which expired crash records are removed.
+// Number of suspects at which those whose crashes are old are removed.
 constexpr std::size_t max_crash_records = 256;
 
 } // namespace
@@ -51,45 +51,53 @@
     return true;
 }
 
-void retry_limiter::record_crash(std::uint64_t fingerprint, time_point now) {
-    if (this->local_crashes.size() >= max_crash_records) {
-        std::erase_if(this->local_crashes, [&](const auto& item) {
-            return now - item.second.last > this->policy.crash_window;
-        });
+void retry_limiter::record_end(std::uint64_t fingerprint, const target_id& target,
+                               const connection_end& end, time_point now) {
+    if (this->local_crashes.latest.size() >= max_crash_records) {
+        forget_old_crashes(this->local_crashes, this->policy.crashes, now);
     }
-    crash_record& record = this->local_crashes[fingerprint];
-    if (now - record.last > this->policy.crash_window) {
-        record.crashes = 0;
-    }
-    ++record.crashes;
-    record.last = now;
+    knapweedknot::record_end(this->local_crashes, fingerprint, target,
+                             find_cause(end, this->policy.crashes), this->policy.crashes, now);
+}
+
+void retry_limiter::record_unreachable(const target_id& target, time_point now) {
+    knapweedknot::record_unreachable(this->local_crashes, target, this->policy.crashes, now);
 }
 
 void retry_limiter::clear_crashes(std::uint64_t fingerprint) {
-    this->local_crashes.erase(fingerprint);
+    acquit(this->local_crashes, fingerprint);
 }
 
-bool retry_limiter::is_quarantined(std::uint64_t fingerprint, time_point now) const {
-    std::uint32_t crash_count = 0;
-    if (const auto own = this->local_crashes.find(fingerprint);
-        own != this->local_crashes.end() && now - own->second.last <= this->policy.crash_window) {
-        crash_count += own->second.crashes;
-    }
+/// Crashes that peers report, for the suspects of this instance and of theirs.
+crash_counts retry_limiter::sum_peer_crashes() const {
+    crash_counts total;
     for (const auto& [peer, crashes] : this->peer_crashes) {
-        if (const auto reported = crashes.find(fingerprint); reported != crashes.end()) {
-            crash_count += reported->second;
+        for (const auto& [fingerprint, count] : crashes) {
+            total[fingerprint] += count;
         }
     }
-    return crash_count >= this->policy.crashes_to_quarantine;
+    return total;
+}
+
+bool retry_limiter::is_quarantined(std::uint64_t fingerprint, time_point now) const {
+    const crash_counts elsewhere = this->sum_peer_crashes();
+    const auto reported = elsewhere.find(fingerprint);
+    const std::uint32_t count = (reported == elsewhere.end() ? 0 : reported->second) +
+                                count_attributed_crashes(this->local_crashes, fingerprint,
+                                                         elsewhere, this->policy.crashes, now);
+    return count >= this->policy.crashes_to_quarantine;
 }
 
 void retry_limiter::add_to_report(instance_report& report, time_point now) const {
     for (const auto& [service, state] : this->states) {
         report.services[service] = state.usage;
     }
-    for (const auto& [fingerprint, record] : this->local_crashes) {
-        if (now - record.last <= this->policy.crash_window) {
-            report.crashes[fingerprint] = record.crashes;
+    const crash_counts elsewhere = this->sum_peer_crashes();
+    for (const auto& [fingerprint, latest] : this->local_crashes.latest) {
+        const std::uint32_t count = count_attributed_crashes(this->local_crashes, fingerprint,
+                                                             elsewhere, this->policy.crashes, now);
+        if (count > 0) {
+            report.crashes[fingerprint] = count;
         }
     }
 }
--- a/libs/proxy/tests/limiter_test.cpp
+++ b/libs/proxy/tests/limiter_test.cpp
@@ -2,6 +2,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <string>
 #include <vector>
 
 #include "base/digest.h"
@@ -34,6 +35,11 @@
     return admitted;
 }
 
+/// Records that the target \p name has crashed while it ran the request \p fingerprint.
+void crash(retry_limiter& limiter, std::uint64_t fingerprint, const std::string& name) {
+    limiter.record_end(fingerprint, target_id{name}, connection_end{}, start);
+}
+
 } // namespace
 
 // Guards against a full burst after a restart: when all processes are killed under load, the new
@@ -218,7 +224,7 @@
 BOOST_AUTO_TEST_CASE(a_request_that_crashes_targets_is_quarantined_on_all_instances_until_expiry) {
     retry_limiter limiter({});
     constexpr std::uint64_t fingerprint = 42;
-    limiter.record_crash(fingerprint, start);
+    crash(limiter, fingerprint, "i-1");
     BOOST_TEST(!limiter.is_quarantined(fingerprint, start));
     instance_report peer;
     peer.crashes[fingerprint] = 2;
@@ -226,8 +232,8 @@
     BOOST_TEST(limiter.is_quarantined(fingerprint, start));
     limiter.remove_peer(incarnation_id{7});
     BOOST_TEST(!limiter.is_quarantined(fingerprint, start));
-    limiter.record_crash(fingerprint, start);
-    limiter.record_crash(fingerprint, start);
+    crash(limiter, fingerprint, "i-2");
+    crash(limiter, fingerprint, "i-3");
     BOOST_TEST(limiter.is_quarantined(fingerprint, start));
     BOOST_TEST(!limiter.is_quarantined(fingerprint, start + seconds(30)));
     limiter.clear_crashes(fingerprint);
