Requests found to crash targets are not sent on from a queue, nor hedged

What callers and operators saw: a copy of a deadly request that waited for a free target was sent to a fourth one after three had crashed (BUDGET). Cause: the quarantine was looked at when a request came and before a retry, not when a queued one was sent, when one was sent again after a target had turned it away, or before a hedge.

Now it gets 503 not_run, and 3 have crashed. Hedges go by the same check; no test of their own. The check costs little: counts of peers are summed for one fingerprint, and the attribution is computed only at the limit.

--- a/libs/proxy/include/proxy/balancer.h
+++ b/libs/proxy/include/proxy/balancer.h
@@ -104,8 +104,12 @@
     [[nodiscard]] bool may_retry(const pending_request& pending, time_point now);
     void enqueue(const pending_request_ptr& pending);
     void dispatch_queued();
+    bool send_queued(fair_queue<balancer_request_id>& queue,
+                     std::vector<pending_request_ptr>& quarantined, time_point now);
     [[nodiscard]] bool knows_targets(time_point now) const;
     [[nodiscard]] bool has_lost_targets(time_point now) const;
+    [[nodiscard]] bool is_quarantined(const pending_request& pending, time_point now) const;
+    void refuse_quarantined(const pending_request_ptr& pending);
     void refuse_unknown_targets(const pending_request_ptr& pending);
     void refuse_queued();
     void check_running_requests();
--- a/libs/proxy/src/balancer.cpp
+++ b/libs/proxy/src/balancer.cpp
@@ -155,6 +155,10 @@
         this->refuse_unknown_targets(pending);
         return;
     }
+    if (this->is_quarantined(*pending, now)) {
+        this->refuse_quarantined(pending);
+        return;
+    }
     if (const target_ptr chosen = this->choose(*pending, now); chosen != nullptr) {
         this->send(pending, chosen);
         return;
@@ -187,6 +191,16 @@
         pending, {error_kind::no_target, "the registrations cannot be confirmed"}, min_retry_after);
 }
 
+/// Whether the request was found to crash targets, perhaps while it waited.
+bool balancer::is_quarantined(const pending_request& pending, time_point now) const {
+    return this->shared.retries.is_quarantined(pending.request.fingerprint, now);
+}
+
+void balancer::refuse_quarantined(const pending_request_ptr& pending) {
+    this->finish_with_error(
+        pending, {error_kind::request_quarantined, "targets crash on this request"}, std::nullopt);
+}
+
 target_ptr balancer::choose(const pending_request& pending, time_point now) {
     if (!this->knows_targets(now)) {
         return nullptr;
@@ -399,9 +413,7 @@
         return;
     }
     const time_point now = boot_clock::now();
-    const bool is_quarantined =
-        this->shared.retries.is_quarantined(pending->request.fingerprint, now);
-    if (!is_quarantined && this->may_retry(*pending, now)) {
+    if (!this->is_quarantined(*pending, now) && this->may_retry(*pending, now)) {
         if (const target_ptr next = this->choose(*pending, now);
             next != nullptr && this->shared.retries.take_retry(this->service, now)) {
             ++this->counters.retried;
@@ -449,6 +461,9 @@
     if (!target_ejected && age < this->hedging_delay(*pending->request.route)) {
         return;
     }
+    if (this->is_quarantined(*pending, now)) {
+        return;
+    }
     const target_ptr next = this->choose(*pending, now);
     if (next == nullptr || !this->shared.retries.take_retry(this->service, now)) {
         return;
@@ -507,24 +522,42 @@
         this->refuse_queued();
         return;
     }
+    std::vector<pending_request_ptr> quarantined;
     for (auto& [priority, queue] : this->queues) {
-        std::size_t left = queue.size();
-        while (left-- > 0) {
-            const balancer_request_id id = *queue.pop();
-            const auto found = this->pending_requests.find(id);
-            // The request was cancelled, or its deadline has passed.
-            if (found == this->pending_requests.end()) {
-                continue;
-            }
-            const pending_request_ptr pending = found->second;
-            const target_ptr chosen = this->choose(*pending, now);
-            if (chosen == nullptr) {
-                queue.push(pending->request.account, id);
-                return;
-            }
-            this->send(pending, chosen);
+        if (!this->send_queued(queue, quarantined, now)) {
+            break;
         }
     }
+    for (const pending_request_ptr& pending : quarantined) {
+        this->refuse_quarantined(pending);
+    }
+}
+
+/// Sends the requests in \p queue until no target is free for one; then returns false. Moves those
+/// that crash targets to \p quarantined.
+bool balancer::send_queued(fair_queue<balancer_request_id>& queue,
+                           std::vector<pending_request_ptr>& quarantined, time_point now) {
+    std::size_t left = queue.size();
+    while (left-- > 0) {
+        const balancer_request_id id = *queue.pop();
+        const auto found = this->pending_requests.find(id);
+        // The request was cancelled, or its deadline has passed.
+        if (found == this->pending_requests.end()) {
+            continue;
+        }
+        const pending_request_ptr pending = found->second;
+        if (this->is_quarantined(*pending, now)) {
+            quarantined.push_back(pending);
+            continue;
+        }
+        const target_ptr chosen = this->choose(*pending, now);
+        if (chosen == nullptr) {
+            queue.push(pending->request.account, id);
+            return false;
+        }
+        this->send(pending, chosen);
+    }
+    return true;
 }
 
 /// Ends a request at its deadline.
--- a/libs/proxy/src/retry_limiter.cpp
+++ b/libs/proxy/src/retry_limiter.cpp
@@ -80,12 +80,22 @@
 }
 
 bool retry_limiter::is_quarantined(std::uint64_t fingerprint, time_point now) const {
-    const crash_counts elsewhere = this->sum_peer_crashes();
-    const auto reported = elsewhere.find(fingerprint);
-    const std::uint32_t count = (reported == elsewhere.end() ? 0 : reported->second) +
-                                count_attributed_crashes(this->local_crashes, fingerprint,
-                                                         elsewhere, this->policy.crashes, now);
-    return count >= this->policy.crashes_to_quarantine;
+    std::uint32_t reported = 0;
+    for (const auto& [peer, crashes] : this->peer_crashes) {
+        if (const auto found = crashes.find(fingerprint); found != crashes.end()) {
+            reported += found->second;
+        }
+    }
+    const std::uint32_t limit = this->policy.crashes_to_quarantine;
+    const std::uint32_t seen =
+        count_crashes(this->local_crashes, fingerprint, this->policy.crashes, now);
+    if (seen == 0 || reported + seen < limit) {
+        return reported + seen >= limit;
+    }
+    return reported + count_attributed_crashes(this->local_crashes, fingerprint,
+                                               this->sum_peer_crashes(), this->policy.crashes,
+                                               now) >=
+           limit;
 }
 
 void retry_limiter::add_to_report(instance_report& report, time_point now) const {
--- a/libs/proxy/tests/crash_test.cpp
+++ b/libs/proxy/tests/crash_test.cpp
@@ -27,7 +27,7 @@
 constexpr std::uint16_t first_target_port = 18933;
 constexpr std::size_t target_count = 5;
 // A target that crashes does so this long after it has begun to run the request.
-constexpr duration time_to_crash = milliseconds(120);
+constexpr duration time_to_crash = milliseconds(200);
 constexpr duration work_time = milliseconds(40);
 constexpr duration long_work_time = milliseconds(400);
 // Longer than the shortest idle timeout that a target may have.
@@ -123,6 +123,8 @@
     std::string outcome;
 };
 
+using pending_result = std::shared_ptr<std::optional<caller_result>>;
+
 /// A gateway with targets that can crash.
 struct crash_fixture : store_fixture {
     mesh network{events, peer_info{}, mesh_handlers{}};
@@ -159,33 +161,40 @@
         this->write("servers/" + target_name(number),
                     roomy_target_text(this->targets[number]->address, state));
     }
-    /// Sends requests at the same moment, each on a connection of its own, and awaits the results.
-    std::vector<caller_result>
-    send(const std::vector<std::pair<std::string, std::string>>& wanted) {
-        std::vector<std::optional<caller_result>> results(wanted.size());
-        for (std::size_t number = 0; number < wanted.size(); ++number) {
-            http_request request;
-            request.method = wanted[number].first;
-            request.uri = wanted[number].second;
-            request.headers = {{"Host", "h.example"},
-                               {this->headers.request_id, "r" + std::to_string(++this->last_id)}};
-            send_once(this->events, crash_callers_address, request, wait_limit, {},
-                      [&results, number](const http_outcome& outcome) {
-                          results[number] = to_result(outcome);
-                      });
-        }
-        const auto is_complete = [&] {
-            return std::all_of(results.begin(), results.end(),
-                               [](const auto& result) { return result.has_value(); });
-        };
-        BOOST_REQUIRE(this->run_until(is_complete));
+    /// Starts a request on a connection of its own. The result is set when it has ended.
+    pending_result begin(const std::string& method, const std::string& uri) {
+        http_request request;
+        request.method = method;
+        request.uri = uri;
+        request.headers = {{"Host", "h.example"},
+                           {this->headers.request_id, "r" + std::to_string(++this->last_id)}};
+        auto result = std::make_shared<std::optional<caller_result>>();
+        send_once(this->events, crash_callers_address, request, wait_limit, {},
+                  [result](const http_outcome& outcome) { *result = to_result(outcome); });
+        return result;
+    }
+    std::vector<caller_result> await(const std::vector<pending_result>& pending) {
+        BOOST_REQUIRE(this->run_until([&] {
+            return std::all_of(pending.begin(), pending.end(),
+                               [](const auto& result) { return result->has_value(); });
+        }));
         std::vector<caller_result> all;
-        all.reserve(results.size());
-        for (const auto& result : results) {
-            all.push_back(*result);
+        all.reserve(pending.size());
+        for (const pending_result& result : pending) {
+            all.push_back(**result);
         }
         return all;
     }
+    /// Sends requests at the same moment, and awaits the results.
+    std::vector<caller_result>
+    send(const std::vector<std::pair<std::string, std::string>>& wanted) {
+        std::vector<pending_result> pending;
+        pending.reserve(wanted.size());
+        for (const auto& [method, uri] : wanted) {
+            pending.push_back(this->begin(method, uri));
+        }
+        return this->await(pending);
+    }
     caller_result get(const std::string& uri) { return this->send({{"GET", uri}}).front(); }
     static caller_result to_result(const http_outcome& outcome) {
         if (!outcome) {
@@ -251,6 +260,27 @@
     BOOST_TEST(fixture.get("/a/deadly").status == 503);
 }
 
+// Guards against a request that waits for a free target while it is found to crash targets, and is
+// sent to a fourth one (BUDGET).
+BOOST_AUTO_TEST_CASE(a_queued_request_is_not_sent_once_it_is_known_to_crash_targets) {
+    crash_fixture fixture;
+    fixture.send({{"POST", "/b/deadly"}});
+    fixture.send({{"POST", "/b/deadly"}});
+    std::vector<pending_result> pending{fixture.begin("POST", "/b/deadly")};
+    fixture.run_for(milliseconds(20));
+    constexpr std::size_t other_slots = 3 * 8 - 1;
+    for (std::size_t number = 0; number < other_slots; ++number) {
+        pending.push_back(fixture.begin("POST", "/b/" + std::to_string(number) + "/slow"));
+    }
+    fixture.run_for(milliseconds(40));
+    BOOST_TEST(fixture.crashes() == 2);
+    pending.push_back(fixture.begin("POST", "/b/deadly"));
+    const std::vector<caller_result> results = fixture.await(pending);
+    BOOST_TEST(fixture.crashes() == 3);
+    BOOST_TEST(results.back().status == 503);
+    BOOST_TEST(results.back().outcome == "not_run");
+}
+
 // Guards against innocent requests that are refused because copies of them ended with one crash:
 // each end counted as a crash.
 BOOST_AUTO_TEST_CASE(copies_that_end_with_one_crash_are_retried) {
