An answer clears a suspect on all instances

What callers see: an innocent request that has ended with crashes at several instances is refused, although it was answered in between. Cause: clear_crashes removed the local record only; what peers had counted stayed until their window ended, 20 s after their latest crash.

Now an answered suspect is reported for 5 s with a count of 0, and who hears that drops what it has counted. Instances without this change read a count of 0 as none. The test shows as well that crashes after the answer count.

--- a/libs/proxy/include/proxy/retry_limiter.h
+++ b/libs/proxy/include/proxy/retry_limiter.h
@@ -43,8 +43,9 @@
                     time_point now);
     /// Records that \p target accepts no connections although it is in service.
     void record_unreachable(const target_id& target, time_point now);
-    /// Ends the suspicion against \p fingerprint after a target has run it without a crash.
-    void clear_crashes(std::uint64_t fingerprint);
+    /// Ends the suspicion against \p fingerprint, on all instances that hear of it, after a target
+    /// has run it without a crash.
+    void clear_crashes(std::uint64_t fingerprint, time_point now);
     /// True when the request is responsible for too many crashes, counted over all instances.
     [[nodiscard]] bool is_quarantined(std::uint64_t fingerprint, time_point now) const;
 
@@ -70,12 +71,16 @@
     service_state& state_of(std::uint64_t service, time_point now);
     void add_to_request_rate(service_state& state, double count, time_point now) const;
     [[nodiscard]] crash_counts sum_peer_crashes() const;
+    /// Removes all crashes of \p fingerprint. Returns whether there were any.
+    bool forget_suspect(std::uint64_t fingerprint);
 
     retry_policy policy;
     shared_bucket_times times;
     std::unordered_map<std::uint64_t, service_state> states;
     crash_log local_crashes;
     std::unordered_map<incarnation_id, crash_counts> peer_crashes;
+    /// When suspects were answered, by fingerprint.
+    std::unordered_map<std::uint64_t, time_point> answered_at;
 };
 
 } // namespace knapweedknot
--- a/libs/proxy/src/balancer.cpp
+++ b/libs/proxy/src/balancer.cpp
@@ -300,7 +300,7 @@
         this->retry_or_fail(pending, {error_kind::target_failed, "an answer without a signature"});
         return;
     }
-    this->shared.retries.clear_crashes(pending->request.fingerprint);
+    this->shared.retries.clear_crashes(pending->request.fingerprint, now);
     if (answer.status >= first_server_error) {
         this->targets.record_failure(*target, error_response_suspicion, now);
         this->targets.check_target(*target, now);
--- a/libs/proxy/src/retry_limiter.cpp
+++ b/libs/proxy/src/retry_limiter.cpp
@@ -12,6 +12,10 @@
 constexpr double usable_allowance_share = 0.6;
 // Number of suspects at which those whose crashes are old are removed.
 constexpr std::size_t max_crash_records = 256;
+// Crash count by which an instance reports that a suspect was answered.
+constexpr std::uint32_t answered_mark = 0;
+// Time for which that is reported; covers the longest interval between two reports.
+constexpr duration answered_report_time = seconds(5);
 
 } // namespace
 
@@ -64,8 +68,21 @@
     knapweedknot::record_unreachable(this->local_crashes, target, this->policy.crashes, now);
 }
 
-void retry_limiter::clear_crashes(std::uint64_t fingerprint) {
+void retry_limiter::clear_crashes(std::uint64_t fingerprint, time_point now) {
+    std::erase_if(this->answered_at,
+                  [&](const auto& item) { return now - item.second > answered_report_time; });
+    if (this->forget_suspect(fingerprint)) {
+        this->answered_at[fingerprint] = now;
+    }
+}
+
+bool retry_limiter::forget_suspect(std::uint64_t fingerprint) {
+    std::size_t removed = this->local_crashes.latest.count(fingerprint);
     acquit(this->local_crashes, fingerprint);
+    for (auto& [peer, crashes] : this->peer_crashes) {
+        removed += crashes.erase(fingerprint);
+    }
+    return removed > 0;
 }
 
 /// Crashes that peers report, for the suspects of this instance and of theirs.
@@ -102,6 +119,11 @@
     for (const auto& [service, state] : this->states) {
         report.services[service] = state.usage;
     }
+    for (const auto& [fingerprint, answered] : this->answered_at) {
+        if (now - answered <= answered_report_time) {
+            report.crashes[fingerprint] = answered_mark;
+        }
+    }
     const crash_counts elsewhere = this->sum_peer_crashes();
     for (const auto& [fingerprint, latest] : this->local_crashes.latest) {
         const std::uint32_t count = count_attributed_crashes(this->local_crashes, fingerprint,
@@ -126,7 +148,15 @@
             subtract_peer_tokens(state.bucket, usage.retries - previous.retries, this->times, now);
         }
     }
-    this->peer_crashes[peer] = report.crashes;
+    crash_counts& from_peer = this->peer_crashes[peer];
+    from_peer.clear();
+    for (const auto& [fingerprint, count] : report.crashes) {
+        if (count == answered_mark) {
+            this->forget_suspect(fingerprint);
+        } else {
+            from_peer[fingerprint] = count;
+        }
+    }
 }
 
 void retry_limiter::remove_peer(incarnation_id peer) {
--- a/libs/proxy/tests/limiter_test.cpp
+++ b/libs/proxy/tests/limiter_test.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "base/digest.h"
@@ -36,10 +37,31 @@
 }
 
 /// Records that the target \p name has crashed while it ran the request \p fingerprint.
-void crash(retry_limiter& limiter, std::uint64_t fingerprint, const std::string& name) {
-    limiter.record_end(fingerprint, target_id{name}, connection_end{}, start);
+void crash(retry_limiter& limiter, std::uint64_t fingerprint, const std::string& name,
+           time_point now = start) {
+    limiter.record_end(fingerprint, target_id{name}, connection_end{}, now);
 }
 
+/// Limiters of instances that report to each other.
+struct limiter_fleet {
+    std::vector<retry_limiter> limiters;
+    std::vector<instance_report> reports;
+
+    explicit limiter_fleet(std::size_t size) : limiters(size, retry_limiter({})), reports(size) {}
+    void exchange(time_point now) {
+        for (std::size_t from = 0; from < this->limiters.size(); ++from) {
+            const instance_report before = std::exchange(this->reports[from], {});
+            this->limiters[from].add_to_report(this->reports[from], now);
+            for (std::size_t to = 0; to < this->limiters.size(); ++to) {
+                if (to != from) {
+                    this->limiters[to].apply_peer_report(incarnation_id{from + 1},
+                                                         this->reports[from], &before, now);
+                }
+            }
+        }
+    }
+};
+
 } // namespace
 
 // Guards against a full burst after a restart: when all processes are killed under load, the new
@@ -236,10 +258,35 @@
     crash(limiter, fingerprint, "i-3");
     BOOST_TEST(limiter.is_quarantined(fingerprint, start));
     BOOST_TEST(!limiter.is_quarantined(fingerprint, start + seconds(30)));
-    limiter.clear_crashes(fingerprint);
+    limiter.clear_crashes(fingerprint, start);
     BOOST_TEST(!limiter.is_quarantined(fingerprint, start));
 }
 
+// Guards against innocent requests that are refused because several instances have seen them end
+// with crashes, while another one has had an answer in between.
+BOOST_AUTO_TEST_CASE(an_answer_at_one_instance_ends_the_suspicion_at_all) {
+    limiter_fleet fleet(3);
+    constexpr std::uint64_t fingerprint = 42;
+    crash(fleet.limiters[0], fingerprint, "i-1");
+    crash(fleet.limiters[1], fingerprint, "i-2");
+    fleet.exchange(start);
+    fleet.limiters[2].clear_crashes(fingerprint, start);
+    fleet.exchange(start + milliseconds(250));
+    fleet.exchange(start + milliseconds(500));
+    const time_point later = start + seconds(8);
+    crash(fleet.limiters[0], fingerprint, "i-3", later);
+    fleet.exchange(later);
+    for (const retry_limiter& limiter : fleet.limiters) {
+        BOOST_TEST(!limiter.is_quarantined(fingerprint, later));
+    }
+    crash(fleet.limiters[1], fingerprint, "i-1", later);
+    crash(fleet.limiters[2], fingerprint, "i-2", later);
+    fleet.exchange(later);
+    for (const retry_limiter& limiter : fleet.limiters) {
+        BOOST_TEST(limiter.is_quarantined(fingerprint, later));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(settings_errors_name_every_invalid_value) {
     const auto settings = parse_edge_settings(R"({
         "instance": "a", "failure_domain": "z", "callers_address": "10.0.0.1:80",
