Crashes whose window has ended do not count with later ones

Cause: record_end of the crash log set the time of the latest crash without removing the crashes that were older than the window; they were removed only when there were many suspects. Old crashes are now removed whenever an end is recorded, which also bounds the log.

--- a/libs/decide/include/decide/crash_suspects.h
+++ b/libs/decide/include/decide/crash_suspects.h
@@ -85,6 +85,11 @@
 /// Records that a target has answered the request \p fingerprint.
 void acquit(crash_log& log, std::uint64_t fingerprint);
 
+/// Records that another instance has seen a crash with the request \p fingerprint: if it is a
+/// suspect here, it stays one from then on for the window.
+void renew_suspect(crash_log& log, std::uint64_t fingerprint, const crash_policy& policy,
+                   time_point now);
+
 /// Removes the suspects whose latest crash is too long ago.
 void forget_old_crashes(crash_log& log, const crash_policy& policy, time_point now);
 
--- a/libs/decide/src/crash_suspects.cpp
+++ b/libs/decide/src/crash_suspects.cpp
@@ -46,6 +46,7 @@
     if (cause == end_cause::planned_stop) {
         return;
     }
+    forget_old_crashes(log, policy, now);
     target_crash* crash = find_present(log, target, policy, now);
     if (crash == nullptr) {
         crash = &log.crashes.emplace_back(target_crash{target, now, false, {}});
@@ -74,6 +75,13 @@
     remove_unsuspected(log);
 }
 
+void renew_suspect(crash_log& log, std::uint64_t fingerprint, const crash_policy& policy,
+                   time_point now) {
+    if (is_recent(log, fingerprint, policy, now)) {
+        log.latest[fingerprint] = now;
+    }
+}
+
 void forget_old_crashes(crash_log& log, const crash_policy& policy, time_point now) {
     for (target_crash& crash : log.crashes) {
         std::erase_if(crash.suspects, [&](std::uint64_t fingerprint) {
--- a/libs/decide/tests/crash_suspects_test.cpp
+++ b/libs/decide/tests/crash_suspects_test.cpp
@@ -127,4 +127,17 @@
     BOOST_TEST(log.latest.empty());
 }
 
+// Guards against a suspicion that returns with a later crash, although its window had ended.
+BOOST_AUTO_TEST_CASE(forgotten_crashes_do_not_count_with_later_ones) {
+    const time_point later = start + seconds(30);
+    crash_log log;
+    crash(log, first, {innocent}, start);
+    crash(log, second, {innocent}, later);
+    BOOST_TEST(attributed(log, innocent, later) == 1);
+    crash_log renewed;
+    crash(renewed, first, {innocent}, start);
+    renew_suspect(renewed, innocent, policy, later);
+    BOOST_TEST(attributed(renewed, innocent, later) == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
