A quarantine lasts until a window after the latest crash at any instance

Cause: each instance ended the window by its own crashes alone. Now a count that a peer raises renews what is suspected here.

--- a/libs/proxy/include/proxy/retry_limiter.h
+++ b/libs/proxy/include/proxy/retry_limiter.h
@@ -71,6 +71,8 @@
     service_state& state_of(std::uint64_t service, time_point now);
     void add_to_request_rate(service_state& state, double count, time_point now) const;
     [[nodiscard]] crash_counts sum_peer_crashes() const;
+    /// Replaces the crashes that a peer has reported.
+    void apply_peer_crashes(crash_counts& known, const crash_counts& reported, time_point now);
     /// Removes all crashes of \p fingerprint. Returns whether there were any.
     bool forget_suspect(std::uint64_t fingerprint);
 
--- a/libs/proxy/src/retry_limiter.cpp
+++ b/libs/proxy/src/retry_limiter.cpp
@@ -1,6 +1,7 @@
 #include "proxy/retry_limiter.h"
 
 #include <cmath>
+#include <utility>
 
 #include "base/digest.h"
 
@@ -10,8 +11,6 @@
 
 // Usable share of the allowance; the rest covers retries that peers have not reported yet.
 constexpr double usable_allowance_share = 0.6;
-// Number of suspects at which those whose crashes are old are removed.
-constexpr std::size_t max_crash_records = 256;
 // Crash count by which an instance reports that a suspect was answered.
 constexpr std::uint32_t answered_mark = 0;
 // Time for which that is reported; covers the longest interval between two reports.
@@ -57,9 +56,6 @@
 
 void retry_limiter::record_end(std::uint64_t fingerprint, const target_id& target,
                                const connection_end& end, time_point now) {
-    if (this->local_crashes.latest.size() >= max_crash_records) {
-        forget_old_crashes(this->local_crashes, this->policy.crashes, now);
-    }
     knapweedknot::record_end(this->local_crashes, fingerprint, target,
                              find_cause(end, this->policy.crashes), this->policy.crashes, now);
 }
@@ -148,13 +144,21 @@
             subtract_peer_tokens(state.bucket, usage.retries - previous.retries, this->times, now);
         }
     }
-    crash_counts& from_peer = this->peer_crashes[peer];
-    from_peer.clear();
-    for (const auto& [fingerprint, count] : report.crashes) {
+    this->apply_peer_crashes(this->peer_crashes[peer], report.crashes, now);
+}
+
+void retry_limiter::apply_peer_crashes(crash_counts& known, const crash_counts& reported,
+                                       time_point now) {
+    const crash_counts before = std::exchange(known, {});
+    for (const auto& [fingerprint, count] : reported) {
         if (count == answered_mark) {
             this->forget_suspect(fingerprint);
-        } else {
-            from_peer[fingerprint] = count;
+            continue;
+        }
+        known[fingerprint] = count;
+        const auto previous = before.find(fingerprint);
+        if (previous == before.end() || previous->second < count) {
+            renew_suspect(this->local_crashes, fingerprint, this->policy.crashes, now);
         }
     }
 }
--- a/libs/proxy/tests/limiter_test.cpp
+++ b/libs/proxy/tests/limiter_test.cpp
@@ -287,6 +287,29 @@
     }
 }
 
+// Guards against a deadly request that is passed on again soon after its third crash (BUDGET):
+// each instance forgot its own part of the crashes by itself.
+BOOST_AUTO_TEST_CASE(crashes_are_forgotten_a_window_after_the_latest_at_any_instance) {
+    limiter_fleet fleet(3);
+    constexpr std::uint64_t fingerprint = 42;
+    for (int number = 0; number < 3; ++number) {
+        const time_point now = start + number * seconds(8);
+        crash(fleet.limiters[number], fingerprint, "i-1", now);
+        fleet.exchange(now);
+    }
+    const time_point latest = start + seconds(16);
+    for (const duration passed : {seconds(6), seconds(14), seconds(19)}) {
+        fleet.exchange(latest + passed);
+        for (const retry_limiter& limiter : fleet.limiters) {
+            BOOST_TEST(limiter.is_quarantined(fingerprint, latest + passed));
+        }
+    }
+    fleet.exchange(latest + seconds(21));
+    for (const retry_limiter& limiter : fleet.limiters) {
+        BOOST_TEST(!limiter.is_quarantined(fingerprint, latest + seconds(21)));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(settings_errors_name_every_invalid_value) {
     const auto settings = parse_edge_settings(R"({
         "instance": "a", "failure_domain": "z", "callers_address": "10.0.0.1:80",
