--- a/libs/proxy/src/balancer.cpp
+++ b/libs/proxy/src/balancer.cpp
@@ -37,6 +37,16 @@
     target_ptr target;
     std::unique_ptr<http_connection> connection;
     bool reused{false};
+    /// Time for which a reused connection was idle before the attempt.
+    duration idle_before{duration::zero()};
+};
+
+/// What remains of an attempt after its end.
+struct balancer::ended_attempt {
+    target_ptr target;
+    time_point started;
+    bool reused{false};
+    duration idle_before{duration::zero()};
 };
 
 /// A request without a final outcome, and its running attempts.
@@ -145,6 +155,10 @@
         this->refuse_unknown_targets(pending);
         return;
     }
+    if (this->is_quarantined(*pending, now)) {
+        this->refuse_quarantined(pending);
+        return;
+    }
     if (const target_ptr chosen = this->choose(*pending, now); chosen != nullptr) {
         this->send(pending, chosen);
         return;
@@ -177,6 +191,16 @@
         pending, {error_kind::no_target, "the registrations cannot be confirmed"}, min_retry_after);
 }
 
+/// Whether the request was found to crash targets, perhaps while it waited.
+bool balancer::is_quarantined(const pending_request& pending, time_point now) const {
+    return this->shared.retries.is_quarantined(pending.request.fingerprint, now);
+}
+
+void balancer::refuse_quarantined(const pending_request_ptr& pending) {
+    this->finish_with_error(
+        pending, {error_kind::request_quarantined, "targets crash on this request"}, std::nullopt);
+}
+
 target_ptr balancer::choose(const pending_request& pending, time_point now) {
     if (!this->knows_targets(now)) {
         return nullptr;
@@ -197,7 +221,9 @@
         *target, pending->request.route->idempotent ? this->options.idle_limit
                                                     : this->options.idle_limit_non_idempotent);
     current.reused = current.connection != nullptr;
-    if (current.connection == nullptr) {
+    if (current.reused) {
+        current.idle_before = current.connection->idle_time();
+    } else {
         const registered_target& where = target->known.registration;
         current.connection = std::make_unique<http_connection>(
             this->shared.owner, endpoint{where.ip, where.port}, this->options.limits);
@@ -238,9 +264,9 @@
 
 void balancer::handle_outcome(const pending_request_ptr& pending, attempt& ended,
                               http_outcome outcome) {
+    const ended_attempt kept{ended.target, ended.started, ended.reused, ended.idle_before};
     const target_ptr target = ended.target;
     const duration response_time = boot_clock::now() - ended.started;
-    const bool reused = ended.reused;
     std::unique_ptr<http_connection> connection = std::move(ended.connection);
     std::erase(target->running, &ended);
     pending->attempts.remove_if([&ended](const attempt& item) { return &item == &ended; });
@@ -248,7 +274,7 @@
         this->targets.keep_connection(*target, std::move(connection));
         this->handle_response(pending, target, response_time, std::move(*outcome));
     } else {
-        this->handle_failure(pending, target, outcome.error(), reused);
+        this->handle_failure(pending, kept, outcome.error());
     }
     this->dispatch_queued();
 }
@@ -274,7 +300,7 @@
         this->retry_or_fail(pending, {error_kind::target_failed, "an answer without a signature"});
         return;
     }
-    this->shared.retries.clear_crashes(pending->request.fingerprint);
+    this->shared.retries.clear_crashes(pending->request.fingerprint, now);
     if (answer.status >= first_server_error) {
         this->targets.record_failure(*target, error_response_suspicion, now);
         this->targets.check_target(*target, now);
@@ -323,9 +349,28 @@
                             min_retry_after);
 }
 
-void balancer::handle_failure(const pending_request_ptr& pending, const target_ptr& target,
-                              const http_failure& failure, bool reused) {
+/// Records the end of a connection as evidence of a crash. Ends of kept connections count as well,
+/// unless the target may have closed them as idle.
+void balancer::record_end(const pending_request& pending, const ended_attempt& ended,
+                          const http_failure& failure, time_point now) {
+    const bool in_service = ended.target->accepts_requests(now);
+    if (failure.progress == send_progress::not_sent) {
+        if (in_service && !ended.reused) {
+            this->shared.retries.record_unreachable(ended.target->id(), now);
+        }
+        return;
+    }
+    if (failure.problem.kind != error_kind::deadline_exceeded) {
+        this->shared.retries.record_end(pending.request.fingerprint, ended.target->id(),
+                                        {in_service, ended.idle_before, now - ended.started}, now);
+    }
+}
+
+void balancer::handle_failure(const pending_request_ptr& pending, const ended_attempt& ended,
+                              const http_failure& failure) {
     const time_point now = boot_clock::now();
+    const auto& [target, started, reused, idle_before] = ended;
+    this->record_end(*pending, ended, failure, now);
     ++this->counters.failed_attempts;
     const bool is_unsent = failure.progress == send_progress::not_sent;
     // The other idle connections to this target may be broken too.
@@ -336,7 +381,9 @@
                {"problem", std::string(answer_for(failure.problem.kind).name)},
                {"detail", failure.problem.detail},
                {"sent", is_unsent ? "no" : "yes"},
-               {"reused", reused ? "yes" : "no"}});
+               {"reused", reused ? "yes" : "no"},
+               {"idle_ms", format_ms(idle_before)},
+               {"age_ms", format_ms(now - started)}});
     if (is_unsent) {
         if (!reused) {
             this->targets.record_failure(*target, connect_failure_suspicion, now);
@@ -345,9 +392,6 @@
     } else {
         pending->may_have_run = true;
         this->targets.record_failure(*target, exchange_failure_suspicion, now);
-        if (!reused && failure.problem.kind != error_kind::deadline_exceeded) {
-            this->shared.retries.record_crash(pending->request.fingerprint, now);
-        }
     }
     this->targets.check_target(*target, now);
     if (!pending->attempts.empty()) {
@@ -369,9 +413,7 @@
         return;
     }
     const time_point now = boot_clock::now();
-    const bool is_quarantined =
-        this->shared.retries.is_quarantined(pending->request.fingerprint, now);
-    if (!is_quarantined && this->may_retry(*pending, now)) {
+    if (!this->is_quarantined(*pending, now) && this->may_retry(*pending, now)) {
         if (const target_ptr next = this->choose(*pending, now);
             next != nullptr && this->shared.retries.take_retry(this->service, now)) {
             ++this->counters.retried;
@@ -419,6 +461,9 @@
     if (!target_ejected && age < this->hedging_delay(*pending->request.route)) {
         return;
     }
+    if (this->is_quarantined(*pending, now)) {
+        return;
+    }
     const target_ptr next = this->choose(*pending, now);
     if (next == nullptr || !this->shared.retries.take_retry(this->service, now)) {
         return;
@@ -477,24 +522,42 @@
         this->refuse_queued();
         return;
     }
+    std::vector<pending_request_ptr> quarantined;
     for (auto& [priority, queue] : this->queues) {
-        std::size_t left = queue.size();
-        while (left-- > 0) {
-            const balancer_request_id id = *queue.pop();
-            const auto found = this->pending_requests.find(id);
-            // The request was cancelled, or its deadline has passed.
-            if (found == this->pending_requests.end()) {
-                continue;
-            }
-            const pending_request_ptr pending = found->second;
-            const target_ptr chosen = this->choose(*pending, now);
-            if (chosen == nullptr) {
-                queue.push(pending->request.account, id);
-                return;
-            }
-            this->send(pending, chosen);
+        if (!this->send_queued(queue, quarantined, now)) {
+            break;
         }
     }
+    for (const pending_request_ptr& pending : quarantined) {
+        this->refuse_quarantined(pending);
+    }
+}
+
+/// Sends the requests in \p queue until no target is free for one; then returns false. Moves those
+/// that crash targets to \p quarantined.
+bool balancer::send_queued(fair_queue<balancer_request_id>& queue,
+                           std::vector<pending_request_ptr>& quarantined, time_point now) {
+    std::size_t left = queue.size();
+    while (left-- > 0) {
+        const balancer_request_id id = *queue.pop();
+        const auto found = this->pending_requests.find(id);
+        // The request was cancelled, or its deadline has passed.
+        if (found == this->pending_requests.end()) {
+            continue;
+        }
+        const pending_request_ptr pending = found->second;
+        if (this->is_quarantined(*pending, now)) {
+            quarantined.push_back(pending);
+            continue;
+        }
+        const target_ptr chosen = this->choose(*pending, now);
+        if (chosen == nullptr) {
+            queue.push(pending->request.account, id);
+            return false;
+        }
+        this->send(pending, chosen);
+    }
+    return true;
 }
 
 /// Ends a request at its deadline.
--- a/libs/proxy/src/retry_limiter.cpp
+++ b/libs/proxy/src/retry_limiter.cpp
@@ -1,6 +1,7 @@
 #include "proxy/retry_limiter.h"
 
 #include <cmath>
+#include <utility>
 
 #include "base/digest.h"
 
@@ -10,8 +11,10 @@
 
 // Usable share of the allowance; the rest covers retries that peers have not reported yet.
 constexpr double usable_allowance_share = 0.6;
-// Number of fingerprints at which expired crash records are removed.
-constexpr std::size_t max_crash_records = 256;
+// Crash count by which an instance reports that a suspect was answered.
+constexpr std::uint32_t answered_mark = 0;
+// Time for which that is reported; covers the longest interval between two reports.
+constexpr duration answered_report_time = seconds(5);
 
 } // namespace
 
@@ -51,45 +54,78 @@
     return true;
 }
 
-void retry_limiter::record_crash(std::uint64_t fingerprint, time_point now) {
-    if (this->local_crashes.size() >= max_crash_records) {
-        std::erase_if(this->local_crashes, [&](const auto& item) {
-            return now - item.second.last > this->policy.crash_window;
-        });
+void retry_limiter::record_end(std::uint64_t fingerprint, const target_id& target,
+                               const exchange_end& end, time_point now) {
+    knapweedknot::record_end(this->local_crashes, fingerprint, target,
+                             find_cause(end, this->policy.crashes), this->policy.crashes, now);
+}
+
+void retry_limiter::record_unreachable(const target_id& target, time_point now) {
+    knapweedknot::record_unreachable(this->local_crashes, target, this->policy.crashes, now);
+}
+
+void retry_limiter::clear_crashes(std::uint64_t fingerprint, time_point now) {
+    std::erase_if(this->answered_at,
+                  [&](const auto& item) { return now - item.second > answered_report_time; });
+    if (this->forget_suspect(fingerprint)) {
+        this->answered_at[fingerprint] = now;
     }
-    crash_record& record = this->local_crashes[fingerprint];
-    if (now - record.last > this->policy.crash_window) {
-        record.crashes = 0;
+}
+
+bool retry_limiter::forget_suspect(std::uint64_t fingerprint) {
+    std::size_t removed = this->local_crashes.latest.count(fingerprint);
+    acquit(this->local_crashes, fingerprint);
+    for (auto& [peer, crashes] : this->peer_crashes) {
+        removed += crashes.erase(fingerprint);
     }
-    ++record.crashes;
-    record.last = now;
+    return removed > 0;
 }
 
-void retry_limiter::clear_crashes(std::uint64_t fingerprint) {
-    this->local_crashes.erase(fingerprint);
+/// Crashes that peers report, for the suspects of this instance and of theirs.
+crash_counts retry_limiter::sum_peer_crashes() const {
+    crash_counts total;
+    for (const auto& [peer, crashes] : this->peer_crashes) {
+        for (const auto& [fingerprint, count] : crashes) {
+            total[fingerprint] += count;
+        }
+    }
+    return total;
 }
 
 bool retry_limiter::is_quarantined(std::uint64_t fingerprint, time_point now) const {
-    std::uint32_t crash_count = 0;
-    if (const auto own = this->local_crashes.find(fingerprint);
-        own != this->local_crashes.end() && now - own->second.last <= this->policy.crash_window) {
-        crash_count += own->second.crashes;
-    }
+    std::uint32_t reported = 0;
     for (const auto& [peer, crashes] : this->peer_crashes) {
-        if (const auto reported = crashes.find(fingerprint); reported != crashes.end()) {
-            crash_count += reported->second;
+        if (const auto found = crashes.find(fingerprint); found != crashes.end()) {
+            reported += found->second;
         }
     }
-    return crash_count >= this->policy.crashes_to_quarantine;
+    const std::uint32_t limit = this->policy.crashes_to_quarantine;
+    const std::uint32_t seen =
+        count_crashes(this->local_crashes, fingerprint, this->policy.crashes, now);
+    if (seen == 0 || reported + seen < limit) {
+        return reported + seen >= limit;
+    }
+    return reported + count_attributed_crashes(this->local_crashes, fingerprint,
+                                               this->sum_peer_crashes(), this->policy.crashes,
+                                               now) >=
+           limit;
 }
 
 void retry_limiter::add_to_report(instance_report& report, time_point now) const {
     for (const auto& [service, state] : this->states) {
         report.services[service] = state.usage;
     }
-    for (const auto& [fingerprint, record] : this->local_crashes) {
-        if (now - record.last <= this->policy.crash_window) {
-            report.crashes[fingerprint] = record.crashes;
+    for (const auto& [fingerprint, answered] : this->answered_at) {
+        if (now - answered <= answered_report_time) {
+            report.crashes[fingerprint] = answered_mark;
+        }
+    }
+    const crash_counts elsewhere = this->sum_peer_crashes();
+    for (const auto& [fingerprint, latest] : this->local_crashes.latest) {
+        const std::uint32_t count = count_attributed_crashes(this->local_crashes, fingerprint,
+                                                             elsewhere, this->policy.crashes, now);
+        if (count > 0) {
+            report.crashes[fingerprint] = count;
         }
     }
 }
@@ -108,7 +144,23 @@
             subtract_peer_tokens(state.bucket, usage.retries - previous.retries, this->times, now);
         }
     }
-    this->peer_crashes[peer] = report.crashes;
+    this->apply_peer_crashes(this->peer_crashes[peer], report.crashes, now);
+}
+
+void retry_limiter::apply_peer_crashes(crash_counts& known, const crash_counts& reported,
+                                       time_point now) {
+    const crash_counts before = std::exchange(known, {});
+    for (const auto& [fingerprint, count] : reported) {
+        if (count == answered_mark) {
+            this->forget_suspect(fingerprint);
+            continue;
+        }
+        known[fingerprint] = count;
+        const auto previous = before.find(fingerprint);
+        if (previous == before.end() || previous->second < count) {
+            renew_suspect(this->local_crashes, fingerprint, this->policy.crashes, now);
+        }
+    }
 }
 
 void retry_limiter::remove_peer(incarnation_id peer) {
