--- a/libs/event/src/server_connection.cpp
+++ b/libs/event/src/server_connection.cpp
@@ -11,6 +11,7 @@
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 
+#include "event/hop_by_hop.h"
 #include "socket_queues.h"
 
 namespace knapweedknot::detail {
@@ -32,11 +33,6 @@
     return status != no_content && status != not_modified;
 }
 
-bool has_connection_close(const http_headers& headers) {
-    const std::string* value = find_header(headers, "Connection");
-    return value != nullptr && equal_ignoring_case(*value, "close");
-}
-
 } // namespace
 
 void server_connection::stream_deleter::operator()(bufferevent* owned) const noexcept {
@@ -209,7 +205,7 @@
         const bool is_last = this->exchanges.empty() && !this->pending_request;
         // Later requests that already run must still get their responses before the close.
         const bool closes = is_last && (next.closes || this->server.draining ||
-                                        has_connection_close(next.response->headers));
+                                        is_connection_option(next.response->headers, "close"));
         this->write(next, closes);
         if (closes) {
             this->start_closing(connection_end_reason::final_response);
