A closing connection waits as long for a caller that pauses as an open one (LOST)

Found by the review of the mends: a caller that took nothing for 2 s of its last answer, as behind a lossy link, got it cut, though a kept connection waits 10 s. The linger timeout is for a caller that has everything.

--- a/libs/event/include/event/http_server.h
+++ b/libs/event/include/event/http_server.h
@@ -39,8 +39,8 @@
     /// Maximum time from the first byte of a request to the end of its header section. The parts of
     /// a body may be this far apart, or idle_timeout if that is longer.
     duration header_timeout{seconds(60)};
-    /// The server closes a connection that it ends once the caller has closed it, or has taken no
-    /// byte of the responses for this long.
+    /// The server closes a connection that it ends once the caller has closed it, or this long
+    /// after the caller has taken all responses; write_stall_timeout holds before.
     duration linger_timeout{seconds(2)};
     /// Requests of one connection that may run at once; no further requests are read until one of
     /// them completes. None are read either while responses wait to be written.
--- a/libs/event/src/server_connection.cpp
+++ b/libs/event/src/server_connection.cpp
@@ -282,7 +282,11 @@
         return;
     }
     this->delivery.note(this->undelivered_bytes(), now);
-    if (this->delivery.unchanged_for(now) >= this->server.limits.linger_timeout) {
+    const http_server_limits& limits = this->server.limits;
+    const duration patience = this->delivery.outstanding_bytes > 0
+                                  ? std::max(limits.linger_timeout, limits.write_stall_timeout)
+                                  : limits.linger_timeout;
+    if (this->delivery.unchanged_for(now) >= patience) {
         this->close(*this->closing_reason, connection_end_manner::timed_out);
     }
 }
--- a/libs/event/tests/connection_close_test.cpp
+++ b/libs/event/tests/connection_close_test.cpp
@@ -120,6 +120,21 @@
     BOOST_TEST(fixture.requests.size() == 1U);
 }
 
+// Guards against a last answer that is cut since its caller takes nothing for a moment, as hosts on
+// a lossy link do (LOST).
+BOOST_AUTO_TEST_CASE(a_closing_connection_waits_for_a_caller_that_pauses) {
+    const http_server_limits limits = short_limits();
+    one_caller_server fixture(limits, small_receive_buffer);
+    fixture.caller.send(get_request("/1"));
+    fixture.wait_for_requests(1);
+    fixture.server.close_after_responses();
+    fixture.respond(0, std::string(huge_answer_bytes, 'x'));
+    fixture.run_for(limits.linger_timeout * 3);
+    BOOST_TEST(fixture.ends.empty());
+    fixture.read_to_end();
+    BOOST_TEST(fixture.received.size() > huge_answer_bytes);
+}
+
 // Guards against requests that are broken off since the body of another one, sent behind them,
 // stops arriving (LOST).
 BOOST_AUTO_TEST_CASE(a_body_that_stops_arriving_does_not_end_the_requests_before_it) {
