A connection on which a request is arriving is not closed as idle (LOST)

Found by the review: once the requests before it were answered, the idle timer ran while a body arrived, and closed the connection; the rest of the body was discarded, without an answer or a log line. Only the time between two parts of a body counts there.

a_body_that_arrives_slowly_is_not_taken_for_an_idle_connection failed before (no second request within 5 s).

--- a/libs/event/src/server_connection.cpp
+++ b/libs/event/src/server_connection.cpp
@@ -217,7 +217,7 @@
         this->pending_request.reset();
         this->start_request(std::move(message), this->pending_keeps_alive);
     }
-    if (this->stream != nullptr && this->exchanges.empty()) {
+    if (this->stream != nullptr && this->exchanges.empty() && this->parser == nullptr) {
         this->restart_idle_timer();
     }
     if (this->stream != nullptr) {
--- a/libs/event/tests/connection_close_test.cpp
+++ b/libs/event/tests/connection_close_test.cpp
@@ -151,6 +151,26 @@
     BOOST_TEST(fixture.count("HTTP/1.1 408") == 1U);
 }
 
+// Guards against a request that is dropped without a word since its body arrives slowly, after
+// those before it were answered (LOST).
+BOOST_AUTO_TEST_CASE(a_body_that_arrives_slowly_is_not_taken_for_an_idle_connection) {
+    http_server_limits limits = short_limits();
+    limits.header_timeout = seconds(5);
+    one_caller_server fixture(limits);
+    fixture.caller.send(get_request("/1") +
+                        "POST /2 HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbo");
+    fixture.wait_for_requests(1);
+    fixture.respond(0, "one");
+    fixture.run_for(limits.idle_timeout * 3);
+    fixture.caller.send("dy");
+    fixture.wait_for_requests(2);
+    fixture.respond(1, "two");
+    fixture.run_until([&] {
+        fixture.received += fixture.caller.read_available();
+        return fixture.received.ends_with("two");
+    });
+}
+
 // Guards against connections that the kernel has accepted and a planned stop resets, with the
 // requests that they carry (LOST).
 BOOST_AUTO_TEST_CASE(connections_that_wait_to_be_accepted_are_served_when_the_server_stops) {
