Requests of a caller that has left are detached before their ends are handled

Found by the review, there before: the end of one request can release another of the same connection (a balancer refuses what is queued), whose object was then used after its end. Now all are detached first, and what the handlers left to be called runs from copies.

a_request_may_end_while_others_of_its_connection_are_cancelled failed before: only one of two handlers was called.

--- a/libs/event/include/event/http_server.h
+++ b/libs/event/include/event/http_server.h
@@ -33,7 +33,8 @@
     /// Time after which an idle caller connection is closed. It runs from when the caller has taken
     /// the last response.
     duration idle_timeout{seconds(60)};
-    /// Time for which a caller may take no byte of its responses, at least the idle timeout. A host
+    /// Time for which a caller may take no byte of its responses, at least the idle timeout. It is
+    /// checked at intervals of the idle timeout while the connection is kept. A host
     /// that is cut off for some seconds, or resends over a lossy link, is not given up.
     duration write_stall_timeout{seconds(10)};
     /// Maximum time from the first byte of a request to the end of its header section. The parts of
@@ -86,7 +87,8 @@
 
 private:
     friend class detail::server_connection;
-    void handle_disconnect();
+    /// Parts the request from its ended connection, and returns what to call then; may be empty.
+    [[nodiscard]] std::function<void()> detach();
 
     detail::server_connection* connection;
     http_request message;
@@ -112,7 +114,8 @@
     /// Stops accepting connections. Open connections are still served, and so are those that the
     /// kernel has established by now.
     void stop_listening();
-    /// Replaces the limits. Partly received requests and running timers keep the previous ones.
+    /// Replaces the limits. Partly received requests and running timers keep the previous ones, but
+    /// a longer idle timeout holds at once.
     void set_limits(const http_server_limits& limits) noexcept { this->limits = limits; }
     /// Creates the response to a request that cannot be parsed or exceeds a limit. The default has
     /// the HTTP status of the error, and its detail as the body.
--- a/libs/event/src/http_server.cpp
+++ b/libs/event/src/http_server.cpp
@@ -89,13 +89,9 @@
     this->disconnect_callback = std::move(callback);
 }
 
-void incoming_request::handle_disconnect() {
+std::function<void()> incoming_request::detach() {
     this->connection = nullptr;
-    if (this->disconnect_callback) {
-        // The callback may release the last reference to this request, so it runs from a local.
-        const std::function<void()> callback = std::move(this->disconnect_callback);
-        callback();
-    }
+    return std::exchange(this->disconnect_callback, nullptr);
 }
 
 http_server::http_server(loop& event_loop, const http_server_limits& server_limits,
--- a/libs/event/src/server_connection.cpp
+++ b/libs/event/src/server_connection.cpp
@@ -327,10 +327,17 @@
     this->cancelled_requests = this->unanswered_requests();
     const std::deque<exchange> abandoned = std::exchange(this->exchanges, {});
     this->pending_request.reset();
+    // A callback may release other requests, so all are detached before the first is called.
+    std::vector<std::function<void()>> callbacks;
     for (const exchange& item : abandoned) {
         if (item.request != nullptr) {
             --this->server.running;
-            item.request->handle_disconnect();
+            callbacks.push_back(item.request->detach());
+        }
+    }
+    for (const std::function<void()>& callback : callbacks) {
+        if (callback) {
+            callback();
         }
     }
 }
--- a/libs/event/tests/connection_end_test.cpp
+++ b/libs/event/tests/connection_end_test.cpp
@@ -40,6 +40,24 @@
     BOOST_TEST(fixture.ends.front().undelivered == none);
 }
 
+// Guards against a crash of the process when what ends for a caller that has left releases another
+// request of that caller.
+BOOST_AUTO_TEST_CASE(a_request_may_end_while_others_of_its_connection_are_cancelled) {
+    one_caller_server fixture;
+    fixture.caller.send(get_request("/1", "a") + get_request("/2", "b"));
+    fixture.wait_for_requests(2);
+    std::vector<std::string> told;
+    fixture.requests[0]->on_caller_disconnect([&] {
+        told.emplace_back("a");
+        fixture.requests.clear();
+    });
+    fixture.requests[1]->on_caller_disconnect([&told] { told.emplace_back("b"); });
+    fixture.caller.close();
+    fixture.run_until([&] { return !fixture.ends.empty(); });
+    BOOST_TEST(told == (std::vector<std::string>{"a", "b"}));
+    BOOST_TEST(fixture.server.running_requests() == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(a_reset_by_the_caller_is_reported) {
     one_caller_server fixture;
     fixture.caller.send(get_request("/1", "a"));
