--- a/tests/raw_target.h
+++ b/tests/raw_target.h
@@ -46,11 +46,7 @@
         return true;
     }
     /// Ends the connection by a reset, whatever it holds.
-    void reset() {
-        const linger at_once{1, 0};
-        setsockopt(this->connection.fd, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
-        this->connection.close();
-    }
+    void reset() { this->connection.reset(); }
 
     raw_socket connection;
     int accepted_connections{0};
