--- a/review/standins-2/standins.h
+++ b/review/standins-2/standins.hh
@@ -184,7 +184,8 @@
             }
         }
         this->buffer.erase(0, end + 4);
-        const auto length = static_cast<std::size_t>(std::atoll(into.header("Content-Length").c_str()));
+        const auto length =
+            static_cast<std::size_t>(std::atoll(into.header("Content-Length").c_str()));
         while (this->buffer.size() < length) {
             const double left = limit_s - seconds_since(start);
             if (left <= 0 || this->read_some(left) <= 0) {
@@ -371,7 +372,8 @@
             }
             string text = this->text_of(query["key"]);
             text.pop_back();
-            return answer_text("200 OK", type, text + "," + end + std::to_string(this->revision) + "}");
+            return answer_text("200 OK", type,
+                               text + "," + end + std::to_string(this->revision) + "}");
         }
         if (path == "/kv-range") {
             string list;
@@ -389,12 +391,14 @@
                 list += (count++ > 0 ? "," : "") + this->text_of(at->first);
             }
             return answer_text("200 OK", type,
-                               "{\"items\":[" + list + "],\"has-more\":" + (more ? "true" : "false") +
-                                   "," + end + std::to_string(this->revision) + "}");
+                               "{\"items\":[" + list +
+                                   "],\"has-more\":" + (more ? "true" : "false") + "," + end +
+                                   std::to_string(this->revision) + "}");
         }
         if (path == "/kv-watch") {
             const auto after = static_cast<std::uint64_t>(std::stoull(query["after"]));
-            const auto limit = steady::now() + std::chrono::milliseconds(std::stoll(query["wait-ms"]));
+            const auto limit =
+                steady::now() + std::chrono::milliseconds(std::stoll(query["wait-ms"]));
             string list;
             while (true) {
                 for (const change& each : this->changes) {
@@ -557,7 +561,8 @@
             char* const environment[] = {const_cast<char*>(path_variable.c_str()),
                                          const_cast<char*>(settings.c_str()),
                                          const_cast<char*>(further.c_str()), nullptr};
-            execle("target/programs/knapweedknotd", "knapweedknotd", "--edge", nullptr, environment);
+            execle("target/programs/knapweedknotd", "knapweedknotd", "--edge", nullptr,
+                   environment);
             _exit(127);
         }
         started_processes().push_back(this->pid);
